docs: design page and workspace

The page fixes the streams, the fold, the verdicts and the interfaces that the modules are built against. The workspace holds the shared names, the configuration model and the fold; the other modules are empty.

--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The `lavenderhollow` command.
+
+fn main() {}
--- /dev/null
+++ b/crates/config/src/key.rs
@@ -0,0 +1,83 @@
+//! Keys of teams and their hashes.
+
+use std::fmt;
+
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use rand::TryRngCore;
+use rand::rngs::OsRng;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_with::hex::Hex;
+use serde_with::serde_as;
+use sha2::Digest;
+use sha2::Sha256;
+use subtle::ConstantTimeEq;
+
+const KEY_BYTES: usize = 32;
+
+/// A secret that callers send to prove their team. Its debug form hides the secret.
+#[derive(Clone)]
+pub struct Key(String);
+
+impl Key {
+    /// Draws a random key from the operating system.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the operating system has no randomness to give.
+    pub fn random() -> Self {
+        let mut bytes = [0; KEY_BYTES];
+        OsRng
+            .try_fill_bytes(&mut bytes)
+            .expect("the operating system's random generator failed");
+        Self(URL_SAFE_NO_PAD.encode(bytes))
+    }
+
+    /// Takes a key as a caller sent it.
+    pub fn from_text(text: &str) -> Self {
+        Self(text.to_owned())
+    }
+
+    /// Returns the secret, to be shown once to the operator who created it.
+    pub fn reveal(&self) -> &str {
+        &self.0
+    }
+
+    /// Returns the hash that goes into the configuration.
+    pub fn hash(&self) -> KeyHash {
+        KeyHash(Sha256::digest(self.0.as_bytes()).into())
+    }
+}
+
+impl fmt::Debug for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Key(..)")
+    }
+}
+
+/// The SHA-256 hash of a key; keys are random, so that no salt is needed.
+#[serde_as]
+#[derive(Clone, Copy, Serialize, Deserialize, JsonSchema)]
+#[schemars(transparent)]
+pub struct KeyHash(
+    #[serde_as(as = "Hex")]
+    #[schemars(with = "String")]
+    [u8; 32],
+);
+
+impl PartialEq for KeyHash {
+    /// Compares in constant time, so that the time taken tells nothing about the key.
+    fn eq(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl Eq for KeyHash {}
+
+impl fmt::Debug for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "KeyHash({:02x}{:02x}..)", self.0[0], self.0[1])
+    }
+}
--- /dev/null
+++ b/crates/core/src/configuration.rs
@@ -0,0 +1,1 @@
+//! The state of the `config` stream.
--- /dev/null
+++ b/crates/core/src/escrow.rs
@@ -0,0 +1,1 @@
+//! Escrow of upper limits: allotments that sum to at most the limit.
--- /dev/null
+++ b/crates/core/src/estimate.rs
@@ -0,0 +1,1 @@
+//! Learned quantiles of sizes and run times.
--- /dev/null
+++ b/crates/core/src/evidence.rs
@@ -0,0 +1,1 @@
+//! Evidence that separates failing jobs from failing workers.
--- /dev/null
+++ b/crates/core/src/exchange.rs
@@ -0,0 +1,1 @@
+//! Matching of answers to open attempts.
--- /dev/null
+++ b/crates/core/src/fleet.rs
@@ -0,0 +1,1 @@
+//! The state of the `fleet` stream: VMs, drains, waves and zone allotments.
--- /dev/null
+++ b/crates/core/src/follower.rs
@@ -0,0 +1,1 @@
+//! Following a stream: rebuild, pending records and snapshots.
--- /dev/null
+++ b/crates/core/src/freshness.rs
@@ -0,0 +1,1 @@
+//! Freshness of the configuration and what it allows.
--- /dev/null
+++ b/crates/core/src/jobs.rs
@@ -0,0 +1,1 @@
+//! Durable jobs and their attempts.
--- /dev/null
+++ b/crates/core/src/keyring.rs
@@ -0,0 +1,1 @@
+//! Admission of requests by key.
--- /dev/null
+++ b/crates/core/src/maintenance.rs
@@ -0,0 +1,1 @@
+//! Pool membership, availability budgets, drain grants and waves.
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,1 @@
+//! The view of targets: list, probes, leases and drains.
--- /dev/null
+++ b/crates/core/src/once.rs
@@ -0,0 +1,1 @@
+//! Idempotency claims and execution tickets.
--- /dev/null
+++ b/crates/core/src/permit.rs
@@ -0,0 +1,1 @@
+//! The right to send a request once.
--- /dev/null
+++ b/crates/core/src/placement.rs
@@ -0,0 +1,1 @@
+//! Choice of a target for a request.
--- /dev/null
+++ b/crates/core/src/planner.rs
@@ -0,0 +1,1 @@
+//! Buffers and moves by the user's weights.
--- /dev/null
+++ b/crates/core/src/queue.rs
@@ -0,0 +1,1 @@
+//! Bounded queues with deadlines and early refusal.
--- /dev/null
+++ b/crates/core/src/retry.rs
@@ -0,0 +1,1 @@
+//! Retry budgets.
--- /dev/null
+++ b/crates/core/src/share.rs
@@ -0,0 +1,1 @@
+//! Weighted max-min shares.
--- /dev/null
+++ b/crates/core/tests/test_placement.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/testing/src/lib.rs
@@ -0,0 +1,8 @@
+//! Stand-ins for the platform, the scenario runner and builders that tests share.
+
+mod fake_log;
+
+pub use fake_log::AppendError;
+pub use fake_log::FakeLog;
+pub use fake_log::Fault;
+pub use fake_log::ReadError;
