config: check, diff and questionnaire

A configuration is checked as a whole: every malformed value, then every broken rule, with path, value and what is allowed. Cause: serde stops at the first error, so that an operator would mend one mistake a try.

--- /dev/null
+++ b/crates/config/src/check.rs
@@ -0,0 +1,169 @@
+//! Rules that a well-formed configuration must keep.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lavenderhollow_types::TeamName;
+
+use crate::Config;
+use crate::KeyHash;
+use crate::Pool;
+use crate::Problem;
+use crate::Queue;
+use crate::Team;
+
+/// The longest deadline and run time of a queue.
+const MAX_DURATION: Duration = Duration::from_hours(7 * 24);
+
+/// The largest share, so that sums of shares stay far from overflow.
+const MAX_SHARE: u32 = 1_000_000;
+
+/// The largest limit and buffer, in slots: eight times the workers of the largest fleet, doubled.
+const MAX_SLOTS: u32 = 240_000;
+
+/// Checks every rule and returns all problems.
+pub fn check(config: &Config) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    check_sections(config, &mut problems);
+    for (name, pool) in &config.pools {
+        check_pool(&format!("pools.{name}"), pool, &mut problems);
+    }
+    for (name, queue) in &config.queues {
+        check_queue(&format!("queues.{name}"), queue, config, &mut problems);
+    }
+    for (name, team) in &config.teams {
+        check_team(&format!("teams.{name}"), team, config, &mut problems);
+    }
+    check_keys(config, &mut problems);
+    check_weights(config, &mut problems);
+    problems
+}
+
+fn check_sections(config: &Config, problems: &mut Vec<Problem>) {
+    if config.deployment.trim().is_empty() {
+        problems.push(Problem::new(
+            "deployment",
+            &config.deployment,
+            "a name that is not empty",
+        ));
+    }
+    let sections = [
+        ("zones", config.zones.is_empty()),
+        ("pools", config.pools.is_empty()),
+        ("queues", config.queues.is_empty()),
+    ];
+    for (section, empty) in sections {
+        if empty {
+            let none: [u8; 0] = [];
+            problems.push(Problem::new(section, &none, "at least one entry"));
+        }
+    }
+}
+
+fn check_pool(path: &str, pool: &Pool, problems: &mut Vec<Problem>) {
+    if pool.racks_at_once == 0 {
+        let place = format!("{path}.racks_at_once");
+        problems.push(Problem::new(place, &pool.racks_at_once, "1 or more"));
+    }
+    if pool.buffer_slots > MAX_SLOTS {
+        let place = format!("{path}.buffer_slots");
+        problems.push(Problem::new(
+            place,
+            &pool.buffer_slots,
+            format!("at most {MAX_SLOTS}"),
+        ));
+    }
+}
+
+fn check_queue(path: &str, queue: &Queue, config: &Config, problems: &mut Vec<Problem>) {
+    if !config.pools.contains_key(&queue.pool) {
+        let place = format!("{path}.pool");
+        problems.push(Problem::new(
+            place,
+            &queue.pool,
+            one_of("pool", config.pools.keys()),
+        ));
+    }
+    if queue.max_queued == 0 {
+        let place = format!("{path}.max_queued");
+        problems.push(Problem::new(place, &queue.max_queued, "1 or more"));
+    }
+    let times = [
+        ("deadline_ms", queue.deadline),
+        ("run_time_ms", queue.run_time),
+    ];
+    for (field, time) in times {
+        if time.is_zero() || time > MAX_DURATION {
+            let allowed = format!("1 to {} (seven days)", MAX_DURATION.as_millis());
+            problems.push(Problem::new(
+                format!("{path}.{field}"),
+                &time.as_millis(),
+                allowed,
+            ));
+        }
+    }
+}
+
+fn check_team(path: &str, team: &Team, config: &Config, problems: &mut Vec<Problem>) {
+    if team.share == 0 || team.share > MAX_SHARE {
+        let allowed = format!("1 to {MAX_SHARE}");
+        problems.push(Problem::new(format!("{path}.share"), &team.share, allowed));
+    }
+    if team.limit > MAX_SLOTS {
+        let allowed = format!("at most {MAX_SLOTS}");
+        problems.push(Problem::new(format!("{path}.limit"), &team.limit, allowed));
+    }
+    if !config.zones.contains_key(&team.home) {
+        let allowed = one_of("availability zone", config.zones.keys());
+        problems.push(Problem::new(format!("{path}.home"), &team.home, allowed));
+    }
+}
+
+/// Refuses a key that two teams hold: the team could not be told from the key.
+fn check_keys(config: &Config, problems: &mut Vec<Problem>) {
+    let mut holders: BTreeMap<[u8; 32], (&TeamName, &str)> = BTreeMap::new();
+    for (team, settings) in &config.teams {
+        for (name, hash) in &settings.keys {
+            if let Some((other, key)) = holders.insert(hash.bytes(), (team, name)) {
+                let place = format!("teams.{team}.keys.{name}");
+                let allowed = format!("a key of its own; teams.{other}.keys.{key} is the same");
+                problems.push(Problem::new(place, &short_hash(hash), allowed));
+            }
+        }
+    }
+}
+
+fn check_weights(config: &Config, problems: &mut Vec<Problem>) {
+    let weights = &config.weights;
+    let values = [
+        ("buffer_hour", weights.buffer_hour),
+        ("vm_move", weights.vm_move),
+        ("rollout_hour", weights.rollout_hour),
+        ("share_distance", weights.share_distance),
+    ];
+    for (field, value) in values {
+        if !value.is_finite() || value < 0.0 {
+            problems.push(Problem::new(
+                format!("weights.{field}"),
+                &value,
+                "0 or more",
+            ));
+        }
+    }
+}
+
+fn short_hash(hash: &KeyHash) -> String {
+    format!("{hash:?}")
+}
+
+fn one_of<T: ToString>(what: &str, names: impl Iterator<Item = T>) -> String {
+    const MAX_LISTED: usize = 8;
+    let names: Vec<String> = names.map(|name| name.to_string()).collect();
+    let listed = names[..names.len().min(MAX_LISTED)].join(", ");
+    let more = if names.len() > MAX_LISTED {
+        ", …"
+    } else {
+        ""
+    };
+    format!("a declared {what} ({listed}{more})")
+}
--- a/crates/config/src/key.rs
+++ b/crates/config/src/key.rs
@@ -67,6 +67,13 @@
     [u8; 32],
 );
 
+impl KeyHash {
+    /// Returns the bytes of the hash.
+    pub fn bytes(&self) -> [u8; 32] {
+        self.0
+    }
+}
+
 impl PartialEq for KeyHash {
     /// Compares in constant time, so that the time taken tells nothing about the key.
     fn eq(&self, other: &Self) -> bool {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,8 +1,17 @@
 //! The declared configuration of a deployment: its format, checks, differences and questionnaire.
 
+mod check;
+mod diff;
 mod key;
 mod model;
+mod parse;
+mod problem;
+mod questionnaire;
 
+pub use check::check;
+pub use diff::Difference;
+pub use diff::Safety;
+pub use diff::diff;
 pub use key::Key;
 pub use key::KeyHash;
 pub use model::Automatic;
@@ -15,3 +24,13 @@
 pub use model::Team;
 pub use model::Weights;
 pub use model::Zone;
+pub use parse::ParseError;
+pub use parse::parse;
+pub use parse::parse_config;
+pub use parse::to_text;
+pub use problem::Problem;
+pub use questionnaire::Answers;
+pub use questionnaire::Organisation;
+pub use questionnaire::Priority;
+pub use questionnaire::Service;
+pub use questionnaire::TeamKeys;
--- /dev/null
+++ b/crates/config/src/problem.rs
@@ -0,0 +1,31 @@
+//! One problem of a document.
+
+use derive_more::Display;
+use serde::Serialize;
+
+/// A value that is not allowed, with its place and what is allowed instead.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize)]
+#[display("{path}: {value} is not allowed: {allowed}")]
+pub struct Problem {
+    /// The place in the document, such as `teams.kyushu.limit`.
+    pub path: String,
+    /// The value found there, as JSON.
+    pub value: String,
+    /// What is allowed.
+    pub allowed: String,
+}
+
+impl Problem {
+    /// Creates a problem.
+    pub fn new(
+        path: impl Into<String>,
+        value: &impl Serialize,
+        allowed: impl Into<String>,
+    ) -> Self {
+        Self {
+            path: path.into(),
+            value: serde_json::to_string(value).unwrap_or_else(|_| "(not printable)".to_owned()),
+            allowed: allowed.into(),
+        }
+    }
+}
