platform: add messages and clients of VM list and workers

The entry process and the stand-ins need the same messages, and a verdict rests on whether a worker was given any byte of a request. The client reports a failed connection apart from everything that happens later.

A refusal of a start counts only when it names the refused attempt. A status alone was ruled out: a refusal that answers another request would turn into a wrong "not run".

--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,41 @@
+//! Messages and clients of the platform's VM list and workers.
+
+mod http_client;
+mod vms;
+mod worker;
+mod worker_client;
+mod worker_headers;
+
+pub use http_client::CallError;
+pub use http_client::HttpClient;
+pub use http_client::Limits;
+pub use http_client::json_request;
+pub use vms::HttpVmList;
+pub use vms::VmInfo;
+pub use vms::VmList;
+pub use vms::VmListError;
+pub use vms::VmPage;
+pub use vms::VmState;
+pub use worker::CheckpointAnswer;
+pub use worker::HolderBody;
+pub use worker::LeaseAnswer;
+pub use worker::LeaseBody;
+pub use worker::LeaseRef;
+pub use worker::RunningTask;
+pub use worker::StartTask;
+pub use worker::TaskAnswer;
+pub use worker::TaskStatus;
+pub use worker::ThrottleBody;
+pub use worker::UsageReport;
+pub use worker::WorkerError;
+pub use worker::WorkerRefusal;
+pub use worker::WorkerRefusalKind;
+pub use worker::WorkerService;
+pub use worker::body_digest;
+pub use worker_client::HttpWorkers;
+pub use worker_client::WorkerLimits;
+pub use worker_headers::InvalidHeaders;
+pub use worker_headers::answer_from_headers;
+pub use worker_headers::answer_to_headers;
+pub use worker_headers::start_from_headers;
+pub use worker_headers::start_to_headers;
