--- a/crates/core/src/exchange.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Matching of answers to open attempts.
--- a/crates/core/src/jobs.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Durable jobs and their attempts.
--- a/crates/core/src/once.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Idempotency claims and execution tickets.
