--- a/crates/core/src/escrow.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Escrow of upper limits: allotments that sum to at most the limit.
