--- a/crates/core/src/maintenance.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Pool membership, availability budgets, drain grants and waves.
--- a/crates/core/src/membership.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The view of targets: list, probes, leases and drains.
--- a/crates/core/src/planner.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Buffers and moves by the user's weights.
