--- a/crates/core/src/fold.rs
+++ b/crates/core/src/fold.rs
@@ -52,6 +52,12 @@
     /// Names the subject whose version the change depends on.
     fn subject(change: &Self::Change) -> String;
 
+    /// Returns the version that a subject gets by an accepted record.
+    fn version(previous: Version, position: Position) -> Version {
+        let _ = position;
+        previous.next()
+    }
+
     /// Applies a change as a whole, or refuses it and changes nothing.
     ///
     /// # Errors
@@ -69,7 +75,7 @@
     Duplicate,
     /// The subject has another version than the actor saw.
     Conflict(Version),
-    /// The record is older than the window in which it may be accepted.
+    /// The record was not stored within the window around its creation, and has no effect.
     Expired,
     /// The state's rules refuse the change.
     Rejected(R),
@@ -90,6 +96,7 @@
     id: RecordId,
     #[serde_as(as = "TimestampMilliSeconds<i64>")]
     time: SystemTime,
+    accepted: Option<Version>,
 }
 
 /// The folded state of one stream with its versions and recent record ids.
@@ -155,16 +162,32 @@
         self
     }
 
+    /// Tells what became of a recent record: accepted, or [`Outcome::Duplicate`] for one that had
+    /// no effect. A record that is not remembered gives nothing.
+    pub fn recall(&self, id: RecordId) -> Option<Outcome<S::Rejection>> {
+        let seen = self.recent.iter().find(|seen| seen.id == id)?;
+        Some(seen.accepted.map_or(Outcome::Duplicate, Outcome::Accepted))
+    }
+
     fn change(&mut self, position: Position, record: &Record<S::Change>) -> Outcome<S::Rejection> {
         self.forget(position.time);
         if !self.ids.insert(record.id) {
             return Outcome::Duplicate;
         }
+        let outcome = self.decide(position, record);
         self.recent.push_back(Seen {
             id: record.id,
             time: position.time,
+            accepted: match outcome {
+                Outcome::Accepted(version) => Some(version),
+                _ => None,
+            },
         });
-        if record.created + RECORD_WINDOW < position.time {
+        outcome
+    }
+
+    fn decide(&mut self, position: Position, record: &Record<S::Change>) -> Outcome<S::Rejection> {
+        if !in_window(record.created, position.time) {
             return Outcome::Expired;
         }
         let subject = S::subject(&record.change);
@@ -177,14 +200,15 @@
             id: record.id,
             actor: record.actor,
         };
+        let next = S::version(version, position);
         match self.state.apply(&cx, &record.change) {
             Ok(Effect::Changed) => {
-                self.versions.insert(subject, version.next());
-                Outcome::Accepted(version.next())
+                self.versions.insert(subject, next);
+                Outcome::Accepted(next)
             }
             Ok(Effect::Removed) => {
                 self.versions.remove(&subject);
-                Outcome::Accepted(version.next())
+                Outcome::Accepted(next)
             }
             Err(rejection) => Outcome::Rejected(rejection),
         }
@@ -203,3 +227,11 @@
         }
     }
 }
+
+/// Tells whether a record may be accepted at a time of the log.
+///
+/// A record from a clock that is ahead is refused too: it would stay acceptable for longer than its
+/// id is remembered, and a late repeat would then be accepted twice.
+fn in_window(created: SystemTime, stored: SystemTime) -> bool {
+    created + RECORD_WINDOW >= stored && created <= stored + RECORD_WINDOW
+}
