--- a/crates/core/src/follower.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Following a stream: rebuild, pending records and snapshots.
--- a/crates/core/src/freshness.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Freshness of the configuration and what it allows.
