--- a/crates/core/tests/runner.rs
+++ b/crates/core/tests/runner.rs
@@ -1,5 +1,6 @@
 //! Tests of the core crate.
 
+mod fleet_world;
 mod test_admission_machine;
 mod test_config_machine;
 mod test_dispatch_machine;
