--- a/crates/core/src/fold.rs
+++ b/crates/core/src/fold.rs
@@ -81,6 +81,8 @@
     Rejected(R),
     /// The item is a snapshot and changes nothing.
     Snapshot,
+    /// The item is no record of this system.
+    Foreign,
 }
 
 impl<R> Outcome<R> {
@@ -152,6 +154,7 @@
         match item {
             Item::Change(record) => self.change(position, record),
             Item::Snapshot(_) => Outcome::Snapshot,
+            Item::Foreign => Outcome::Foreign,
         }
     }
 
--- a/crates/core/src/once/pending.rs
+++ b/crates/core/src/once/pending.rs
@@ -92,6 +92,7 @@
             | Outcome::Expired
             | Outcome::Conflict(_)
             | Outcome::Duplicate
+            | Outcome::Foreign
             | Outcome::Snapshot => {
                 let refusal = Refusal::new(RefusalKind::Expired, "the log refused the claim");
                 Err(self.permit.refuse(refusal))
--- a/crates/core/src/permit.rs
+++ b/crates/core/src/permit.rs
@@ -176,12 +176,34 @@
         SendError::NotSent(self.permit, Refusal::new(RefusalKind::NoTarget, detail))
     }
 
+    /// Ends the attempt of which the transport knows that no byte was given to a target.
+    pub fn unsent(self, proof: Unsent) -> SendError<R> {
+        let refusal = Refusal::new(RefusalKind::NoTarget, proof.detail);
+        SendError::NotSent(self.permit, refusal)
+    }
+
     /// Ends the attempt without a valid answer.
     pub fn lost(self, detail: impl Into<String>) -> SendError<R> {
         SendError::Unknown(Doubt::new(detail))
     }
 }
 
+/// A transport's statement that it gave no byte of an attempt to a target. Transports make it only
+/// when no connection to the target was open.
+#[derive(Debug)]
+pub struct Unsent {
+    detail: String,
+}
+
+impl Unsent {
+    /// States that the connection failed before any byte of the request.
+    pub fn connect_failed(detail: impl Into<String>) -> Self {
+        Self {
+            detail: detail.into(),
+        }
+    }
+}
+
 /// Why a send brought no answer.
 #[derive(Debug)]
 #[must_use]
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -43,6 +43,10 @@
     Change(Record<C>),
     /// The folded state, republished before the records that it comes from expire.
     Snapshot(S),
+    /// Something that is no record of this system. It has no effect, so that a stray append does
+    /// not stop every entry.
+    #[serde(skip)]
+    Foreign,
 }
 
 /// Where and when the log stored an item.
