platform: test failures of the clients, rename the id headers

Dropshot sets x-request-id on every answer to an id of its own, so that the worker's value was lost; seen as an answer that named an unknown request. The headers are now x-task-request and x-task-attempt.

--- a/crates/platform/src/worker_headers.rs
+++ b/crates/platform/src/worker_headers.rs
@@ -21,8 +21,9 @@
 use crate::TaskAnswer;
 use crate::TaskStatus;
 
-const REQUEST: HeaderName = HeaderName::from_static("x-request-id");
-const ATTEMPT: HeaderName = HeaderName::from_static("x-attempt-id");
+// Not `x-request-id`, which dropshot sets to an id of its own on every answer.
+const REQUEST: HeaderName = HeaderName::from_static("x-task-request");
+const ATTEMPT: HeaderName = HeaderName::from_static("x-task-attempt");
 const LEASE_HOLDER: HeaderName = HeaderName::from_static("x-lease-holder");
 const LEASE_END_MS: HeaderName = HeaderName::from_static("x-lease-end-ms");
 const RUN_MS: HeaderName = HeaderName::from_static("x-run-ms");
