--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -6,7 +6,7 @@
 
 pub use http_log::HttpLog;
 pub use http_log::HttpLogSettings;
-pub use memory::Fault;
+pub use memory::Faults;
 pub use memory::MemoryLog;
 pub use service::AppendError;
 pub use service::Appended;
--- a/crates/log/src/memory.rs
+++ b/crates/log/src/memory.rs
@@ -29,18 +29,15 @@
 /// The size at which a page ends early, in bytes of records; a page has at least one record.
 const PAGE_BYTES: usize = 1 << 20;
 
-/// A fault of the log.
+/// Faults of the log, which may come together.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Fault {
-    /// The log works.
-    #[default]
-    None,
+pub struct Faults {
     /// Appends and reads fail without effect.
-    Down,
+    pub down: bool,
     /// Appends and reads take effect and answer only after this time.
-    Slow(Duration),
+    pub slow: Duration,
     /// Appends take effect, but their answers are lost; reads work.
-    AnswerLost,
+    pub answer_lost: bool,
 }
 
 #[derive(Debug, Default)]
@@ -79,7 +76,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     streams: HashMap<StreamName, Stream>,
-    fault: Fault,
+    faults: Faults,
     retention: Option<Duration>,
     rate: Option<u32>,
     window: Option<(Instant, u32)>,
@@ -133,14 +130,14 @@
         }
     }
 
-    /// Sets the present fault.
-    pub fn set_fault(&self, fault: Fault) {
-        self.inner().fault = fault;
+    /// Sets the present faults.
+    pub fn set_faults(&self, faults: Faults) {
+        self.inner().faults = faults;
     }
 
-    /// Returns the present fault.
-    pub fn fault(&self) -> Fault {
-        self.inner().fault
+    /// Returns the present faults.
+    pub fn faults(&self) -> Faults {
+        self.inner().faults
     }
 
     /// Sets how long records are kept; without a time they are kept for ever.
@@ -170,7 +167,7 @@
         records: Vec<Box<RawValue>>,
     ) -> Result<Appended, RefusedAppend> {
         let mut inner = self.inner();
-        if inner.fault == Fault::Down {
+        if inner.faults.down {
             return Err(RefusedAppend::Unavailable);
         }
         if records.is_empty() {
@@ -201,7 +198,7 @@
 
     fn page(&self, name: &StreamName, from: ReadFrom) -> Result<Page, ReadError> {
         let mut inner = self.inner();
-        if inner.fault == Fault::Down {
+        if inner.faults.down {
             return Err(ReadError::Unavailable("log is down".to_owned()));
         }
         let stream = inner.stream(name, &*self.clock);
@@ -209,9 +206,9 @@
     }
 
     async fn delay(&self) {
-        let fault = self.fault();
-        if let Fault::Slow(delay) = fault {
-            tokio::time::sleep(delay).await;
+        let slow = self.faults().slow;
+        if !slow.is_zero() {
+            tokio::time::sleep(slow).await;
         }
     }
 }
@@ -225,9 +222,9 @@
     ) -> Result<Appended, AppendError> {
         let stored = self.store(stream, records).map_err(AppendError::Refused)?;
         self.delay().await;
-        match self.fault() {
-            Fault::AnswerLost => Err(AppendError::Unknown("answer was lost".to_owned())),
-            Fault::None | Fault::Down | Fault::Slow(_) => Ok(stored),
+        match self.faults().answer_lost {
+            true => Err(AppendError::Unknown("answer was lost".to_owned())),
+            false => Ok(stored),
         }
     }
 
