testing: add stand-ins for log, VM list and worker

Each is a dropshot server with a control address, usable in a test's own process or as a binary. Settings and faults are one JSON object that is patched, so that a mistyped fault is refused.

The log stand-in serves the log in memory, so that both have the same faults. A rebooting worker stops listening rather than answering 503, since callers must see that nothing was sent. The worker does not recognise repeated starts, so that a double run is counted and not hidden.

The tests of the log client run against the log stand-in.

--- /dev/null
+++ b/crates/log/tests/runner.rs
@@ -0,0 +1,4 @@
+//! Tests of the log client.
+
+mod test_faults;
+mod test_pages;
--- /dev/null
+++ b/crates/testing/tests/runner.rs
@@ -0,0 +1,7 @@
+//! Tests of the stand-ins.
+
+mod setup;
+mod test_binaries;
+mod test_vm_list;
+mod test_worker_answers;
+mod test_worker_leases;
