--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,18 @@
 //! The `lavenderhollow` command.
 
-fn main() {}
+mod command;
+mod exit;
+mod input;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let parser = lexopt::Parser::from_env();
+    match command::run(parser) {
+        Ok(code) => code.into(),
+        Err(report) => {
+            eprintln!("error: {report:#}");
+            exit::code_of(&report).into()
+        }
+    }
+}
