--- a/crates/core/src/freshness/installed.rs
+++ b/crates/core/src/freshness/installed.rs
@@ -40,6 +40,11 @@
         self.0.load()
     }
 
+    /// Returns the configuration to be kept across other work.
+    pub fn load_full(&self) -> Arc<Installed> {
+        self.0.load_full()
+    }
+
     /// Installs a configuration if it is newer than the present one, and tells whether it did. The
     /// log follower and several peers may install at the same time.
     pub fn install(&self, new: Installed) -> bool {
--- a/crates/core/src/jobs/index.rs
+++ b/crates/core/src/jobs/index.rs
@@ -2,6 +2,7 @@
 //! waves and takeovers never scan all jobs.
 
 use std::collections::BTreeSet;
+use std::ops::Bound;
 use std::time::Duration;
 use std::time::SystemTime;
 
@@ -73,6 +74,17 @@
         self.owned.range(first..=last).map(|(_, id)| *id)
     }
 
+    /// Visits each owner once, whatever the number of its jobs.
+    pub(super) fn owners(&self) -> impl Iterator<Item = Incarnation> {
+        let last = |owner| (owner, JobId::from_number(u128::MAX));
+        let first = self.owned.first().map(|(owner, _)| *owner);
+        std::iter::successors(first, move |owner| {
+            let after = (Bound::Excluded(last(*owner)), Bound::Unbounded);
+            let after = self.owned.range(after).next();
+            after.map(|(owner, _)| *owner)
+        })
+    }
+
     pub(super) fn lapsed(&self, now: SystemTime, margin: Duration) -> impl Iterator<Item = JobId> {
         let over = move |entry: &&(SystemTime, JobId)| entry.0 + margin < now;
         self.running.iter().take_while(over).map(|(_, id)| *id)
--- a/crates/core/src/jobs/state.rs
+++ b/crates/core/src/jobs/state.rs
@@ -34,8 +34,9 @@
 /// The longest lease that counts. It bounds how long a wrong clock of an owner delays a takeover.
 pub const MAX_LEASE: Duration = Duration::from_secs(3600);
 /// How long after a lease's end a job can be taken over. It covers the difference between the
-/// clocks of the log and of the worker.
-pub const LEASE_MARGIN: Duration = Duration::from_secs(30);
+/// clocks of the log and of the worker. A larger difference can make an idempotent job run twice
+/// at once; a job that is not idempotent is never started again.
+pub const LEASE_MARGIN: Duration = Duration::from_secs(5);
 
 /// All jobs are one subject, because a job that is dropped by age would leave its version in the
 /// fold. Stage, owner and attempt decide which change wins.
@@ -117,6 +118,11 @@
         self.index.owned(owner)
     }
 
+    /// Lists the owners of unfinished jobs.
+    pub fn owners(&self) -> impl Iterator<Item = Incarnation> {
+        self.index.owners()
+    }
+
     /// Lists the running jobs whose lease has lapsed by the log's time `now`.
     pub fn lapsed(&self, now: SystemTime) -> impl Iterator<Item = JobId> {
         self.index.lapsed(now, LEASE_MARGIN)
--- a/crates/core/src/keyring.rs
+++ b/crates/core/src/keyring.rs
@@ -78,7 +78,7 @@
     /// Refuses with [`RefusalKind::Unauthorized`] when the key is unknown, or missing in a queue
     /// that is not open, and with [`RefusalKind::NoQueue`] when there is no such queue.
     pub fn admit(&self, key: Option<&Key>, queue: &str) -> Result<Admission, Refusal> {
-        let team = key.map(|key| self.team(key)).transpose()?;
+        let team = key.map(|key| self.member(key)).transpose()?;
         let Some((name, settings)) = self.queues.get_key_value(queue) else {
             return Err(Refusal::new(RefusalKind::NoQueue, "no such queue"));
         };
@@ -92,8 +92,13 @@
         })
     }
 
-    /// Compares with every key, so that the time taken does not depend on which one matches.
-    fn team(&self, key: &Key) -> Result<Arc<Member>, Refusal> {
+    /// Returns the team of a key. It compares with every key, so that the time taken does not depend
+    /// on which one matches.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with [`RefusalKind::Unauthorized`] when the key is unknown.
+    pub fn member(&self, key: &Key) -> Result<Arc<Member>, Refusal> {
         let hash = key.hash();
         let mut found = None;
         for (known, member) in &self.keys {
--- /dev/null
+++ b/crates/entry/src/allotments.rs
@@ -0,0 +1,419 @@
+//! Moves allotments of upper limits to where they are needed.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use lavenderhollow_config::Automatic;
+use lavenderhollow_config::Config;
+use lavenderhollow_core::escrow::Account;
+use lavenderhollow_core::escrow::Change;
+use lavenderhollow_core::escrow::Evidence;
+use lavenderhollow_core::escrow::HolderDemand;
+use lavenderhollow_core::escrow::Rebalancer;
+use lavenderhollow_core::escrow::Step;
+use lavenderhollow_core::escrow::TeamEscrow;
+use lavenderhollow_core::fleet::FleetChange;
+use lavenderhollow_core::fold::State;
+use lavenderhollow_core::membership::owner;
+use lavenderhollow_core::zone::ZoneChange;
+use lavenderhollow_types::Incarnation;
+use lavenderhollow_types::TeamName;
+use lavenderhollow_types::Version;
+use lavenderhollow_types::VmName;
+use lavenderhollow_types::ZoneName;
+
+use crate::context::Context;
+use crate::message::Summary;
+
+/// After how long half of a past peak of demand is forgotten.
+const HALF_LIFE: Duration = Duration::from_secs(30);
+
+/// How long a submitted record is waited for before it is submitted again.
+const RECORD_WAIT: Duration = Duration::from_secs(3);
+
+/// The state of the task.
+#[derive(Default)]
+struct Desk {
+    entries: BTreeMap<TeamName, Rebalancer<Incarnation>>,
+    zones: BTreeMap<TeamName, Rebalancer<ZoneName>>,
+    submitted: BTreeMap<String, Instant>,
+}
+
+/// One team in one round.
+struct Round<'a> {
+    cx: &'a Context,
+    team: &'a TeamName,
+    limit: u64,
+    version: Version,
+    summaries: &'a [Summary],
+    leads: bool,
+    transfers: bool,
+    now: Instant,
+}
+
+/// Keeps the allotments near the demand, for ever.
+pub(crate) async fn keep(cx: &Arc<Context>) {
+    let mut desk = Desk::default();
+    let mut ticks = tokio::time::interval(cx.settings.heartbeat);
+    loop {
+        ticks.tick().await;
+        if cx.gate.is_closing() {
+            continue;
+        }
+        let installed = cx.config.load_full();
+        if installed.version.get() > 0 {
+            desk.round(cx, &installed.config, installed.version);
+        }
+    }
+}
+
+impl Desk {
+    fn round(&mut self, cx: &Context, config: &Config, version: Version) {
+        let now = cx.clock.now();
+        self.submitted.retain(|_, at| now < *at + RECORD_WAIT);
+        let summaries = cx.peers.summaries(now);
+        let live = cx.peers.live_in_zone(now);
+        let subject = VmName::new("allotments").expect("the name is valid");
+        let leads = owner(&subject, &live) == Some(&cx.settings.name);
+        for (team, settings) in &config.teams {
+            let round = Round {
+                cx,
+                team,
+                limit: settings.limit.into(),
+                version,
+                summaries: &summaries,
+                leads,
+                transfers: config.automatic.is_on(Automatic::Transfers),
+                now,
+            };
+            round.scale();
+            self.fleet_records(&round);
+            self.zone_records(&round);
+        }
+    }
+
+    /// Submits changes of the zones' allotments. One entry of the zone speaks for it.
+    fn fleet_records(&mut self, round: &Round<'_>) {
+        if !round.leads {
+            return;
+        }
+        let cx = round.cx;
+        let (escrow, version) = cx.streams.fleet.read(|fold| {
+            let escrow = fold.state().allotments.teams.get(round.team).cloned();
+            (escrow.unwrap_or_default(), fold.version(&subject(round.team)))
+        });
+        if escrow.limit != round.limit && round.version > escrow.version {
+            let change = Change::SetLimit {
+                team: round.team.clone(),
+                limit: round.limit,
+                version: round.version,
+                withheld: 0,
+            };
+            return self.submit_fleet(round, change, version);
+        }
+        let local = round.zone_escrow();
+        let account = escrow.holders.get(&cx.settings.zone).copied();
+        let account = account.unwrap_or_default();
+        let released = local.zone.returned.saturating_sub(account.returned);
+        if released > 0 {
+            let change = Change::Return {
+                team: round.team.clone(),
+                from: cx.settings.zone.clone(),
+                at: account.returned,
+                amount: released,
+            };
+            return self.submit_fleet(round, change, version);
+        }
+        if !round.transfers {
+            return;
+        }
+        let demands = round.zone_demands(&escrow);
+        let steps = self
+            .zones
+            .entry(round.team.clone())
+            .or_insert_with(|| Rebalancer::new(HALF_LIFE))
+            .steps(round.now, escrow.unallotted(), &demands);
+        for step in steps {
+            match step {
+                Step::Allot { to, amount } if to == cx.settings.zone => {
+                    let change = Change::Allot {
+                        team: round.team.clone(),
+                        to,
+                        amount,
+                        lease: cx.settings.lease,
+                    };
+                    self.submit_fleet(round, change, version);
+                }
+                Step::Transfer { from, amount, .. } if from == cx.settings.zone => {
+                    self.release(round, &local, amount);
+                }
+                Step::Allot { .. } | Step::Transfer { .. } => {}
+            }
+        }
+    }
+
+    /// Releases slots of the zone, which the fleet's stream then gives to another zone.
+    fn release(&mut self, round: &Round<'_>, local: &TeamEscrow<Incarnation>, amount: u64) {
+        let amount = amount.min(local.releasable());
+        if amount > 0 {
+            let change = Change::Release {
+                team: round.team.clone(),
+                at: local.zone.returned,
+                amount,
+            };
+            self.submit_zone(round, change, "release");
+        }
+    }
+
+    /// Submits changes of the entries' allotments.
+    fn zone_records(&mut self, round: &Round<'_>) {
+        let cx = round.cx;
+        let local = round.zone_escrow();
+        if round.leads {
+            self.fund(round, &local);
+        }
+        self.give_excess(round);
+        if !round.transfers {
+            return;
+        }
+        let demands = round.entry_demands(&local);
+        let steps = self
+            .entries
+            .entry(round.team.clone())
+            .or_insert_with(|| Rebalancer::new(HALF_LIFE))
+            .steps(round.now, local.unallotted(), &demands);
+        for step in steps {
+            match step {
+                Step::Allot { to, amount } if to == cx.incarnation => {
+                    let change = Change::Allot {
+                        team: round.team.clone(),
+                        to,
+                        amount,
+                        lease: cx.settings.lease,
+                    };
+                    self.submit_zone(round, change, "allot");
+                }
+                Step::Transfer { from, to, amount } if from == cx.incarnation => {
+                    self.transfer(round, to, amount);
+                }
+                Step::Allot { .. } | Step::Transfer { .. } => {}
+            }
+        }
+    }
+
+    /// Takes credits and limits of the fleet's stream into the zone's stream.
+    fn fund(&mut self, round: &Round<'_>, local: &TeamEscrow<Incarnation>) {
+        let cx = round.cx;
+        let (account, limit, version) = cx.streams.fleet.read(|fold| {
+            let allotments = &fold.state().allotments;
+            let escrow = allotments.teams.get(round.team);
+            let account: Account = allotments.account(round.team, &cx.settings.zone);
+            let limits = escrow.map(|escrow| (escrow.limit, escrow.version));
+            let (limit, version) = limits.unwrap_or_default();
+            (account, limit, version)
+        });
+        if version > local.version {
+            let change = Change::SetLimit {
+                team: round.team.clone(),
+                limit,
+                version,
+                withheld: account.withheld,
+            };
+            self.submit_zone(round, change, "limit");
+        } else if account.credited > local.zone.credited {
+            let change = Change::Fund {
+                team: round.team.clone(),
+                credit: local.zone.credited,
+                amount: account.credited - local.zone.credited,
+            };
+            self.submit_zone(round, change, "fund");
+        }
+    }
+
+    fn give_excess(&mut self, round: &Round<'_>) {
+        let meter = round.cx.meters.meter(round.team);
+        let excess = meter.excess();
+        if excess > 0 {
+            self.give(round, excess, None);
+        }
+    }
+
+    fn transfer(&mut self, round: &Round<'_>, to: Incarnation, amount: u64) {
+        self.give(round, amount, Some(to));
+    }
+
+    /// Reduces this entry's own use and then submits the gift.
+    fn give(&mut self, round: &Round<'_>, amount: u64, to: Option<Incarnation>) {
+        let cx = round.cx;
+        let key = format!("{}/give", round.team);
+        if self.submitted.contains_key(&key) {
+            return;
+        }
+        let meter = cx.meters.meter(round.team);
+        let placeholder = Change::Return {
+            team: round.team.clone(),
+            from: cx.incarnation,
+            at: 0,
+            amount: 0,
+        };
+        let mut record = cx.streams.zone.record(placeholder.into(), None);
+        let Some(gift) = meter.give(record.id, amount) else {
+            return;
+        };
+        let change = match to {
+            Some(to) => Change::Transfer {
+                team: round.team.clone(),
+                from: cx.incarnation,
+                to,
+                at: gift.at,
+                amount: gift.amount,
+                lease: cx.settings.lease,
+            },
+            None => Change::Return {
+                team: round.team.clone(),
+                from: cx.incarnation,
+                at: gift.at,
+                amount: gift.amount,
+            },
+        };
+        record.change = change.into();
+        cx.streams.zone.submit_record(record);
+        self.submitted.insert(key, round.now);
+    }
+
+    fn submit_fleet(&mut self, round: &Round<'_>, change: Change<ZoneName>, version: Version) {
+        let key = format!("{}/fleet", round.team);
+        if self.submitted.insert(key, round.now).is_none() {
+            let change = FleetChange::from(change);
+            round.cx.streams.fleet.submit(change, Some(version));
+        }
+    }
+
+    fn submit_zone(&mut self, round: &Round<'_>, change: Change<Incarnation>, what: &str) {
+        let key = format!("{}/{what}", round.team);
+        if self.submitted.insert(key, round.now).is_none() {
+            round.cx.streams.zone.submit(ZoneChange::from(change), None);
+        }
+    }
+}
+
+impl Round<'_> {
+    /// Scales the use at once when the limit is lower than the mirrored one.
+    fn scale(&self) {
+        let mirrored = self.zone_escrow().limit;
+        let lowered = (self.limit < mirrored).then_some((self.limit, mirrored));
+        self.cx.meters.meter(self.team).lower(lowered);
+    }
+
+    fn zone_escrow(&self) -> TeamEscrow<Incarnation> {
+        self.cx.streams.zone.read(|fold| {
+            let escrow = fold.state().allotments.teams.get(self.team);
+            escrow.cloned().unwrap_or_default()
+        })
+    }
+
+    /// Returns the demand of every entry of the zone that holds or wants something.
+    fn entry_demands(&self, local: &TeamEscrow<Incarnation>) -> Vec<HolderDemand<Incarnation>> {
+        let cx = self.cx;
+        let meter = cx.meters.meter(self.team);
+        let mine = HolderDemand {
+            holder: cx.incarnation,
+            usable: meter.usable().into(),
+            used: meter.used().into(),
+            waiting: cx.pools.waiting(self.team) as u64,
+        };
+        let own_zone = |summary: &&Summary| summary.zone == cx.settings.zone;
+        let others = self
+            .summaries
+            .iter()
+            .filter(own_zone)
+            .map(|summary| HolderDemand {
+                holder: summary.incarnation,
+                usable: local
+                    .holders
+                    .get(&summary.incarnation)
+                    .map_or(0, Account::usable),
+                used: demand(summary, self.team).0,
+                waiting: demand(summary, self.team).1,
+            });
+        let mut demands: Vec<_> = others.collect();
+        demands.push(mine);
+        // Everyone computes with a base of one slot, so that an idle entry can serve when the log
+        // is down.
+        for demand in &mut demands {
+            demand.waiting = demand.waiting.max(u64::from(demand.used == 0));
+        }
+        demands
+    }
+
+    /// Returns the demand of every zone, as far as its entries were heard.
+    fn zone_demands(&self, escrow: &TeamEscrow<ZoneName>) -> Vec<HolderDemand<ZoneName>> {
+        let cx = self.cx;
+        let meter = cx.meters.meter(self.team);
+        let mut sums: BTreeMap<ZoneName, (u64, u64)> = BTreeMap::new();
+        let own = sums.entry(cx.settings.zone.clone()).or_default();
+        *own = (meter.used().into(), cx.pools.waiting(self.team) as u64);
+        for summary in self.summaries {
+            let (used, waiting) = demand(summary, self.team);
+            let sum = sums.entry(summary.zone.clone()).or_default();
+            sum.0 += used;
+            sum.1 += waiting;
+        }
+        let demands = sums.into_iter().map(|(zone, (used, waiting))| {
+            let entries = self.summaries.iter().filter(|summary| summary.zone == zone);
+            let entries = entries.count() as u64 + u64::from(zone == cx.settings.zone);
+            HolderDemand {
+                usable: escrow.holders.get(&zone).map_or(0, Account::usable),
+                used,
+                // Room for one slot of each entry, for the same reason as above.
+                waiting: waiting.max(entries.saturating_sub(used)),
+                holder: zone,
+            }
+        });
+        demands.collect()
+    }
+}
+
+fn demand(summary: &Summary, team: &TeamName) -> (u64, u64) {
+    let demand = summary.teams.iter().find(|demand| demand.team == *team);
+    demand.map_or((0, 0), |demand| (demand.used.into(), demand.waiting.into()))
+}
+
+fn subject(team: &TeamName) -> String {
+    lavenderhollow_core::escrow::Escrow::<ZoneName>::subject(&Change::Return {
+        team: team.clone(),
+        from: ZoneName::new("any").expect("the name is valid"),
+        at: 0,
+        amount: 0,
+    })
+}
+
+/// Makes the record that takes back what a gone holder had.
+pub(crate) fn reclaim(holder: Incarnation, evidence: Evidence) -> ZoneChange {
+    Change::Reclaim { holder, evidence }.into()
+}
+
+/// Returns everything that this entry does not use, before it stops.
+pub(crate) fn give_all(cx: &Context) {
+    for (team, meter) in cx.meters.all().iter() {
+        let placeholder = Change::Return {
+            team: team.clone(),
+            from: cx.incarnation,
+            at: 0,
+            amount: 0,
+        };
+        let mut record = cx.streams.zone.record(placeholder.into(), None);
+        if let Some(gift) = meter.give(record.id, u64::MAX) {
+            let change = Change::Return {
+                team: team.clone(),
+                from: cx.incarnation,
+                at: gift.at,
+                amount: gift.amount,
+            };
+            record.change = change.into();
+            cx.streams.zone.submit_record(record);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/api/mod.rs
@@ -0,0 +1,9 @@
+//! The HTTP interfaces.
+
+pub(crate) mod caller;
+mod header;
+pub(crate) mod operator;
+pub(crate) mod reply;
+mod server;
+
+pub(crate) use server::serve;
--- a/crates/entry/src/api/reply.rs
+++ b/crates/entry/src/api/reply.rs
@@ -1,5 +1,7 @@
 //! HTTP answers that carry a verdict.
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use dropshot::Body;
 use dropshot::HttpError;
@@ -10,11 +12,13 @@
 use http::header::CONTENT_TYPE;
 use http::header::RETRY_AFTER;
 use lavenderhollow_types::Doubt;
+use lavenderhollow_types::JobId;
 use lavenderhollow_types::Refusal;
 use lavenderhollow_types::RefusalKind;
 use lavenderhollow_types::Verdict;
 use serde::Serialize;
 
+use crate::message::JobView;
 use crate::trace::TRACE_HEADER;
 
 /// The header that says whether the request ran: `not_run`, `may_have_run` or `ran`.
@@ -23,6 +27,18 @@
 /// The result of a handler.
 pub(crate) type Answer = Result<Response<Body>, HttpError>;
 
+#[derive(Serialize)]
+struct JobBody<'a> {
+    job: JobId,
+    state: String,
+    attempts: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    detail: Option<&'a str>,
+    /// The result in base64.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    result: Option<String>,
+}
+
 #[derive(Serialize)]
 struct RefusalBody<'a> {
     verdict: &'static str,
@@ -74,6 +90,18 @@
     Ok(response)
 }
 
+/// Answers with the state of a durable job.
+pub(crate) fn job(view: &JobView) -> Answer {
+    let body = JobBody {
+        job: view.job,
+        state: view.state.to_string(),
+        attempts: view.attempts,
+        detail: view.detail.as_deref(),
+        result: view.result.as_ref().map(|bytes| STANDARD.encode(bytes)),
+    };
+    json(StatusCode::OK, &body)
+}
+
 /// Answers with a document.
 pub(crate) fn json<T: Serialize>(status: StatusCode, document: &T) -> Answer {
     let mut response = Response::new(to_json(document)?);
--- /dev/null
+++ b/crates/entry/src/jobs.rs
@@ -0,0 +1,457 @@
+//! Durable jobs of this entry: submission, attempts and takeover.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use fastrace::Span;
+use lavenderhollow_config::Automatic;
+use lavenderhollow_core::escrow::Evidence;
+use lavenderhollow_core::exchange::Body;
+use lavenderhollow_core::fold::Outcome;
+use lavenderhollow_core::jobs::Job;
+use lavenderhollow_core::jobs::JobChange;
+use lavenderhollow_core::jobs::JobOutcome;
+use lavenderhollow_core::jobs::JobRejection;
+use lavenderhollow_core::jobs::JobSpec;
+use lavenderhollow_core::jobs::LEASE_MARGIN;
+use lavenderhollow_core::jobs::MAX_RESULT;
+use lavenderhollow_core::jobs::Stage;
+use lavenderhollow_core::permit::Permit;
+use lavenderhollow_core::permit::SendError;
+use lavenderhollow_core::queue::Class;
+use lavenderhollow_core::record::RECORD_WINDOW;
+use lavenderhollow_core::zone::ZoneChange;
+use lavenderhollow_core::zone::ZoneRejection;
+use lavenderhollow_platform::TaskStatus;
+use lavenderhollow_types::AttemptId;
+use lavenderhollow_types::Incarnation;
+use lavenderhollow_types::JobId;
+use lavenderhollow_types::Refusal;
+use lavenderhollow_types::RefusalKind;
+use lavenderhollow_types::RequestId;
+use lavenderhollow_types::TeamName;
+use lavenderhollow_types::Verdict;
+use tokio::sync::Notify;
+
+use crate::allotments;
+use crate::context::Context;
+use crate::context::RETRY_AFTER;
+use crate::dispatch;
+use crate::dispatch::Reply;
+use crate::dispatch::Request;
+use crate::message::JobState;
+use crate::message::JobView;
+use crate::metric;
+use crate::pools::Grant;
+use crate::pools::Wanted;
+
+/// How long a submission waits for its record to be read back.
+const SUBMIT_LIMIT: Duration = Duration::from_secs(4);
+
+/// How long a started attempt keeps its target while the record of the start is not read back.
+const START_LIMIT: Duration = Duration::from_secs(2);
+
+/// How long a job waits for a target before it looks at its state again.
+const TARGET_WAIT: Duration = Duration::from_secs(30);
+
+/// How often jobs are looked at without a reason.
+const SWEEP: Duration = Duration::from_millis(500);
+
+/// How long a record of the sweep is waited for before it is submitted again.
+const RECORD_WAIT: Duration = Duration::from_secs(3);
+
+/// The longest time that a task of a durable job may run.
+const RUN_LIMIT: Duration = Duration::from_hours(24);
+
+/// The jobs that tasks of this process work on.
+#[derive(Default)]
+pub(crate) struct DurableJobs {
+    pub(crate) wake: Notify,
+    active: Mutex<BTreeSet<JobId>>,
+    gone: Mutex<BTreeMap<Incarnation, Instant>>,
+    /// Jobs with a record under way that the sweep would submit again.
+    asked: Mutex<BTreeMap<JobId, Instant>>,
+}
+
+impl DurableJobs {
+    fn active(&self) -> MutexGuard<'_, BTreeSet<JobId>> {
+        self.active.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells whether the sweep may submit a record for a job now, and notes that it does.
+    fn may_ask(&self, job: JobId, now: Instant) -> bool {
+        let mut asked = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
+        asked.retain(|_, at| now < *at + RECORD_WAIT);
+        asked.insert(job, now).is_none()
+    }
+
+    /// Returns the number of jobs that are worked on.
+    pub(crate) fn open(&self) -> usize {
+        self.active().len()
+    }
+}
+
+/// Stores a job in the log.
+///
+/// # Errors
+///
+/// Refuses the job. It was not stored, or its storing will end as not run.
+pub(crate) async fn submit(cx: &Context, job: JobId, spec: JobSpec) -> Result<(), Refusal> {
+    let submitted = spec.clone();
+    let change = JobChange::Submit {
+        job,
+        spec: Box::new(spec),
+    };
+    let outcome = cx
+        .streams
+        .zone
+        .propose(change.into(), None, SUBMIT_LIMIT)
+        .await;
+    match outcome {
+        Ok(Outcome::Accepted(_)) => {
+            metrics::counter!(metric::JOBS, "event" => "submitted").increment(1);
+            cx.jobs.wake.notify_one();
+            Ok(())
+        }
+        Ok(Outcome::Rejected(ZoneRejection::Job(JobRejection::Exists))) => {
+            repeated(cx, job, &submitted)
+        }
+        Ok(outcome) => {
+            let detail = match outcome {
+                Outcome::Rejected(rejection) => rejection.to_string(),
+                _ => "the log refused the job".to_owned(),
+            };
+            Err(Refusal::new(RefusalKind::Invalid, detail))
+        }
+        Err(error) => {
+            withdraw(cx, job);
+            let refusal = Refusal::new(RefusalKind::LogUnavailable, error.to_string());
+            Err(refusal.retry_after(RETRY_AFTER))
+        }
+    }
+}
+
+/// A repeated submission is the same job when team, queue and body are the same.
+fn repeated(cx: &Context, job: JobId, spec: &JobSpec) -> Result<(), Refusal> {
+    let same = cx.streams.zone.read(|fold| {
+        let known = fold.state().jobs.get(job);
+        known.is_some_and(|known| {
+            (&known.spec.team, &known.spec.queue, &known.spec.body)
+                == (&spec.team, &spec.queue, &spec.body)
+        })
+    });
+    if same {
+        return Ok(());
+    }
+    let detail = "the idempotency key was used for another job";
+    Err(Refusal::new(RefusalKind::Invalid, detail))
+}
+
+/// Cancels a job whose submission was refused but may still be stored.
+fn withdraw(cx: &Context, job: JobId) {
+    cx.streams.zone.submit(JobChange::Cancel { job }.into(), None);
+}
+
+/// Returns a job of a team.
+pub(crate) fn view(cx: &Context, team: &TeamName, id: JobId) -> Option<JobView> {
+    let job = cx
+        .streams
+        .zone
+        .read(|fold| fold.state().jobs.get(id).cloned())?;
+    (job.spec.team == *team).then(|| describe(id, job))
+}
+
+fn describe(id: JobId, job: Job) -> JobView {
+    let (state, detail, result) = match job.stage {
+        Stage::Waiting => (JobState::Waiting, None, None),
+        Stage::Running(_) => (JobState::Running, None, None),
+        Stage::Finished { outcome, .. } => match outcome {
+            JobOutcome::Succeeded(body) => {
+                (JobState::Succeeded, None, Some(body.as_ref().to_vec()))
+            }
+            JobOutcome::Failed(detail) => (JobState::Failed, Some(detail), None),
+            JobOutcome::NotRun(refusal) => (JobState::NotRun, Some(refusal.detail), None),
+            JobOutcome::MayHaveRun(doubt) => (JobState::MayHaveRun, Some(doubt.detail), None),
+        },
+    };
+    JobView {
+        job: id,
+        state,
+        attempts: job.attempts,
+        detail,
+        result,
+    }
+}
+
+/// Asks for the cancellation of a job.
+pub(crate) async fn cancel(cx: &Context, job: JobId) -> Result<(), Refusal> {
+    let change = JobChange::Cancel { job };
+    let outcome = cx
+        .streams
+        .zone
+        .propose(change.into(), None, SUBMIT_LIMIT)
+        .await;
+    outcome.map(drop).map_err(|error| {
+        Refusal::new(RefusalKind::LogUnavailable, error.to_string()).retry_after(RETRY_AFTER)
+    })
+}
+
+/// Starts waiting jobs and takes over those of gone entries, for ever.
+pub(crate) async fn keep(cx: &Arc<Context>) {
+    loop {
+        let _ = tokio::time::timeout(SWEEP, cx.jobs.wake.notified()).await;
+        if cx.gate.is_closing() {
+            continue;
+        }
+        start_waiting(cx);
+        take_over(cx);
+    }
+}
+
+fn start_waiting(cx: &Arc<Context>) {
+    let (waiting, stranded) = cx.streams.zone.read(|fold| {
+        let jobs = &fold.state().jobs;
+        let waiting: Vec<JobId> = jobs.waiting(cx.incarnation).collect();
+        let running = jobs.owned(cx.incarnation).filter_map(|id| {
+            let job = jobs.get(id)?;
+            match &job.stage {
+                Stage::Running(attempt) => Some((id, attempt.id)),
+                _ => None,
+            }
+        });
+        (waiting, running.collect::<Vec<_>>())
+    });
+    let mut active = cx.jobs.active();
+    for (job, attempt) in stranded {
+        // No task works on the job, so that its recorded attempt was never sent.
+        if !active.contains(&job) && cx.jobs.may_ask(job, cx.clock.now()) {
+            let doubt = false;
+            let change = JobChange::Return {
+                job,
+                attempt,
+                doubt,
+            };
+            cx.streams.zone.submit(change.into(), None);
+        }
+    }
+    for job in waiting {
+        if active.insert(job) {
+            let cx = Arc::clone(cx);
+            tokio::spawn(async move {
+                work(&cx, job).await;
+                cx.jobs.active().remove(&job);
+                cx.jobs.wake.notify_one();
+            });
+        }
+    }
+}
+
+/// Runs one attempt of a waiting job.
+async fn work(cx: &Arc<Context>, id: JobId) {
+    let job = cx
+        .streams
+        .zone
+        .read(|fold| fold.state().jobs.get(id).cloned());
+    let Some(job) = job.filter(|job| matches!(job.stage, Stage::Waiting)) else {
+        return;
+    };
+    if job.attempts > 0 && !cx.config.load().config.automatic.is_on(Automatic::Restarts) {
+        return;
+    }
+    let Some(wanted) = wanted(cx, &job) else {
+        return;
+    };
+    let deadline = cx.clock.now() + TARGET_WAIT;
+    let Ok(grant) = cx.pools.acquire(cx, &wanted, deadline).await else {
+        return;
+    };
+    let attempt = AttemptId::random();
+    let Some(grant) = record_start(cx, id, attempt, grant).await else {
+        return;
+    };
+    let request = Arc::new(Request {
+        id: RequestId::from(id.as_uuid()),
+        wanted,
+        idempotent: job.spec.idempotent,
+        deadline: cx.clock.now() + RUN_LIMIT,
+        body: Bytes::copy_from_slice(job.spec.body.as_ref()),
+    });
+    let permit = Permit::new(Arc::clone(&request), request.deadline);
+    let span = crate::trace::hop("job", None);
+    let result = dispatch::send(cx, permit, attempt, grant, &span).await;
+    record_end(cx, id, attempt, &request, result).await;
+}
+
+fn wanted(cx: &Context, job: &Job) -> Option<Wanted> {
+    let installed = cx.config.load();
+    let queue = installed.config.queues.get(&job.spec.queue)?;
+    Some(Wanted {
+        pool: queue.pool.clone(),
+        queue: job.spec.queue.clone(),
+        team: Some(job.spec.team.clone()),
+        class: if job.spec.urgent {
+            Class::Urgent
+        } else {
+            Class::Normal
+        },
+        run_time: job.spec.run_time,
+        size: queue.size,
+        max_queued: queue.max_queued,
+    })
+}
+
+/// Records the start of an attempt. The attempt may be sent only when a grant comes back.
+async fn record_start(
+    cx: &Arc<Context>,
+    job: JobId,
+    attempt: AttemptId,
+    grant: Grant,
+) -> Option<Grant> {
+    let lease = cx.targets.lease(grant.vm())?;
+    let change = JobChange::Start {
+        job,
+        attempt,
+        worker: grant.vm().clone(),
+        lease_end: lease.end,
+    };
+    let record = cx.streams.zone.record(change.into(), None);
+    let outcome = cx
+        .streams
+        .zone
+        .propose_record(record, START_LIMIT)
+        .await;
+    // Without an answer the record may still be accepted; the next sweep then returns the attempt.
+    matches!(outcome, Ok(Outcome::Accepted(_))).then_some(grant)
+}
+
+/// Records how an attempt ended, until the log has it.
+async fn record_end(
+    cx: &Arc<Context>,
+    job: JobId,
+    attempt: AttemptId,
+    request: &Request,
+    result: Result<Verdict<Reply>, SendError<Arc<Request>>>,
+) {
+    let change = end_of(job, attempt, request, result);
+    let event = match &change {
+        JobChange::Finish { .. } => "finished",
+        _ => "returned",
+    };
+    loop {
+        let record = cx.streams.zone.record(change.clone().into(), None);
+        match cx.streams.zone.propose_record(record, RECORD_WINDOW).await {
+            Ok(_) => break,
+            Err(_) => tokio::time::sleep(SWEEP).await,
+        }
+    }
+    metrics::counter!(metric::JOBS, "event" => event).increment(1);
+}
+
+fn end_of(
+    job: JobId,
+    attempt: AttemptId,
+    request: &Request,
+    result: Result<Verdict<Reply>, SendError<Arc<Request>>>,
+) -> JobChange {
+    let finish = |outcome| JobChange::Finish {
+        job,
+        attempt: Some(attempt),
+        outcome,
+    };
+    let give_back = |doubt| JobChange::Return {
+        job,
+        attempt,
+        doubt,
+    };
+    match result {
+        Ok(Verdict::Ran(reply)) => finish(outcome_of(&reply)),
+        Ok(Verdict::NotRun(_)) | Err(SendError::NotSent(..)) => give_back(false),
+        Ok(Verdict::MayHaveRun(_)) | Err(SendError::Unknown(_)) if request.idempotent => {
+            give_back(true)
+        }
+        Ok(Verdict::MayHaveRun(doubt)) | Err(SendError::Unknown(doubt)) => {
+            finish(JobOutcome::MayHaveRun(doubt))
+        }
+    }
+}
+
+fn outcome_of(reply: &Reply) -> JobOutcome {
+    if reply.status != TaskStatus::Succeeded {
+        let text = String::from_utf8_lossy(&reply.body);
+        return JobOutcome::Failed(text.chars().take(1024).collect());
+    }
+    if reply.body.len() > MAX_RESULT {
+        let detail = format!("the result has {} bytes, over {MAX_RESULT}", reply.body.len());
+        return JobOutcome::Failed(detail);
+    }
+    JobOutcome::Succeeded(Body::from(&reply.body[..]))
+}
+
+/// Takes over the jobs and reclaims the allotments of entries of the zone that have ended.
+fn take_over(cx: &Arc<Context>) {
+    let now = cx.clock.now();
+    let Some(known) = cx.peers.incarnations(cx.incarnation, now) else {
+        return;
+    };
+    let config = cx.config.load_full();
+    let (owners, holders) = cx.streams.zone.read(|fold| {
+        let state = fold.state();
+        let owners: BTreeSet<_> = state.jobs.owners().filter(|o| !known.contains(o)).collect();
+        let teams = state.allotments.teams.values();
+        let holders = teams.flat_map(|team| team.holders.keys().copied());
+        let holders: BTreeSet<_> = holders.filter(|h| !known.contains(h)).collect();
+        (owners, holders)
+    });
+    let mut gone = cx.jobs.gone.lock().unwrap_or_else(PoisonError::into_inner);
+    gone.retain(|who, _| owners.contains(who) || holders.contains(who));
+    for who in owners.iter().chain(&holders) {
+        gone.entry(*who).or_insert(now);
+    }
+    let wait = cx.settings.lease + LEASE_MARGIN;
+    let ended = |who: &Incarnation| gone.get(who).is_some_and(|at| now >= *at + wait);
+    if config.config.automatic.is_on(Automatic::Reclaims) {
+        for holder in holders.iter().filter(|who| ended(who)) {
+            let evidence = Evidence {
+                gone: cx.clock.wall() - wait,
+            };
+            let change = allotments::reclaim(*holder, evidence);
+            cx.streams.zone.submit(change, None);
+            gone.insert(*holder, now);
+        }
+    }
+    for owner in &owners {
+        take_over_jobs(cx, *owner, ended(owner));
+    }
+}
+
+/// Takes over waiting jobs at once, and running ones after their leases have ended.
+fn take_over_jobs(cx: &Context, owner: Incarnation, ended: bool) {
+    let changes: Vec<ZoneChange> = cx.streams.zone.read(|fold| {
+        let jobs = &fold.state().jobs;
+        let owned = jobs.owned(owner).filter_map(|id| {
+            let job = jobs.get(id)?;
+            if !cx.jobs.may_ask(id, cx.clock.now()) {
+                return None;
+            }
+            match &job.stage {
+                Stage::Waiting => Some((id, None)),
+                Stage::Running(attempt) if ended => Some((id, Some(attempt.id))),
+                _ => None,
+            }
+        });
+        owned
+            .map(|(job, attempt)| JobChange::TakeOver { job, attempt }.into())
+            .collect()
+    });
+    for change in changes {
+        metrics::counter!(metric::JOBS, "event" => "takeover").increment(1);
+        cx.streams.zone.submit(change, None);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/message.rs
@@ -0,0 +1,167 @@
+//! Messages between entries.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+use lavenderhollow_core::freshness::Report;
+use lavenderhollow_types::Doubt;
+use lavenderhollow_types::Incarnation;
+use lavenderhollow_types::JobId;
+use lavenderhollow_types::PoolName;
+use lavenderhollow_types::QueueName;
+use lavenderhollow_types::Refusal;
+use lavenderhollow_types::RequestId;
+use lavenderhollow_types::TeamName;
+use lavenderhollow_types::Version;
+use lavenderhollow_types::ZoneName;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::seal::SealError;
+use crate::seal::Sealed;
+
+/// What an entry has and wants of one team's limit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct TeamDemand {
+    pub(crate) team: TeamName,
+    pub(crate) usable: u32,
+    pub(crate) used: u32,
+    pub(crate) waiting: u32,
+}
+
+/// Free slots of one pool in one entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PoolRoom {
+    pub(crate) pool: PoolName,
+    pub(crate) free: u32,
+}
+
+/// What an entry tells its peers about itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Summary {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) zone: ZoneName,
+    /// Teams that have or want something.
+    pub(crate) teams: Vec<TeamDemand>,
+    /// Pools with free slots.
+    pub(crate) pools: Vec<PoolRoom>,
+}
+
+/// The answer to a status question.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct StatusReply {
+    pub(crate) report: Report,
+    pub(crate) summary: Summary,
+}
+
+/// A configuration as a peer has it installed.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct ConfigReply {
+    pub(crate) version: Version,
+    /// The document as JSON.
+    pub(crate) document: String,
+}
+
+/// Why a request is forwarded.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum ForwardFor {
+    /// The receiver has free targets.
+    Room,
+    /// The receiver's zone keeps the team's claims; the text is the idempotency key.
+    Claim(String),
+    /// The receiver owns the ticket with this text.
+    Ticket(String),
+    /// The receiver's zone keeps the team's durable jobs; the text is the job's id.
+    Submit(String),
+}
+
+/// A question about a durable job, or its cancellation.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct JobQuestion {
+    pub(crate) team: TeamName,
+    pub(crate) job: JobId,
+    pub(crate) cancel: bool,
+    pub(crate) hops: u8,
+}
+
+/// The state of a durable job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct JobView {
+    pub(crate) job: JobId,
+    pub(crate) state: JobState,
+    pub(crate) attempts: u32,
+    /// Why the job ended without success.
+    pub(crate) detail: Option<String>,
+    /// The result of a job that succeeded.
+    pub(crate) result: Option<Vec<u8>>,
+}
+
+/// Where a durable job is.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum JobState {
+    #[display("waiting")]
+    Waiting,
+    #[display("running")]
+    Running,
+    #[display("succeeded")]
+    Succeeded,
+    #[display("failed")]
+    Failed,
+    #[display("not_run")]
+    NotRun,
+    #[display("may_have_run")]
+    MayHaveRun,
+}
+
+/// A request that another entry is to run.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Forward {
+    pub(crate) request: RequestId,
+    pub(crate) queue: QueueName,
+    pub(crate) team: Option<TeamName>,
+    pub(crate) purpose: ForwardFor,
+    pub(crate) urgent: bool,
+    /// The time left until the caller's deadline.
+    pub(crate) left: Duration,
+    pub(crate) trace: Option<String>,
+    /// How often the request was forwarded before; it is forwarded once at most.
+    pub(crate) hops: u8,
+    pub(crate) body: Vec<u8>,
+}
+
+/// What became of a forwarded request.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum ForwardReply {
+    NotRun(Refusal),
+    MayHaveRun(Doubt),
+    Ran { succeeded: bool, body: Vec<u8> },
+    /// The durable job is in the log.
+    Submitted,
+}
+
+/// Why a peer does not answer a message.
+#[derive(Clone, Debug, Display, Error, From, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum PeerError {
+    /// The message is not trusted.
+    #[display("{_0}")]
+    Seal(SealError),
+    /// The peer has no configuration yet.
+    #[display("peer has no configuration yet")]
+    #[from(skip)]
+    NoConfig,
+}
+
+/// The calls between entries. Each argument and answer is sealed.
+#[tarpc::service]
+pub(crate) trait Peer {
+    /// Exchanges status and summary.
+    async fn status(question: Sealed) -> Result<Sealed, PeerError>;
+    /// Gets the installed configuration.
+    async fn config(question: Sealed) -> Result<Sealed, PeerError>;
+    /// Asks about a durable job.
+    async fn job(question: Sealed) -> Result<Sealed, PeerError>;
+    /// Runs a request.
+    async fn forward(request: Sealed) -> Result<Sealed, PeerError>;
+}
--- /dev/null
+++ b/crates/entry/src/peers.rs
@@ -0,0 +1,351 @@
+//! The other entries: status every second, configuration, and forwarded requests.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use futures::StreamExt;
+use futures::stream;
+use lavenderhollow_core::membership::ranked;
+use lavenderhollow_platform::VmInfo;
+use lavenderhollow_platform::VmState;
+use lavenderhollow_types::EntryName;
+use lavenderhollow_types::Incarnation;
+use lavenderhollow_types::VmName;
+use lavenderhollow_types::ZoneName;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tarpc::client;
+use tarpc::context;
+use tarpc::serde_transport::tcp;
+use tarpc::tokio_serde::formats::Bincode;
+
+use crate::context::Context;
+use crate::message::PeerClient;
+use crate::message::PeerError;
+use crate::message::StatusReply;
+use crate::message::Summary;
+use crate::metric;
+use crate::seal::Kind;
+use crate::seal::Seal;
+use crate::seal::Sealed;
+
+/// How many entries of each other zone an entry talks with.
+const LINKS_PER_ZONE: usize = 2;
+
+/// For how long an entry of the own zone that was not heard still counts as live.
+const LIVE_FOR: Duration = Duration::from_secs(3);
+
+/// The time for a status or configuration call.
+const CALL_LIMIT: Duration = Duration::from_secs(1);
+
+/// How many peers are called at once.
+const CALLS_AT_ONCE: usize = 64;
+
+/// The largest message between entries, in bytes.
+pub(crate) const MAX_MESSAGE: usize = 16 << 20;
+
+/// One other entry.
+#[derive(Clone)]
+pub(crate) struct Peer {
+    pub(crate) name: EntryName,
+    pub(crate) zone: ZoneName,
+    pub(crate) address: SocketAddr,
+    leaving: bool,
+    client: Option<PeerClient>,
+    heard: Option<Instant>,
+    summary: Option<Summary>,
+}
+
+/// What a call of a peer failed with.
+#[derive(Debug)]
+pub(crate) enum CallError {
+    /// No connection was open, so that nothing was sent.
+    NotSent(String),
+    /// The peer may have got the message.
+    Unknown(String),
+}
+
+/// The other entries of the VM list.
+pub(crate) struct Peers {
+    pub(crate) seal: Seal,
+    zone: ZoneName,
+    name: EntryName,
+    peers: Mutex<BTreeMap<EntryName, Peer>>,
+}
+
+impl Peer {
+    fn is_heard(&self, now: Instant) -> bool {
+        let heard = self.heard;
+        heard.is_some_and(|at| now.saturating_duration_since(at) <= LIVE_FOR)
+    }
+
+    fn takes_work(&self, now: Instant) -> bool {
+        !self.leaving && self.is_heard(now)
+    }
+}
+
+impl Peers {
+    pub(crate) fn new(name: EntryName, zone: ZoneName, secret: &str) -> Self {
+        Self {
+            seal: Seal::new(name.clone(), secret),
+            zone,
+            name,
+            peers: Mutex::default(),
+        }
+    }
+
+    /// Takes the entry VMs of the list.
+    pub(crate) fn take_list(&self, me: &EntryName, entries: &[VmInfo]) {
+        let mut peers = self.peers();
+        let mut listed = BTreeMap::new();
+        for info in entries {
+            let Ok(name) = EntryName::new(info.name.as_str()) else {
+                continue;
+            };
+            if name == *me {
+                continue;
+            }
+            let same = peers
+                .remove(&name)
+                .filter(|peer| peer.address == info.address);
+            let mut peer = same.unwrap_or_else(|| Peer {
+                name: name.clone(),
+                zone: info.zone.clone(),
+                address: info.address,
+                leaving: false,
+                client: None,
+                heard: None,
+                summary: None,
+            });
+            peer.leaving = info.state == VmState::Leaving;
+            listed.insert(name, peer);
+        }
+        *peers = listed;
+    }
+
+    /// Returns the entries of this zone that were heard lately, this one included.
+    pub(crate) fn live_in_zone(&self, now: Instant) -> BTreeSet<EntryName> {
+        let peers = self.peers();
+        let live = peers
+            .values()
+            .filter(|peer| peer.zone == self.zone && peer.takes_work(now));
+        let mut live: BTreeSet<_> = live.map(|peer| peer.name.clone()).collect();
+        live.insert(self.name.clone());
+        live
+    }
+
+    /// Returns the number of listed entries, this one included.
+    pub(crate) fn listed(&self) -> usize {
+        self.peers().len() + 1
+    }
+
+    /// Returns the latest summaries of the entries that were heard lately.
+    pub(crate) fn summaries(&self, now: Instant) -> Vec<Summary> {
+        let peers = self.peers();
+        let live = peers.values().filter(|peer| peer.is_heard(now));
+        live.filter_map(|peer| peer.summary.clone()).collect()
+    }
+
+    /// Returns the incarnations of all entries of this zone, this one's `own` included, or nothing
+    /// while an entry on the list has not been heard. A process that none of them is has ended.
+    pub(crate) fn incarnations(
+        &self,
+        own: Incarnation,
+        now: Instant,
+    ) -> Option<BTreeSet<Incarnation>> {
+        let peers = self.peers();
+        let mut known = BTreeSet::from([own]);
+        for peer in peers.values().filter(|peer| peer.zone == self.zone) {
+            let summary = peer.summary.as_ref().filter(|_| peer.is_heard(now));
+            known.insert(summary?.incarnation);
+        }
+        Some(known)
+    }
+
+    /// Returns the entry that has an incarnation.
+    pub(crate) fn by_incarnation(&self, incarnation: Incarnation) -> Option<EntryName> {
+        let peers = self.peers();
+        let mut matching = peers.values().filter(|peer| {
+            let summary = peer.summary.as_ref();
+            summary.is_some_and(|summary| summary.incarnation == incarnation)
+        });
+        matching.next().map(|peer| peer.name.clone())
+    }
+
+    /// Returns the live entries of a zone, in random order.
+    pub(crate) fn in_zone(&self, zone: &ZoneName, now: Instant) -> Vec<EntryName> {
+        let peers = self.peers();
+        let live = peers
+            .values()
+            .filter(|peer| peer.zone == *zone && peer.takes_work(now));
+        let mut names: Vec<_> = live.map(|peer| peer.name.clone()).collect();
+        if !names.is_empty() {
+            let start = rand::random_range(0..names.len());
+            names.rotate_left(start);
+        }
+        names
+    }
+
+    /// Returns the peers to talk with every heartbeat: all of the zone and some of each other.
+    fn links(&self) -> Vec<EntryName> {
+        let peers = self.peers();
+        let mut zones: BTreeMap<&ZoneName, Vec<&EntryName>> = BTreeMap::new();
+        for peer in peers.values() {
+            zones.entry(&peer.zone).or_default().push(&peer.name);
+        }
+        let me = VmName::new(self.name.as_str());
+        let mut links = Vec::new();
+        for (zone, names) in zones {
+            match &me {
+                Ok(me) if *zone != self.zone => {
+                    let ranked = ranked(me, names);
+                    links.extend(ranked.into_iter().take(LINKS_PER_ZONE).cloned());
+                }
+                _ => links.extend(names.into_iter().cloned()),
+            }
+        }
+        links
+    }
+
+    /// Returns the connection to a peer, opening it if there is none.
+    pub(crate) async fn connect(&self, name: &EntryName) -> Result<PeerClient, CallError> {
+        let (address, present) = {
+            let peers = self.peers();
+            let peer = peers.get(name);
+            let peer = peer.ok_or_else(|| CallError::NotSent(format!("{name} is not listed")))?;
+            (peer.address, peer.client.clone())
+        };
+        if let Some(client) = present {
+            return Ok(client);
+        }
+        let mut connecting = tcp::connect(address, Bincode::default);
+        connecting.config_mut().max_frame_length(MAX_MESSAGE);
+        let transport = tokio::time::timeout(CALL_LIMIT, connecting)
+            .await
+            .map_err(|_| CallError::NotSent(format!("{name} does not accept a connection")))?
+            .map_err(|e| CallError::NotSent(format!("{name} can't be reached: {e}")))?;
+        let client = PeerClient::new(client::Config::default(), transport).spawn();
+        if let Some(peer) = self.peers().get_mut(name) {
+            peer.client = Some(client.clone());
+        }
+        Ok(client)
+    }
+
+    /// Forgets the connection to a peer.
+    pub(crate) fn disconnect(&self, name: &EntryName) {
+        if let Some(peer) = self.peers().get_mut(name) {
+            peer.client = None;
+        }
+    }
+
+    fn heard(&self, name: &EntryName, at: Instant, summary: Summary) {
+        if let Some(peer) = self.peers().get_mut(name) {
+            peer.heard = peer.heard.max(Some(at));
+            peer.summary = Some(summary);
+        }
+    }
+
+    /// Seals a message and counts its bytes.
+    pub(crate) fn sealed<T: Serialize>(
+        &self,
+        kind: Kind,
+        message: &T,
+        wall: SystemTime,
+    ) -> Result<Sealed, PeerError> {
+        let sealed = self.seal.seal(kind, message, wall)?;
+        metrics::counter!(metric::PEER_BYTES).increment(sealed.size());
+        Ok(sealed)
+    }
+
+    /// Opens a reply.
+    pub(crate) fn opened<T: DeserializeOwned>(
+        &self,
+        kind: Kind,
+        sealed: &Sealed,
+        wall: SystemTime,
+    ) -> Result<T, PeerError> {
+        Ok(self.seal.open(kind, sealed, wall)?.1)
+    }
+
+    fn peers(&self) -> MutexGuard<'_, BTreeMap<EntryName, Peer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns a call context that ends after `limit`.
+pub(crate) fn call_context(limit: Duration) -> context::Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + limit;
+    context
+}
+
+/// Tells the linked peers this entry's status and hears theirs, for ever.
+pub(crate) async fn gossip(cx: &Arc<Context>) {
+    let mut ticks = tokio::time::interval(cx.settings.heartbeat);
+    loop {
+        ticks.tick().await;
+        let links = cx.peers.links();
+        let rounds = stream::iter(links).for_each_concurrent(CALLS_AT_ONCE, |name| async move {
+            if let Err(error) = ask_status(cx, &name).await {
+                metrics::counter!(metric::PEER_ERRORS).increment(1);
+                log::debug!("no status of {name}: {error:?}");
+                cx.peers.disconnect(&name);
+            }
+        });
+        rounds.await;
+    }
+}
+
+async fn ask_status(cx: &Arc<Context>, name: &EntryName) -> Result<(), CallError> {
+    let client = cx.peers.connect(name).await?;
+    let unknown = |e: &dyn std::fmt::Display| CallError::Unknown(e.to_string());
+    let (sent, wall) = (cx.clock.now(), cx.clock.wall());
+    let message = crate::summary::of(cx);
+    let sealed = cx.peers.sealed(Kind::Status, &message, wall);
+    let reply = client
+        .status(call_context(CALL_LIMIT), sealed.map_err(|e| unknown(&e))?)
+        .await
+        .map_err(|e| unknown(&e))?
+        .map_err(|e| unknown(&e))?;
+    let reply: StatusReply = cx
+        .peers
+        .opened(Kind::StatusReply, &reply, cx.clock.wall())
+        .map_err(|e| unknown(&e))?;
+    cx.with_freshness(|freshness| freshness.heard(&reply.report, sent));
+    cx.peers.heard(name, sent, reply.summary);
+    if reply.report.version > cx.config.load().version {
+        ask_config(cx, name, &client).await?;
+    }
+    Ok(())
+}
+
+/// Gets a newer configuration from a peer. Only a greater version is installed.
+async fn ask_config(
+    cx: &Arc<Context>,
+    name: &EntryName,
+    client: &PeerClient,
+) -> Result<(), CallError> {
+    let unknown = |e: &dyn std::fmt::Display| CallError::Unknown(format!("{name}: {e}"));
+    let wall = cx.clock.wall();
+    let question = cx.peers.sealed(Kind::Config, &(), wall);
+    let reply = client
+        .config(call_context(CALL_LIMIT), question.map_err(|e| unknown(&e))?)
+        .await
+        .map_err(|e| unknown(&e))?
+        .map_err(|e| unknown(&e))?;
+    let reply: crate::message::ConfigReply = cx
+        .peers
+        .opened(Kind::ConfigReply, &reply, cx.clock.wall())
+        .map_err(|e| unknown(&e))?;
+    let config = serde_json::from_str(&reply.document).map_err(|e| unknown(&e))?;
+    crate::observers::install(cx, reply.version, Arc::new(config));
+    Ok(())
+}
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -135,10 +135,15 @@
     pub(crate) fn submit(&self, change: S::Change, expected: Option<Version>) -> RecordId {
         let record = self.record(change, expected);
         let id = record.id;
-        self.enqueue(record, Urgency::Normal, None);
+        self.submit_record(record);
         id
     }
 
+    /// Appends a record without waiting for its outcome.
+    pub(crate) fn submit_record(&self, record: Record<S::Change>) {
+        self.enqueue(record, Urgency::Normal, None);
+    }
+
     /// Appends a change and waits until it is read back.
     pub(crate) async fn propose(
         &self,
