log: bound batches, refuse pages that lack the wanted record

A server that closes the connection in the middle of a large batch leaves its outcome unknown, although nothing was stored; the client now refuses such a batch itself. An empty page before the head would make a follower read again at once and for ever.

--- a/crates/log/src/http_log.rs
+++ b/crates/log/src/http_log.rs
@@ -35,6 +35,9 @@
     pub answer: Duration,
     /// The largest accepted page, in bytes.
     pub page: usize,
+    /// The largest batch that is sent, in bytes. A server may close the connection in the middle
+    /// of a larger one, which would leave the outcome unknown.
+    pub batch: usize,
 }
 
 impl HttpLogSettings {
@@ -45,6 +48,7 @@
             connect: Duration::from_secs(1),
             answer: Duration::from_secs(5),
             page: 16 << 20,
+            batch: 8 << 20,
         }
     }
 }
@@ -89,11 +93,17 @@
         let path = Self::records_path(stream);
         let batch = RecordBatch { records };
         let request = json_request(Method::POST, self.settings.address, &path, Some(&batch));
+        let request = request.map_err(append_error)?;
+        let bytes = request.body().len();
+        if bytes > self.settings.batch {
+            let invalid = RefusedAppend::Invalid(format!("batch has {bytes} bytes"));
+            return Err(AppendError::Refused(invalid));
+        }
         let limits = Limits {
             time: self.settings.answer,
             body: APPENDED_BODY,
         };
-        let response = self.client.call(request.map_err(append_error)?, limits);
+        let response = self.client.call(request, limits);
         appended(&response.await.map_err(append_error)?, expected)
     }
 
@@ -164,7 +174,8 @@
     }
 }
 
-/// Refuses a page that has a gap, which a follower would fold as if nothing were missing.
+/// Refuses a page that has a gap, which a follower would fold as if nothing were missing, or one
+/// that lacks the wanted record, which a follower would read again at once and for ever.
 fn check_page(page: Page, from: ReadFrom) -> Result<Page, ReadError> {
     let mut expected = from.offset;
     for record in &page.records {
@@ -174,5 +185,9 @@
         }
         expected = expected.next();
     }
+    if page.records.is_empty() && from.max > 0 && from.offset < page.head {
+        let detail = format!("no record {} before head {}", from.offset, page.head);
+        return Err(ReadError::Invalid(detail));
+    }
     Ok(page)
 }
--- a/crates/log/tests/test_faults.rs
+++ b/crates/log/tests/test_faults.rs
@@ -103,6 +103,9 @@
 
     let result = log.append(&stream(), batch([])).await;
     assert_matches!(result, Err(AppendError::Refused(RefusedAppend::Invalid(_))));
+    let large = vec![to_raw_value(&"x".repeat(9 << 20))?];
+    let result = log.append(&stream(), large).await;
+    assert_matches!(result, Err(AppendError::Refused(RefusedAppend::Invalid(_))));
     assert_eq!(stored(&log).await?, Vec::<String>::new());
 
     let closed = std::net::TcpListener::bind(local())?.local_addr()?;
