testing: test the worker's limit of connections

The limit had no test. Waits for lost answers are shorter, and tasks that fill a worker run longer than a busy machine needs for the checks.

--- a/crates/testing/tests/setup.rs
+++ b/crates/testing/tests/setup.rs
@@ -57,7 +57,7 @@
     }
 
     pub(crate) async fn start(&self, task: StartTask) -> Result<TaskAnswer, WorkerError> {
-        let limit = Duration::from_secs(5);
+        let limit = Duration::from_secs(2);
         self.calls.start(self.worker.address(), task, limit).await
     }
 
--- a/crates/testing/tests/test_worker_answers.rs
+++ b/crates/testing/tests/test_worker_answers.rs
@@ -72,7 +72,7 @@
 
     setup
         .control
-        .patch(json!({"answer_lost": false, "late_ms": 6_000}))
+        .patch(json!({"answer_lost": false, "late_ms": 2_500}))
         .await?;
     let late = task(lease, 0);
     let result = setup.start(late.clone()).await;
--- a/crates/testing/tests/test_worker_leases.rs
+++ b/crates/testing/tests/test_worker_leases.rs
@@ -91,16 +91,20 @@
     Ok(())
 }
 
-/// Guards against a ninth task, and against new work on a leaving worker.
+/// Guards against a ninth task, a connection beyond the limit, and new work on a leaving worker.
 #[tokio::test]
 async fn full_and_leaving_workers_refuse() -> eyre::Result<()> {
     let setup = Setup::new()?;
     let lease = setup.lease(30.0).await?;
-    let running: Vec<_> = (0..8).map(|_| setup.spawn(task(lease, 1_000))).collect();
+    let running: Vec<_> = (0..8).map(|_| setup.spawn(task(lease, 2_000))).collect();
     sleep_ms(300).await;
     let result = setup.start(task(lease, 0)).await;
     assert_eq!(refusal(&result), Some(WorkerRefusalKind::NoSlot));
-    setup.control.patch(json!({"leaving": true})).await?;
+    setup.control.patch(json!({"connections": 8})).await?;
+    let result = setup.start(task(lease, 0)).await;
+    assert_eq!(refusal(&result), Some(WorkerRefusalKind::NoConnection));
+    let patch = json!({"connections": 64, "leaving": true});
+    setup.control.patch(patch).await?;
     let result = setup.start(task(lease, 0)).await;
     assert_eq!(refusal(&result), Some(WorkerRefusalKind::Leaving));
     for start in running {
