cli: operators' commands and the entry process

Every command that changes something carries an id and, for configuration, the version that the operator saw, so that a repeat after a lost answer is harmless and of two racing operators one wins. Exit codes tell refused from unknown.

--- /dev/null
+++ b/crates/cli/src/client.rs
@@ -0,0 +1,188 @@
+//! Calls to the operators' interface of the entries.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::WrapErr;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::header::AUTHORIZATION;
+use http::header::CONTENT_TYPE;
+use lavenderhollow_entry::api::operator::Command;
+use lavenderhollow_entry::api::operator::CommandResult;
+use lavenderhollow_entry::api::operator::ConfigCommand;
+use lavenderhollow_entry::api::operator::ConfigView;
+use lavenderhollow_entry::api::operator::InForceView;
+use lavenderhollow_entry::api::operator::StatusView;
+use lavenderhollow_platform::CallError;
+use lavenderhollow_platform::HttpClient;
+use lavenderhollow_platform::Limits;
+use lavenderhollow_types::Version;
+use lavenderhollow_types::WaveId;
+use lexopt::Arg;
+use lexopt::Parser;
+use lexopt::ValueExt;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::runtime::Runtime;
+
+use crate::exit::Code;
+use crate::exit::Failure;
+use crate::input::read_text;
+
+/// The help text of the options that every operator's command has.
+pub(crate) const OPTIONS_HELP: &str = "\
+  --entry ADDRESS      the operators' address of an entry; may be repeated, and the first that
+                       answers is used (default: LAVENDERHOLLOW_ENTRIES, separated by commas)
+  --token-file FILE    the file with the operators' token
+                       (default: LAVENDERHOLLOW_TOKEN_FILE)
+";
+
+const ENTRIES_VARIABLE: &str = "LAVENDERHOLLOW_ENTRIES";
+const TOKEN_VARIABLE: &str = "LAVENDERHOLLOW_TOKEN_FILE";
+
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
+const CALL_LIMITS: Limits = Limits {
+    time: Duration::from_secs(10),
+    body: 16 << 20,
+};
+
+/// The options that every operator's command has.
+#[derive(Debug, Default)]
+pub(crate) struct ClientOptions {
+    entries: Vec<SocketAddr>,
+    token_file: Option<PathBuf>,
+}
+
+impl ClientOptions {
+    /// Takes an argument if it is one of these options, and tells whether it was.
+    pub(crate) fn take(&mut self, arg: &Arg<'_>, parser: &mut Parser) -> eyre::Result<bool> {
+        match arg {
+            Arg::Long("entry") => self.entries.push(parser.value()?.parse()?),
+            Arg::Long("token-file") => self.token_file = Some(parser.value()?.into()),
+            _ => return Ok(false),
+        }
+        Ok(true)
+    }
+
+    /// Creates the client.
+    pub(crate) fn connect(mut self) -> eyre::Result<Client> {
+        if self.entries.is_empty()
+            && let Ok(list) = std::env::var(ENTRIES_VARIABLE)
+        {
+            for entry in list.split(',') {
+                let address = entry.trim().parse();
+                let address = address
+                    .wrap_err_with(|| format!("{ENTRIES_VARIABLE}: {entry:?} is no address"))?;
+                self.entries.push(address);
+            }
+        }
+        let usage = |message: String| Failure::new(Code::Usage, message);
+        if self.entries.is_empty() {
+            return Err(usage(format!("no entry: use --entry or {ENTRIES_VARIABLE}")).into());
+        }
+        let from_variable = || std::env::var_os(TOKEN_VARIABLE).map(PathBuf::from);
+        let file = self.token_file.or_else(from_variable);
+        let file =
+            file.ok_or_else(|| usage(format!("no token: use --token-file or {TOKEN_VARIABLE}")))?;
+        Ok(Client {
+            token: read_text(&file)?.trim().to_owned(),
+            entries: self.entries,
+            http: HttpClient::new(CONNECT_LIMIT, 1),
+            runtime: Runtime::new().wrap_err("can't start the runtime")?,
+        })
+    }
+}
+
+/// A client of the operators' interface.
+pub(crate) struct Client {
+    entries: Vec<SocketAddr>,
+    token: String,
+    http: HttpClient,
+    runtime: Runtime,
+}
+
+impl Client {
+    pub(crate) fn config(&self) -> eyre::Result<ConfigView> {
+        self.get("/v1/config")
+    }
+
+    pub(crate) fn status(&self) -> eyre::Result<StatusView> {
+        self.get("/v1/status")
+    }
+
+    pub(crate) fn in_force(&self, version: Version) -> eyre::Result<InForceView> {
+        self.get(&format!("/v1/in-force/{version}"))
+    }
+
+    pub(crate) fn change_config(&self, command: &Command<ConfigCommand>) -> eyre::Result<Version> {
+        self.command("/v1/config", command)
+    }
+
+    pub(crate) fn command_wave<T: Serialize>(
+        &self,
+        wave: WaveId,
+        command: &Command<T>,
+    ) -> eyre::Result<Version> {
+        self.command(&format!("/v1/waves/{wave}"), command)
+    }
+
+    fn get<T: DeserializeOwned>(&self, path: &str) -> eyre::Result<T> {
+        let (status, body) = self.call(&Method::GET, path, &Bytes::new())?;
+        if status != StatusCode::OK {
+            let text = String::from_utf8_lossy(&body);
+            let code = if status == StatusCode::UNAUTHORIZED {
+                Code::Refused
+            } else {
+                Code::Failed
+            };
+            return Err(Failure::new(code, format!("the entry answered {status}: {text}")).into());
+        }
+        serde_json::from_slice(&body).wrap_err("the entry's answer can't be read")
+    }
+
+    fn command<T: Serialize>(&self, path: &str, command: &Command<T>) -> eyre::Result<Version> {
+        let body = serde_json::to_vec(command)?;
+        let (status, answer) = self.call(&Method::POST, path, &body.into())?;
+        let unknown = |reason: String| {
+            let message = format!("{reason}; repeat the command with --id {}", command.id);
+            eyre::Report::from(Failure::new(Code::Unknown, message))
+        };
+        match serde_json::from_slice(&answer) {
+            Ok(CommandResult::Accepted { version }) => Ok(version),
+            Ok(CommandResult::Refused { reason }) => {
+                Err(Failure::new(Code::Refused, reason).into())
+            }
+            Ok(CommandResult::Unknown { reason }) => Err(unknown(reason)),
+            Err(_) => Err(unknown(format!("the entry answered {status}"))),
+        }
+    }
+
+    /// Calls the entries in turn until one can be reached.
+    fn call(&self, method: &Method, path: &str, body: &Bytes) -> eyre::Result<(StatusCode, Bytes)> {
+        let mut unreached = Vec::new();
+        for entry in &self.entries {
+            let request = Request::builder()
+                .method(method.clone())
+                .uri(format!("http://{entry}{path}"))
+                .header(AUTHORIZATION, format!("Bearer {}", self.token))
+                .header(CONTENT_TYPE, "application/json")
+                .body(body.clone())?;
+            let response = self.runtime.block_on(self.http.call(request, CALL_LIMITS));
+            match response {
+                Ok(response) => return Ok((response.status(), response.into_body())),
+                Err(CallError::NotSent { detail }) => unreached.push(format!("{entry}: {detail}")),
+                Err(error) => {
+                    let message = format!("{entry} gave no answer: {error}");
+                    return Err(Failure::new(Code::Unknown, message).into());
+                }
+            }
+        }
+        let message = format!("no entry can be reached: {}", unreached.join("; "));
+        Err(Failure::new(Code::Unknown, message).into())
+    }
+}
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -1,8 +1,14 @@
 //! The subcommands, one a file.
 
+mod automatic;
 mod check;
 mod diff;
+mod entry;
+mod key;
+mod publish;
 mod questionnaire;
+mod status;
+mod wave;
 
 use lexopt::Arg;
 use lexopt::Parser;
@@ -20,6 +26,12 @@
   questionnaire   generate the configuration of a new deployment
   check           check a configuration and report every problem
   diff            say what changes between two configurations
+  publish         publish a configuration
+  status          show pools, teams, waves and freshness
+  wave            start, pause, resume and show maintenance waves
+  automatic       turn automatic actions on and off
+  key             add and withdraw keys of teams
+  entry           run an entry process
 
 'lavenderhollow COMMAND --help' describes a command.
 
@@ -47,6 +59,12 @@
         "questionnaire" => questionnaire::run(parser),
         "check" => check::run(parser),
         "diff" => diff::run(parser),
+        "publish" => publish::run(parser),
+        "status" => status::run(parser),
+        "wave" => wave::run(parser),
+        "automatic" => automatic::run(parser),
+        "key" => key::run(parser),
+        "entry" => entry::run(parser),
         other => {
             let message = format!("no command is called {other:?}; see 'lavenderhollow --help'");
             Err(Failure::new(Code::Usage, message).into())
--- a/crates/entry/src/allotments.rs
+++ b/crates/entry/src/allotments.rs
@@ -102,7 +102,10 @@
         let cx = round.cx;
         let (escrow, version) = cx.streams.fleet.read(|fold| {
             let escrow = fold.state().allotments.teams.get(round.team).cloned();
-            (escrow.unwrap_or_default(), fold.version(&subject(round.team)))
+            (
+                escrow.unwrap_or_default(),
+                fold.version(&subject(round.team)),
+            )
         });
         if escrow.limit != round.limit && round.version > escrow.version {
             let change = Change::SetLimit {
--- a/crates/entry/src/api/header.rs
+++ b/crates/entry/src/api/header.rs
@@ -47,7 +47,9 @@
             None | Some("normal") => false,
             Some(URGENT) => true,
             Some(other) => {
-                return Err(invalid(format!("{PRIORITY}: {other:?} is not normal or urgent")));
+                return Err(invalid(format!(
+                    "{PRIORITY}: {other:?} is not normal or urgent"
+                )));
             }
         };
         Ok(Self {
@@ -87,7 +89,9 @@
         return Ok(None);
     };
     if values.next().is_some() {
-        return Err(invalid(format!("{name}: the header is there more than once")));
+        return Err(invalid(format!(
+            "{name}: the header is there more than once"
+        )));
     }
     let value = value.to_str();
     let value = value.map_err(|_| invalid(format!("{name}: the header is not plain text")))?;
@@ -97,7 +101,9 @@
 fn millis(value: &str) -> Result<Duration, Refusal> {
     let millis = value.parse().ok().filter(|millis| *millis > 0);
     let millis = millis.ok_or_else(|| {
-        invalid(format!("{DEADLINE}: {value:?} is not a whole number of milliseconds"))
+        invalid(format!(
+            "{DEADLINE}: {value:?} is not a whole number of milliseconds"
+        ))
     })?;
     Ok(Duration::from_millis(millis))
 }
--- a/crates/entry/src/api/mod.rs
+++ b/crates/entry/src/api/mod.rs
@@ -2,7 +2,7 @@
 
 pub(crate) mod caller;
 mod header;
-pub(crate) mod operator;
+pub mod operator;
 pub(crate) mod reply;
 mod server;
 
--- a/crates/entry/src/api/operator.rs
+++ b/crates/entry/src/api/operator.rs
@@ -522,11 +522,11 @@
     outcome: Result<Outcome<R>, crate::stream::ProposeError>,
     version: Version,
 ) -> Answer {
-    let refuse = |reason: String| {
-        reply::json(StatusCode::CONFLICT, &CommandResult::Refused { reason })
-    };
+    let refuse =
+        |reason: String| reply::json(StatusCode::CONFLICT, &CommandResult::Refused { reason });
     match outcome {
-        Ok(Outcome::Accepted(_) | Outcome::Duplicate) => accepted(version),
+        Ok(Outcome::Accepted(_)) => accepted(version),
+        Ok(Outcome::Duplicate) => refuse("an earlier try of this command had no effect".to_owned()),
         Ok(Outcome::Conflict(_)) => {
             refuse("another change came first; look at the present state and repeat".to_owned())
         }
--- a/crates/entry/src/api/reply.rs
+++ b/crates/entry/src/api/reply.rs
@@ -22,7 +22,7 @@
 use crate::trace::TRACE_HEADER;
 
 /// The header that says whether the request ran: `not_run`, `may_have_run` or `ran`.
-pub const VERDICT_HEADER: &str = "lavenderhollow-verdict";
+pub(crate) const VERDICT_HEADER: &str = "lavenderhollow-verdict";
 
 /// The result of a handler.
 pub(crate) type Answer = Result<Response<Body>, HttpError>;
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -123,8 +123,8 @@
     pub(crate) fn member_named(&self, team: &TeamName) -> Result<Arc<Member>, Refusal> {
         let installed = self.config.load();
         let settings = installed.config.teams.get(team).cloned();
-        let settings = settings
-            .ok_or_else(|| Refusal::new(RefusalKind::Unauthorized, "team is not known"))?;
+        let settings =
+            settings.ok_or_else(|| Refusal::new(RefusalKind::Unauthorized, "team is not known"))?;
         Ok(Arc::new(Member {
             name: team.clone(),
             settings,
@@ -138,7 +138,12 @@
     /// Refuses with [`RefusalKind::Stale`].
     pub(crate) fn check_fresh(&self) -> Result<(), Refusal> {
         let now = self.clock.now();
-        if self.keyed_until.load().as_ref().is_some_and(|until| now <= **until) {
+        if self
+            .keyed_until
+            .load()
+            .as_ref()
+            .is_some_and(|until| now <= **until)
+        {
             return Ok(());
         }
         let detail = "the configuration is not confirmed by the log or the other zones";
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -74,7 +74,8 @@
         let verdict = run_permit(cx, permit, parent).await;
         match (verdict, doubt.take()) {
             (Verdict::MayHaveRun(seen), _) => {
-                if !request.idempotent || !cx.pools.may_retry(&request.wanted.pool, cx.clock.now()) {
+                if !request.idempotent || !cx.pools.may_retry(&request.wanted.pool, cx.clock.now())
+                {
                     return Verdict::MayHaveRun(seen);
                 }
                 doubt = Some(seen);
@@ -132,7 +133,10 @@
 ) -> Result<Verdict<Reply>, SendError<Arc<Request>>> {
     let now = cx.clock.now();
     let Some(lease) = cx.targets.lease(grant.vm()) else {
-        let refusal = Refusal::new(RefusalKind::NoTarget, "lease was given back before the start");
+        let refusal = Refusal::new(
+            RefusalKind::NoTarget,
+            "lease was given back before the start",
+        );
         return Err(SendError::NotSent(permit, refusal));
     };
     let sent = permit.start_as(attempt, &lease, now)?;
@@ -143,10 +147,18 @@
     let limit = sent.request().deadline.saturating_duration_since(now) + ANSWER_MARGIN;
     let (waiter, answer) = oneshot::channel();
     let request = Arc::clone(sent.request());
-    if cx.exchange.open(request.id, attempt, now + limit, waiter).is_err() {
+    if cx
+        .exchange
+        .open(request.id, attempt, now + limit, waiter)
+        .is_err()
+    {
         return Err(sent.lost("attempt id is open already"));
     }
-    let call = cx.workers.start(grant.address(), task, limit).in_span(span).await;
+    let call = cx
+        .workers
+        .start(grant.address(), task, limit)
+        .in_span(span)
+        .await;
     let verdict = finish(cx, sent, call, answer).await;
     if let Ok(Verdict::Ran(reply)) = &verdict {
         let took = cx.clock.now().saturating_duration_since(now);
@@ -248,7 +260,5 @@
         class: if urgent { Class::Urgent } else { Class::Normal },
         run_time: cx.pools.expected_run_time(admission),
         size: queue.size,
-        max_queued: queue.max_queued,
     }
 }
-
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -73,13 +73,16 @@
     purpose: ForwardFor,
     parent: &Span,
 ) -> Result<ForwardReply, ForwardError> {
-    let span =
-        Span::enter_with_parent("peer", parent).with_property(|| ("peer", peer.to_string()));
+    let span = Span::enter_with_parent("peer", parent).with_property(|| ("peer", peer.to_string()));
     let left = arrival.deadline.saturating_duration_since(cx.clock.now());
     let forward = Forward {
         request: RequestId::random(),
         queue: arrival.admission.queue.clone(),
-        team: arrival.admission.team.as_ref().map(|team| team.name.clone()),
+        team: arrival
+            .admission
+            .team
+            .as_ref()
+            .map(|team| team.name.clone()),
         purpose,
         urgent: arrival.urgent,
         left,
@@ -104,9 +107,7 @@
         // The peer refused the message itself, before it looked at the request.
         Ok(Err(error)) => Err(not_sent(&error)),
         Ok(Ok(reply)) => {
-            let opened = cx
-                .peers
-                .opened(Kind::ForwardReply, &reply, cx.clock.wall());
+            let opened = cx.peers.opened(Kind::ForwardReply, &reply, cx.clock.wall());
             opened.map_err(|e| unknown(&e))
         }
         Err(error) => {
--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -10,7 +10,6 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use fastrace::Span;
 use lavenderhollow_config::Automatic;
 use lavenderhollow_core::escrow::Evidence;
 use lavenderhollow_core::exchange::Body;
@@ -156,7 +155,9 @@
 
 /// Cancels a job whose submission was refused but may still be stored.
 fn withdraw(cx: &Context, job: JobId) {
-    cx.streams.zone.submit(JobChange::Cancel { job }.into(), None);
+    cx.streams
+        .zone
+        .submit(JobChange::Cancel { job }.into(), None);
 }
 
 /// Returns a job of a team.
@@ -303,7 +304,6 @@
         },
         run_time: job.spec.run_time,
         size: queue.size,
-        max_queued: queue.max_queued,
     })
 }
 
@@ -322,11 +322,7 @@
         lease_end: lease.end,
     };
     let record = cx.streams.zone.record(change.into(), None);
-    let outcome = cx
-        .streams
-        .zone
-        .propose_record(record, START_LIMIT)
-        .await;
+    let outcome = cx.streams.zone.propose_record(record, START_LIMIT).await;
     // Without an answer the record may still be accepted; the next sweep then returns the attempt.
     matches!(outcome, Ok(Outcome::Accepted(_))).then_some(grant)
 }
@@ -388,7 +384,10 @@
         return JobOutcome::Failed(text.chars().take(1024).collect());
     }
     if reply.body.len() > MAX_RESULT {
-        let detail = format!("the result has {} bytes, over {MAX_RESULT}", reply.body.len());
+        let detail = format!(
+            "the result has {} bytes, over {MAX_RESULT}",
+            reply.body.len()
+        );
         return JobOutcome::Failed(detail);
     }
     JobOutcome::Succeeded(Body::from(&reply.body[..]))
@@ -415,9 +414,10 @@
         gone.entry(*who).or_insert(now);
     }
     let wait = cx.settings.lease + LEASE_MARGIN;
-    let ended = |who: &Incarnation| gone.get(who).is_some_and(|at| now >= *at + wait);
+    let over = |(who, at): (&Incarnation, &Instant)| (now >= *at + wait).then_some(*who);
+    let ended: BTreeSet<Incarnation> = gone.iter().filter_map(over).collect();
     if config.config.automatic.is_on(Automatic::Reclaims) {
-        for holder in holders.iter().filter(|who| ended(who)) {
+        for holder in holders.intersection(&ended) {
             let evidence = Evidence {
                 gone: cx.clock.wall() - wait,
             };
@@ -427,7 +427,7 @@
         }
     }
     for owner in &owners {
-        take_over_jobs(cx, *owner, ended(owner));
+        take_over_jobs(cx, *owner, ended.contains(owner));
     }
 }
 
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -136,7 +136,10 @@
 pub(crate) enum ForwardReply {
     NotRun(Refusal),
     MayHaveRun(Doubt),
-    Ran { succeeded: bool, body: Vec<u8> },
+    Ran {
+        succeeded: bool,
+        body: Vec<u8>,
+    },
     /// The durable job is in the log.
     Submitted,
 }
--- a/crates/entry/src/observers.rs
+++ b/crates/entry/src/observers.rs
@@ -19,13 +19,13 @@
 use crate::stream::Observer;
 
 /// Installs a configuration unless the present one is as new.
-pub(crate) fn install(cx: &Context, version: Version, config: Arc<Config>) {
+pub(crate) fn install(cx: &Context, version: Version, config: &Arc<Config>) {
     let zones: Vec<_> = config.zones.keys().cloned().collect();
     if cx
         .config
-        .install(Installed::new(version, Arc::clone(&config)))
+        .install(Installed::new(version, Arc::clone(config)))
     {
-        cx.pools.configure(&config, cx.clock.now());
+        cx.pools.configure(config, cx.clock.now());
         metrics::gauge!(metric::CONFIG_VERSION).set(version.get() as f64);
         log::info!(version = version.get(); "configuration installed");
     }
@@ -48,7 +48,7 @@
         let state = follower.state();
         let version = state.version();
         if version > cx.config.load().version {
-            install(&cx, version, Arc::clone(state.config()));
+            install(&cx, version, state.config());
         }
         cx.with_freshness(|freshness| match at_head {
             Some(sent) => freshness.log_read(version, sent),
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -1,6 +1,7 @@
 //! Answers to the calls of other entries.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -55,7 +56,8 @@
     let cx = Arc::clone(cx);
     tokio::spawn(async move {
         // A connection that fails before its first message concerns that peer alone.
-        let mut connections = listener.filter_map(|connection| async { connection.ok() });
+        let connections = listener.filter_map(|connection| async { connection.ok() });
+        let mut connections = pin!(connections);
         while let Some(transport) = connections.next().await {
             let server = PeerServer {
                 cx: Arc::clone(&cx),
@@ -108,8 +110,7 @@
         let (_, forward): (_, Forward) = cx.peers.seal.open(Kind::Forward, &request, wall)?;
         let span = trace::hop("forwarded", forward.trace.as_deref());
         let reply = run(cx, forward, &span).await;
-        cx.peers
-            .sealed(Kind::ForwardReply, &reply, cx.clock.wall())
+        cx.peers.sealed(Kind::ForwardReply, &reply, cx.clock.wall())
     }
 }
 
@@ -134,7 +135,8 @@
     match &forward.purpose {
         ForwardFor::Room => {
             let request = serve::local(cx, &arrival);
-            serve::forwarded(dispatch::run(cx, request, span).await.map(serve::stored))
+            let verdict = dispatch::run(cx, request, span).await;
+            serve::forwarded(verdict.map(|reply| serve::stored(&reply)))
         }
         ForwardFor::Claim(key) => serve::forwarded(serve::claim(cx, &arrival, key, span).await),
         ForwardFor::Ticket(text) => serve::forwarded(serve::spend(cx, &arrival, text, span).await),
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -13,6 +13,7 @@
 
 use futures::StreamExt;
 use futures::stream;
+use lavenderhollow_config::Config;
 use lavenderhollow_core::membership::ranked;
 use lavenderhollow_platform::VmInfo;
 use lavenderhollow_platform::VmState;
@@ -345,7 +346,7 @@
         .peers
         .opened(Kind::ConfigReply, &reply, cx.clock.wall())
         .map_err(|e| unknown(&e))?;
-    let config = serde_json::from_str(&reply.document).map_err(|e| unknown(&e))?;
-    crate::observers::install(cx, reply.version, Arc::new(config));
+    let config: Config = serde_json::from_str(&reply.document).map_err(|e| unknown(&e))?;
+    crate::observers::install(cx, reply.version, &Arc::new(config));
     Ok(())
 }
--- a/crates/entry/src/pools.rs
+++ b/crates/entry/src/pools.rs
@@ -58,7 +58,6 @@
     pub(crate) class: Class,
     pub(crate) run_time: Duration,
     pub(crate) size: Resources,
-    pub(crate) max_queued: u32,
 }
 
 impl Wanted {
@@ -136,7 +135,8 @@
         let mut pools = HashMap::new();
         for (name, settings) in &config.pools {
             let pool = present.get(name).cloned();
-            let pool = pool.unwrap_or_else(|| Arc::new(Pool::new(name.clone(), config, &self.wake, now)));
+            let pool =
+                pool.unwrap_or_else(|| Arc::new(Pool::new(name.clone(), config, &self.wake, now)));
             pool.buffer
                 .store(settings.buffer_slots.into(), Ordering::Release);
             let mut inner = pool.inner();
@@ -188,7 +188,9 @@
     /// Takes a retry from the pool's budget, if there is one.
     pub(crate) fn may_retry(&self, pool: &PoolName, now: Instant) -> bool {
         let pools = self.pools.load();
-        pools.get(pool).is_some_and(|pool| pool.retry.try_retry(now))
+        pools
+            .get(pool)
+            .is_some_and(|pool| pool.retry.try_retry(now))
     }
 
     /// Returns how many requests of a team wait in all pools.
@@ -436,7 +438,9 @@
         self.settle_shares(cx, &mut inner);
         loop {
             let order: Vec<TeamName> = inner.shares.order().cloned().collect();
-            let served = order.iter().any(|team| self.serve_team(cx, &mut inner, team));
+            let served = order
+                .iter()
+                .any(|team| self.serve_team(cx, &mut inner, team));
             if !served {
                 return;
             }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -60,6 +60,12 @@
 /// The streams that each entry appends to, for the split of the append budget.
 const STREAMS: usize = 3;
 
+/// The time for a connection to a worker or to the VM list.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// How many idle connections to each address are kept: one for each slot of a worker.
+const IDLE_CONNECTIONS: usize = 8;
+
 /// The largest body of an operator's command, in bytes: a configuration of the largest fleet.
 const OPERATOR_BODY: usize = 16 << 20;
 
@@ -157,17 +163,21 @@
 
     fn context(self) -> Arc<Context> {
         let settings = self.settings;
-        let client = HttpClient::new();
-        let log = self.log.unwrap_or_else(|| {
-            Arc::new(HttpLog::new(HttpLogSettings::new(settings.platform.log)))
-        });
+        let client = HttpClient::new(CONNECT_LIMIT, IDLE_CONNECTIONS);
+        let log = self
+            .log
+            .unwrap_or_else(|| Arc::new(HttpLog::new(HttpLogSettings::new(settings.platform.log))));
         let vms = self.vms.unwrap_or_else(|| {
             let limits = HttpVmList::DEFAULT_LIMITS;
-            Arc::new(HttpVmList::new(client.clone(), settings.platform.vms, limits))
-        });
-        let workers = self.workers.unwrap_or_else(|| {
-            Arc::new(HttpWorkers::new(client.clone(), WorkerLimits::default()))
+            Arc::new(HttpVmList::new(
+                client.clone(),
+                settings.platform.vms,
+                limits,
+            ))
         });
+        let workers = self
+            .workers
+            .unwrap_or_else(|| Arc::new(HttpWorkers::new(client.clone(), WorkerLimits::default())));
         let incarnation = Incarnation::random();
         let parts = |name: StreamName| StreamParts {
             name,
@@ -238,6 +248,15 @@
         self.exposition
     }
 
+    /// Waits until a task of the entry fails. Tasks run for ever, so that an entry without one of
+    /// them must not go on: the platform replaces it.
+    pub async fn failed(&mut self) -> eyre::Report {
+        match self.tasks.join_next().await {
+            Some(Err(error)) => eyre!("a task of the entry failed: {error}"),
+            Some(Ok(())) | None => eyre!("a task of the entry ended"),
+        }
+    }
+
     /// Stops the entry without cutting a request, within the limit of the settings.
     ///
     /// # Errors
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -10,6 +10,7 @@
 use lavenderhollow_config::Key;
 use lavenderhollow_core::exchange::Body;
 use lavenderhollow_core::exchange::Digest;
+use lavenderhollow_core::fold::Outcome;
 use lavenderhollow_core::jobs::JobSpec;
 use lavenderhollow_core::jobs::new_job;
 use lavenderhollow_core::keyring::Admission;
@@ -21,7 +22,6 @@
 use lavenderhollow_core::once::Ticket;
 use lavenderhollow_core::permit::Permit;
 use lavenderhollow_core::zone::ZoneRejection;
-use lavenderhollow_core::fold::Outcome;
 use lavenderhollow_platform::TaskStatus;
 use lavenderhollow_types::Doubt;
 use lavenderhollow_types::JobId;
@@ -67,7 +67,9 @@
 
     /// Identifies the whole request, so that a key can't be used for another one.
     fn digest(&self) -> Digest {
-        let team = self.team().map_or_else(String::new, |team| team.to_string());
+        let team = self
+            .team()
+            .map_or_else(String::new, |team| team.to_string());
         let mut bytes = format!("{}\n{team}\n", self.admission.queue).into_bytes();
         bytes.extend_from_slice(&self.body);
         Digest::of(&bytes)
@@ -108,7 +110,7 @@
         }
     }
     let verdict = dispatch::run(cx, local(cx, arrival), span).await;
-    bytes_of(verdict.map(stored))
+    bytes_of(verdict.map(|reply| stored(&reply)))
 }
 
 /// Makes the request to be sent to a target of this entry.
@@ -165,9 +167,10 @@
     };
     let request = Arc::new(local(cx, arrival));
     let (permit, running) = grant.permit(request, arrival.deadline);
-    let verdict = dispatch::run_permit(cx, permit, span).await.map(stored);
-    cx.tickets
-        .settle(running, verdict.clone(), cx.clock.now());
+    let verdict = dispatch::run_permit(cx, permit, span)
+        .await
+        .map(|reply| stored(&reply));
+    cx.tickets.settle(running, verdict.clone(), cx.clock.now());
     verdict
 }
 
@@ -222,7 +225,9 @@
     };
     match resolve(cx, pending).await {
         Ok(permit) => {
-            let verdict = dispatch::run_permit(cx, permit, span).await.map(stored);
+            let verdict = dispatch::run_permit(cx, permit, span)
+                .await
+                .map(|reply| stored(&reply));
             settle(cx, key, verdict.clone());
             verdict
         }
@@ -244,7 +249,7 @@
     };
     match cx.streams.zone.propose_record(record, CLAIM_LIMIT).await {
         Ok(outcome) => {
-            let outcome = claim_outcome(outcome);
+            let outcome = claim_outcome(&outcome);
             cx.streams
                 .zone
                 .read(|fold| pending.resolve(&outcome, &fold.state().claims))
@@ -259,12 +264,12 @@
 }
 
 fn claim_outcome(
-    outcome: Outcome<ZoneRejection>,
+    outcome: &Outcome<ZoneRejection>,
 ) -> Outcome<lavenderhollow_core::once::ClaimRejection> {
     match outcome {
-        Outcome::Accepted(version) => Outcome::Accepted(version),
-        Outcome::Rejected(ZoneRejection::Claim(rejection)) => Outcome::Rejected(rejection),
-        Outcome::Conflict(version) => Outcome::Conflict(version),
+        Outcome::Accepted(version) => Outcome::Accepted(*version),
+        Outcome::Rejected(ZoneRejection::Claim(rejection)) => Outcome::Rejected(*rejection),
+        Outcome::Conflict(version) => Outcome::Conflict(*version),
         Outcome::Duplicate => Outcome::Duplicate,
         Outcome::Snapshot => Outcome::Snapshot,
         Outcome::Rejected(_) | Outcome::Expired => Outcome::Expired,
@@ -313,7 +318,10 @@
             Ok(_) | Err(_) => {}
         }
     }
-    let refusal = Refusal::new(RefusalKind::LogUnavailable, "the team's home zone can't be reached");
+    let refusal = Refusal::new(
+        RefusalKind::LogUnavailable,
+        "the team's home zone can't be reached",
+    );
     Err(refusal.retry_after(RETRY_AFTER))
 }
 
@@ -333,7 +341,10 @@
 /// Refuses the job; it will not run.
 pub(crate) async fn store(cx: &Context, arrival: &Arrival, job: JobId) -> Result<(), Refusal> {
     let Some(team) = arrival.team() else {
-        return Err(Refusal::new(RefusalKind::Unauthorized, "a durable job needs a team"));
+        return Err(Refusal::new(
+            RefusalKind::Unauthorized,
+            "a durable job needs a team",
+        ));
     };
     let left = arrival.deadline.saturating_duration_since(cx.clock.now());
     let settings = &arrival.admission.settings;
@@ -386,7 +397,7 @@
 }
 
 /// Keeps a target's answer.
-pub(crate) fn stored(reply: Reply) -> Stored {
+pub(crate) fn stored(reply: &Reply) -> Stored {
     let status = match reply.status {
         TaskStatus::Succeeded => STATUS_SUCCEEDED,
         _ => STATUS_FAILED,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -151,7 +151,11 @@
         }
         if self.heartbeat * 2 > self.staleness_bound {
             let allowed = "at most half of staleness_bound_ms";
-            problems.push(Problem::new("heartbeat_ms", &self.heartbeat.as_millis(), allowed));
+            problems.push(Problem::new(
+                "heartbeat_ms",
+                &self.heartbeat.as_millis(),
+                allowed,
+            ));
         }
         problems
     }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -62,7 +62,7 @@
 
 /// Why the outcome of a record is not known.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
-pub enum ProposeError {
+pub(crate) enum ProposeError {
     /// The record was not read back in time; it may still be accepted.
     #[display("the log did not confirm the record in time")]
     Unconfirmed,
@@ -173,11 +173,7 @@
     }
 
     /// Makes a record of this process.
-    pub(crate) fn record(
-        &self,
-        change: S::Change,
-        expected: Option<Version>,
-    ) -> Record<S::Change> {
+    pub(crate) fn record(&self, change: S::Change, expected: Option<Version>) -> Record<S::Change> {
         Record {
             id: RecordId::random(),
             created: self.parts.clock.wall(),
@@ -235,8 +231,13 @@
             if let Event::Settled { id, outcome } = event
                 && let Some(waiter) = inner.waiters.remove(id)
             {
+                let outcome = match outcome {
+                    Outcome::Duplicate => inner.follower.fold().recall(*id),
+                    _ => None,
+                }
+                .unwrap_or_else(|| outcome.clone());
                 // The waiter may have given up; the outcome is in the fold all the same.
-                let _ = waiter.send(outcome.clone());
+                let _ = waiter.send(outcome);
             }
         }
         let at_head = inner.follower.is_at_head(head).then_some(sent);
@@ -256,15 +257,17 @@
                 continue;
             }
             self.append_snapshot().await;
-            let inner = self.inner();
-            let due = inner.follower.flush_at();
-            drop(inner);
+            let due = self.flush_at();
             let idle = due.map_or(APPEND_IDLE, |at| at.saturating_duration_since(now));
             let _ = tokio::time::timeout(idle.min(APPEND_IDLE), self.queued.notified()).await;
             self.give_up();
         }
     }
 
+    fn flush_at(&self) -> Option<Instant> {
+        self.inner().follower.flush_at()
+    }
+
     async fn append_batch(&self, batch: Batch<S::Change>) {
         let number = batch.number;
         let records: Vec<Box<RawValue>> = batch
@@ -319,7 +322,11 @@
     fn count_records(&self, events: &[Event<S>]) {
         for event in events {
             if let Event::Folded { outcome, .. } = event {
-                let outcome = if outcome.is_accepted() { "accepted" } else { "no_effect" };
+                let outcome = if outcome.is_accepted() {
+                    "accepted"
+                } else {
+                    "no_effect"
+                };
                 let stream = self.parts.name.to_string();
                 let labels = [("stream", stream), ("outcome", outcome.to_owned())];
                 metrics::counter!(metric::RECORDS, &labels).increment(1);
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -154,10 +154,10 @@
         self.slots.store(Arc::new(view.slots.clone()));
     }
 
-    fn set_lease(&self, vm: &VmName, lease: Option<Lease>) {
+    fn set_lease(&self, vm: &VmName, lease: Option<&Lease>) {
         self.leases.rcu(|leases| {
             let mut leases = HashMap::clone(leases);
-            match &lease {
+            match lease {
                 Some(lease) => leases.insert(vm.clone(), lease.clone()),
                 None => leases.remove(vm),
             };
@@ -255,7 +255,9 @@
         let workers: Vec<_> = {
             let view = cx.targets.view();
             let listed = view.listed.values();
-            listed.map(|info| (info.name.clone(), info.address)).collect()
+            listed
+                .map(|info| (info.name.clone(), info.address))
+                .collect()
         };
         stream::iter(workers)
             .for_each_concurrent(CALLS_AT_ONCE, |(vm, address)| {
@@ -309,11 +311,14 @@
             };
             let mut view = cx.targets.view();
             view.membership.on_lease(vm, Some(lease.until), sent);
-            cx.targets.set_lease(vm, Some(lease));
+            cx.targets.set_lease(vm, Some(&lease));
         }
         Err(error) => {
             metrics::counter!(metric::LEASE_ERRORS).increment(1);
-            let lapsed = cx.targets.lease(vm).is_some_and(|lease| lease.until <= sent);
+            let lapsed = cx
+                .targets
+                .lease(vm)
+                .is_some_and(|lease| lease.until <= sent);
             if lapsed || matches!(error, WorkerError::Refused(_)) {
                 drop_lease(cx, vm);
             }
--- a/crates/entry/src/trace.rs
+++ b/crates/entry/src/trace.rs
@@ -15,7 +15,7 @@
 use crate::settings::Traces;
 
 /// The header that carries a trace from hop to hop, as the W3C recommendation defines it.
-pub const TRACE_HEADER: &str = "traceparent";
+pub(crate) const TRACE_HEADER: &str = "traceparent";
 
 #[derive(Serialize)]
 struct SpanLine<'a> {
@@ -79,7 +79,7 @@
 }
 
 /// Starts the span of a hop, below the trace that came with the request, if one did.
-pub fn hop(name: &'static str, traceparent: Option<&str>) -> Span {
+pub(crate) fn hop(name: &'static str, traceparent: Option<&str>) -> Span {
     let parent = traceparent
         .and_then(SpanContext::decode_w3c_traceparent)
         .unwrap_or_else(SpanContext::random);
@@ -87,6 +87,6 @@
 }
 
 /// Returns the header value that continues the trace of a span.
-pub fn header_of(span: &Span) -> Option<String> {
+pub(crate) fn header_of(span: &Span) -> Option<String> {
     SpanContext::from_span(span).map(|context| context.encode_w3c_traceparent())
 }
