--- a/crates/core/src/freshness/installed.rs
+++ b/crates/core/src/freshness/installed.rs
@@ -42,8 +42,8 @@
 
     /// Installs a configuration if it is newer than the present one, and tells whether it did. The
     /// log follower and several peers may install at the same time.
-    pub fn install(&self, new: Installed) -> bool {
-        let new = Arc::new(new);
+    pub fn install(&self, new: impl Into<Arc<Installed>>) -> bool {
+        let new = new.into();
         let before = self.0.rcu(|present| {
             let newest = if new.version > present.version {
                 &new
--- a/crates/core/src/freshness/zones.rs
+++ b/crates/core/src/freshness/zones.rs
@@ -34,11 +34,18 @@
     pub(super) cut_off: Option<Instant>,
 }
 
+/// The entries of one zone on the VM list.
+#[derive(Clone, Debug, Default)]
+struct Members {
+    names: BTreeSet<EntryName>,
+    digest: u64,
+}
+
 /// The entries of the VM list and the latest report of each zone.
 #[derive(Clone, Debug)]
 pub(super) struct Zones {
     own: ZoneName,
-    entries: BTreeMap<ZoneName, BTreeSet<EntryName>>,
+    entries: BTreeMap<ZoneName, Members>,
     peers: BTreeMap<EntryName, Peer>,
     heard: BTreeMap<ZoneName, Heard>,
 }
@@ -54,13 +61,21 @@
     }
 
     pub(super) fn set_entries(&mut self, entries: impl Iterator<Item = (EntryName, ZoneName)>) {
-        self.entries.clear();
+        let mut names: BTreeMap<ZoneName, BTreeSet<EntryName>> = BTreeMap::new();
         for (entry, zone) in entries {
-            self.entries.entry(zone).or_default().insert(entry);
+            names.entry(zone).or_default().insert(entry);
+        }
+        self.entries.retain(|zone, _| names.contains_key(zone));
+        for (zone, names) in names {
+            let members = self.entries.entry(zone).or_default();
+            if members.names != names {
+                members.digest = digest(&names);
+                members.names = names;
+            }
         }
         let members = self.entries.get(&self.own);
         self.peers
-            .retain(|name, _| members.is_some_and(|members| members.contains(name)));
+            .retain(|name, _| members.is_some_and(|members| members.names.contains(name)));
         self.heard.retain(|zone, _| self.entries.contains_key(zone));
     }
 
@@ -95,7 +110,7 @@
 
     /// Returns what is known about a zone. The own entry counts as just heard.
     pub(super) fn state(&self, zone: &ZoneName, own: &Own<'_>) -> ZoneState {
-        let nobody = BTreeSet::new();
+        let nobody = Members::default();
         let members = self.entries.get(zone).unwrap_or(&nobody);
         if *zone == self.own {
             self.own_state(members, own)
@@ -106,7 +121,7 @@
 
     /// Returns the report about the own zone.
     pub(super) fn report(&self, own: &Own<'_>) -> ZoneReport {
-        let nobody = BTreeSet::new();
+        let nobody = Members::default();
         let members = self.entries.get(&self.own).unwrap_or(&nobody);
         let state = self.own_state(members, own);
         let version = state.versions.values().max().copied().unwrap_or_default();
@@ -115,17 +130,17 @@
         behind.retain(|_, known| *known < version);
         ZoneReport {
             zone: self.own.clone(),
-            members: digest(members),
+            members: members.digest,
             version,
             behind,
             cut_off: cut_off.map(|at| own.now.saturating_duration_since(at)),
         }
     }
 
-    fn own_state(&self, members: &BTreeSet<EntryName>, own: &Own<'_>) -> ZoneState {
+    fn own_state(&self, members: &Members, own: &Own<'_>) -> ZoneState {
         let mut versions = BTreeMap::from([(own.entry.clone(), own.version)]);
         let mut cut_off = (!own.reaches_log).then_some(own.now);
-        for member in members.iter().filter(|member| *member != own.entry) {
+        for member in members.names.iter().filter(|member| *member != own.entry) {
             let peer = self.peers.get(member);
             let version = peer.map_or(Version::default(), |peer| peer.version);
             versions.insert(member.clone(), version);
@@ -135,11 +150,12 @@
         ZoneState { versions, cut_off }
     }
 
-    fn other_state(&self, zone: &ZoneName, members: &BTreeSet<EntryName>) -> ZoneState {
+    fn other_state(&self, zone: &ZoneName, members: &Members) -> ZoneState {
         let heard = self.heard.get(zone);
-        let matching = heard.filter(|heard| heard.report.members == digest(members));
+        let matching = heard.filter(|heard| heard.report.members == members.digest);
         let Some(Heard { report, at }) = matching else {
             let unknown = members
+                .names
                 .iter()
                 .map(|name| (name.clone(), Version::default()));
             return ZoneState {
@@ -150,6 +166,7 @@
         let version = |name: &EntryName| report.behind.get(name).copied();
         ZoneState {
             versions: members
+                .names
                 .iter()
                 .map(|name| (name.clone(), version(name).unwrap_or(report.version)))
                 .collect(),
