entry: repeat a decision only when its subject changed

Cause: a record that follows another one of the same subject was held back for 5 s, because the driver remembered subjects by time alone. Ruled out: the follower (records were read back within 40 ms) and the stand-ins. Change: the driver and the allotments remember the version that a decision was made from. Buffers take at most half of the open slots: with one open target the buffer took all of it and normal work never started. An idle entry now holds its part of a quarter of each limit.

--- a/crates/entry/src/allotments.rs
+++ b/crates/entry/src/allotments.rs
@@ -26,19 +26,20 @@
 
 use crate::context::Context;
 use crate::message::Summary;
+use crate::submitted::Submitted;
 
 /// After how long half of a past peak of demand is forgotten.
 const HALF_LIFE: Duration = Duration::from_secs(30);
 
-/// How long a submitted record is waited for before it is submitted again.
-const RECORD_WAIT: Duration = Duration::from_secs(3);
+/// The part of a limit that is spread over all entries whatever their demand, as a divisor.
+const BASE_DIVISOR: u64 = 4;
 
 /// The state of the task.
 #[derive(Default)]
 struct Desk {
     entries: BTreeMap<TeamName, Rebalancer<Incarnation>>,
     zones: BTreeMap<TeamName, Rebalancer<ZoneName>>,
-    submitted: BTreeMap<String, Instant>,
+    submitted: Submitted,
 }
 
 /// One team in one round.
@@ -72,7 +73,6 @@
 impl Desk {
     fn round(&mut self, cx: &Context, config: &Config, version: Version) {
         let now = cx.clock.now();
-        self.submitted.retain(|_, at| now < *at + RECORD_WAIT);
         let summaries = cx.peers.summaries(now);
         let live = cx.peers.live_in_zone(now);
         let subject = VmName::new("allotments").expect("the name is valid");
@@ -251,7 +251,10 @@
     fn give(&mut self, round: &Round<'_>, amount: u64, to: Option<Incarnation>) {
         let cx = round.cx;
         let key = format!("{}/give", round.team);
-        if self.submitted.contains_key(&key) {
+        if !self
+            .submitted
+            .may_submit(key, round.zone_version(), round.now)
+        {
             return;
         }
         let meter = cx.meters.meter(round.team);
@@ -283,12 +286,11 @@
         };
         record.change = change.into();
         cx.streams.zone.submit_record(record);
-        self.submitted.insert(key, round.now);
     }
 
     fn submit_fleet(&mut self, round: &Round<'_>, change: Change<ZoneName>, version: Version) {
         let key = format!("{}/fleet", round.team);
-        if self.submitted.insert(key, round.now).is_none() {
+        if self.submitted.may_submit(key, version, round.now) {
             let change = FleetChange::from(change);
             round.cx.streams.fleet.submit(change, Some(version));
         }
@@ -296,7 +298,10 @@
 
     fn submit_zone(&mut self, round: &Round<'_>, change: Change<Incarnation>, what: &str) {
         let key = format!("{}/{what}", round.team);
-        if self.submitted.insert(key, round.now).is_none() {
+        if self
+            .submitted
+            .may_submit(key, round.zone_version(), round.now)
+        {
             round.cx.streams.zone.submit(ZoneChange::from(change), None);
         }
     }
@@ -310,6 +315,11 @@
         self.cx.meters.meter(self.team).lower(lowered);
     }
 
+    fn zone_version(&self) -> Version {
+        let subject = subject(self.team);
+        self.cx.streams.zone.read(|fold| fold.version(&subject))
+    }
+
     fn zone_escrow(&self) -> TeamEscrow<Incarnation> {
         self.cx.streams.zone.read(|fold| {
             let escrow = fold.state().allotments.teams.get(self.team);
@@ -317,6 +327,13 @@
         })
     }
 
+    /// Returns the slots that even an idle entry asks for, so that it can serve at once and while
+    /// the log is down.
+    fn base(&self) -> u64 {
+        let entries = self.cx.peers.listed() as u64;
+        (self.limit / BASE_DIVISOR / entries).max(1)
+    }
+
     /// Returns the demand of every entry of the zone that holds or wants something.
     fn entry_demands(&self, local: &TeamEscrow<Incarnation>) -> Vec<HolderDemand<Incarnation>> {
         let cx = self.cx;
@@ -343,10 +360,9 @@
             });
         let mut demands: Vec<_> = others.collect();
         demands.push(mine);
-        // Everyone computes with a base of one slot, so that an idle entry can serve when the log
-        // is down.
+        let base = self.base();
         for demand in &mut demands {
-            demand.waiting = demand.waiting.max(u64::from(demand.used == 0));
+            demand.waiting = demand.waiting.max(base.saturating_sub(demand.used));
         }
         demands
     }
@@ -370,8 +386,7 @@
             HolderDemand {
                 usable: escrow.holders.get(&zone).map_or(0, Account::usable),
                 used,
-                // Room for one slot of each entry, for the same reason as above.
-                waiting: waiting.max(entries.saturating_sub(used)),
+                waiting: waiting.max((self.base() * entries).saturating_sub(used)),
                 holder: zone,
             }
         });
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -21,16 +21,14 @@
 
 use crate::context::Context;
 use crate::metric;
+use crate::submitted::Submitted;
 use crate::targets;
 
-/// How long a submitted record is waited for before it is submitted again.
-const RECORD_WAIT: Duration = Duration::from_secs(5);
-
 /// The state of the task. It can be lost: every drain is driven from its folded record.
 #[derive(Default)]
 struct Driver {
     drains: BTreeMap<VmName, Drain>,
-    submitted: BTreeMap<String, Instant>,
+    submitted: Submitted,
 }
 
 /// Drives maintenance for the workers that this entry owns, for ever.
@@ -50,7 +48,6 @@
 impl Driver {
     fn submit_changes(&mut self, cx: &Context) {
         let now = cx.clock.now();
-        self.submitted.retain(|_, at| now < *at + RECORD_WAIT);
         for change in changes(cx, now) {
             self.submit(cx, change, now);
         }
@@ -59,10 +56,10 @@
     /// Submits a change on condition of the version that the decision was made from.
     fn submit(&mut self, cx: &Context, change: Change, now: Instant) {
         let subject = Maintenance::subject(&change);
-        if self.submitted.insert(subject.clone(), now).is_some() {
+        let version = cx.streams.fleet.read(|fold| fold.version(&subject));
+        if !self.submitted.may_submit(subject, version, now) {
             return;
         }
-        let version = cx.streams.fleet.read(|fold| fold.version(&subject));
         let change = FleetChange::from(change);
         cx.streams.fleet.submit(change, Some(version));
     }
--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -269,7 +269,7 @@
     let Some(wanted) = wanted(cx, &job) else {
         return;
     };
-    let deadline = cx.clock.now() + TARGET_WAIT;
+    let deadline = cx.clock.now() + TARGET_WAIT + wanted.run_time;
     let Ok(grant) = cx.pools.acquire(cx, &wanted, deadline).await else {
         return;
     };
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,6 +20,7 @@
 mod serve;
 mod settings;
 mod stream;
+mod submitted;
 mod summary;
 mod targets;
 mod trace;
--- a/crates/entry/src/pools.rs
+++ b/crates/entry/src/pools.rs
@@ -19,10 +19,12 @@
 use lavenderhollow_core::estimate::Estimate;
 use lavenderhollow_core::estimate::Estimator;
 use lavenderhollow_core::keyring::Admission;
+use lavenderhollow_core::maintenance::Maintenance;
 use lavenderhollow_core::membership::OpenTarget;
 use lavenderhollow_core::membership::Pass;
 use lavenderhollow_core::queue::Class;
 use lavenderhollow_core::queue::Queue;
+use lavenderhollow_core::queue::Supply;
 use lavenderhollow_core::queue::Ticket;
 use lavenderhollow_core::queue::Waiting;
 use lavenderhollow_core::retry::RetryBudget;
@@ -46,6 +48,9 @@
 /// The quantile of learned run times that waiting times are computed with.
 const RUN_TIME_QUANTILE: f64 = 0.75;
 
+/// The part of the slots that a buffer takes at most, as a divisor.
+const LEAST_NORMAL_PART: u32 = 2;
+
 /// How often waiting requests are looked at without a reason.
 const SWEEP: Duration = Duration::from_millis(100);
 
@@ -113,6 +118,8 @@
 struct Pool {
     name: PoolName,
     buffer: AtomicU64,
+    /// The VMs of the pool in all zones.
+    vms: AtomicU64,
     waiting: AtomicUsize,
     running: ArcSwap<HashMap<TeamName, Arc<AtomicU64>>>,
     wake: Arc<Notify>,
@@ -174,7 +181,7 @@
                 run_time: took,
                 size: wanted.size,
             };
-            self.estimator().observe(&wanted.queue, team, seen);
+            self.estimator().observe(&wanted.queue, team, &seen);
         }
     }
 
@@ -211,6 +218,14 @@
         waiting.sum()
     }
 
+    /// Takes over how many VMs each pool has.
+    pub(crate) fn set_vms(&self, maintenance: &Maintenance) {
+        for (name, pool) in self.pools.load().iter() {
+            let vms = maintenance.pool(name).map_or(0, |pool| pool.vms.len());
+            pool.vms.store(vms as u64, Ordering::Release);
+        }
+    }
+
     /// Looks at the waiting requests of every pool after targets or allotments changed.
     pub(crate) fn targets_changed(&self) {
         self.wake.notify_one();
@@ -280,6 +295,7 @@
         let bound = queues.map(|queue| queue.max_queued).max().unwrap_or(0);
         Self {
             buffer: AtomicU64::new(0),
+            vms: AtomicU64::new(0),
             waiting: AtomicUsize::new(0),
             running: ArcSwap::default(),
             wake: Arc::clone(wake),
@@ -300,7 +316,7 @@
 
     /// Takes a slot of the team's limit and a target without waiting.
     fn grab(&self, cx: &Context, wanted: &Wanted) -> Option<Grant> {
-        if wanted.class == Class::Normal && self.free(cx) <= self.buffer.load(Ordering::Acquire) {
+        if wanted.class == Class::Normal && self.free(cx) <= self.buffer(cx).into() {
             return None;
         }
         let slot = match &wanted.team {
@@ -337,6 +353,16 @@
             .find_map(|target| Some((target.clone(), enter(cx, target, now)?)))
     }
 
+    /// Returns this entry's part of the pool's buffer. It never takes more than a part of the slots,
+    /// so that a pool that lost most of its targets still serves normal work.
+    fn buffer(&self, cx: &Context) -> u32 {
+        let most = self.slots(cx) / LEAST_NORMAL_PART;
+        let vms = self.vms.load(Ordering::Acquire).max(1);
+        let open = cx.targets.snapshot.load().open(&self.name).len() as u64;
+        let part = self.buffer.load(Ordering::Acquire) * open.min(vms) / vms;
+        u32::try_from(part).unwrap_or(u32::MAX).min(most)
+    }
+
     fn free(&self, cx: &Context) -> u64 {
         let snapshot = cx.targets.snapshot.load();
         let free = snapshot.open(&self.name).iter().map(|target| {
@@ -401,7 +427,11 @@
             Some(team) => cx.meters.usable(team),
             None => u32::MAX,
         };
-        let slots = usable.min(self.slots(cx));
+        let supply = Supply {
+            serving: usable.min(self.slots(cx)),
+            free: free.min(usable),
+            buffer: self.buffer(cx),
+        };
         let waiting = Waiting {
             team: team.clone(),
             class: wanted.class,
@@ -410,9 +440,7 @@
             item: seat,
         };
         let mut inner = self.inner();
-        let ticket = inner
-            .queue
-            .push(cx.clock.now(), waiting, slots, free.min(usable))?;
+        let ticket = inner.queue.push(cx.clock.now(), waiting, supply)?;
         inner.shares.set_waiting(&team, true);
         inner.sizes.insert(team, Amount::request(&wanted.size));
         drop(inner);
@@ -458,11 +486,15 @@
             }
         };
         let free = u32::try_from(self.free(cx)).unwrap_or(u32::MAX);
-        let buffer = u32::try_from(self.buffer.load(Ordering::Acquire)).unwrap_or(u32::MAX);
+        let supply = Supply {
+            serving: self.slots(cx),
+            free,
+            buffer: self.buffer(cx),
+        };
         let Some((target, pass)) = self.choose(cx) else {
             return false;
         };
-        let Some(waiting) = inner.queue.pop(team, free, buffer) else {
+        let Some(waiting) = inner.queue.pop(team, supply) else {
             if inner.queue.waiting(team) == 0 {
                 inner.shares.set_waiting(team, false);
             }
