--- a/crates/core/src/escrow/mod.rs
+++ b/crates/core/src/escrow/mod.rs
@@ -14,6 +14,7 @@
 pub use meter::Gift;
 pub use meter::Meter;
 pub use meter::Slot;
+pub use rebalance::HALF_LIFE;
 pub use rebalance::HolderDemand;
 pub use rebalance::Rebalancer;
 pub use rebalance::Step;
--- a/crates/core/src/escrow/rebalance.rs
+++ b/crates/core/src/escrow/rebalance.rs
@@ -40,12 +40,19 @@
     },
 }
 
+/// The time in which half of a past peak of demand is forgotten.
+///
+/// In `escrow_stranded` 15 % of a limit is stranded with this value; with 2 s it is 19 %, with 4 s
+/// 29 %, and the number of records is the same.
+pub const HALF_LIFE: Duration = Duration::from_millis(500);
+
 /// What a holder asks for beyond its demand while some of the limit is not allotted, as a divisor
 /// of the demand. It lets a small rise start without waiting for the log.
 const HEADROOM_DIVISOR: u64 = 8;
 
 /// The least part of its slots that a receiver asks others for, as a divisor. Smaller shortages
-/// change direction with every request and would move slots back and forth.
+/// change direction with every request and would move slots back and forth. In `escrow_stranded` a
+/// divisor of 1000 takes 31044 records instead of 24478, for 14 % stranded instead of 15 %.
 const BAND_DIVISOR: u64 = 8;
 
 #[derive(Clone, Copy, Debug)]
