--- a/crates/core/src/configuration.rs
+++ b/crates/core/src/configuration.rs
@@ -1,6 +1,7 @@
 //! The state of the `config` stream.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use derive_more::Display;
@@ -141,14 +142,21 @@
 
     fn changed(&self, change: &ConfigChange) -> Result<Arc<Config>, ConfigRejection> {
         match change {
-            ConfigChange::Publish(config) => Ok(Arc::clone(config)),
-            ConfigChange::Patch(patch) => self.patched(patch),
+            ConfigChange::Publish(config) => self.checked(Arc::clone(config)),
+            ConfigChange::Patch(patch) => self.checked(self.patched(patch)?),
             ConfigChange::AddKey { team, key, hash } => self.with_key(team, key, *hash),
             ConfigChange::WithdrawKey { team, key } => self.without_key(team, key),
             ConfigChange::SetAutomatic { action, on } => Ok(self.switched(*action, *on)),
         }
     }
 
+    fn checked(&self, config: Arc<Config>) -> Result<Arc<Config>, ConfigRejection> {
+        check_references(&config)?;
+        check_keys(&config)?;
+        self.check_homes(&config)?;
+        Ok(config)
+    }
+
     fn patched(&self, patch: &Value) -> Result<Arc<Config>, ConfigRejection> {
         let invalid = |error: serde_json::Error| ConfigRejection::Invalid {
             reason: error.to_string(),
@@ -165,6 +173,13 @@
         hash: KeyHash,
     ) -> Result<Arc<Config>, ConfigRejection> {
         let mut config = Config::clone(&self.config);
+        let mut known = config.teams.values().flat_map(|team| team.keys.values());
+        if known.any(|known| *known == hash) {
+            return Err(ConfigRejection::SharedKey {
+                team: team.clone(),
+                key: key.clone(),
+            });
+        }
         let keys = keys_of(&mut config, team)?;
         if keys.contains_key(key) {
             return Err(ConfigRejection::KeyExists {
@@ -228,12 +243,11 @@
 
     fn apply(&mut self, cx: &Context, change: &ConfigChange) -> Result<Effect, ConfigRejection> {
         let config = self.changed(change)?;
-        check_references(&config)?;
-        check_keys(&config)?;
-        self.check_homes(&config)?;
-        let homes = config.teams.iter();
-        self.homes
-            .extend(homes.map(|(name, team)| (name.clone(), team.home.clone())));
+        for (name, team) in &config.teams {
+            if !self.homes.contains_key(name) {
+                self.homes.insert(name.clone(), team.home.clone());
+            }
+        }
         self.version = <Self as State>::version(self.version, cx.position);
         self.config = config;
         Ok(Effect::Changed)
@@ -268,17 +282,21 @@
     Ok(())
 }
 
+/// Compares the hashes as text, because [`KeyHash`] has no order and comparing every pair took most
+/// of the time of a change.
 fn check_keys(config: &Config) -> Result<(), ConfigRejection> {
-    let mut seen: Vec<KeyHash> = Vec::new();
+    let mut seen = BTreeSet::new();
     for (name, team) in &config.teams {
         for (key, hash) in &team.keys {
-            if seen.contains(hash) {
+            let text = serde_json::to_string(hash).map_err(|error| ConfigRejection::Invalid {
+                reason: error.to_string(),
+            })?;
+            if !seen.insert(text) {
                 return Err(ConfigRejection::SharedKey {
                     team: name.clone(),
                     key: key.clone(),
                 });
             }
-            seen.push(*hash);
         }
     }
     Ok(())
