entry: place by learned size, refuse impossible jobs, separate failing jobs from workers

The request path uses the core's placement, estimates and evidence: a request that fits no worker of its pool in any zone is refused at once, a job that fails on good workers is refused, and a worker that fails jobs of others gets none. The VM list tells the size of a VM; without it the usual size counts.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -11,9 +11,9 @@
 use http::StatusCode;
 use http::header::AUTHORIZATION;
 use http::header::CONTENT_TYPE;
+use lavenderhollow_core::configuration::ConfigChange;
 use lavenderhollow_entry::api::operator::Command;
 use lavenderhollow_entry::api::operator::CommandResult;
-use lavenderhollow_entry::api::operator::ConfigCommand;
 use lavenderhollow_entry::api::operator::ConfigView;
 use lavenderhollow_entry::api::operator::InForceView;
 use lavenderhollow_entry::api::operator::StatusView;
@@ -119,7 +119,7 @@
         self.get(&format!("/v1/in-force/{version}"))
     }
 
-    pub(crate) fn change_config(&self, command: &Command<ConfigCommand>) -> eyre::Result<Version> {
+    pub(crate) fn change_config(&self, command: &Command<ConfigChange>) -> eyre::Result<Version> {
         self.command("/v1/config", command)
     }
 
--- a/crates/cli/src/command/automatic.rs
+++ b/crates/cli/src/command/automatic.rs
@@ -1,8 +1,8 @@
 //! `automatic`: turns automatic actions on and off.
 
 use lavenderhollow_config::Automatic;
+use lavenderhollow_core::configuration::ConfigChange;
 use lavenderhollow_entry::api::operator::Command;
-use lavenderhollow_entry::api::operator::ConfigCommand;
 use lavenderhollow_types::RecordId;
 use lexopt::Arg;
 use lexopt::Parser;
@@ -84,7 +84,7 @@
     let command = Command {
         id: id.unwrap_or_else(RecordId::random),
         expected: None,
-        change: ConfigCommand::SetAutomatic { action, on },
+        change: ConfigChange::SetAutomatic { action, on },
     };
     let version = client.change_config(&command)?;
     let what = action.map_or_else(|| "all actions".to_owned(), |action| action.to_string());
--- a/crates/cli/src/command/key.rs
+++ b/crates/cli/src/command/key.rs
@@ -1,8 +1,8 @@
 //! `key`: adds and withdraws keys of teams.
 
 use lavenderhollow_config::Key;
+use lavenderhollow_core::configuration::ConfigChange;
 use lavenderhollow_entry::api::operator::Command;
-use lavenderhollow_entry::api::operator::ConfigCommand;
 use lavenderhollow_types::RecordId;
 use lavenderhollow_types::TeamName;
 use lexopt::Arg;
@@ -54,18 +54,18 @@
     let key = required(words.next(), "KEY")?;
     let drawn = Key::random();
     let change = match word.as_str() {
-        "add" => ConfigCommand::AddKey {
+        "add" => ConfigChange::AddKey {
             team,
             key,
             hash: drawn.hash(),
         },
-        "withdraw" => ConfigCommand::WithdrawKey { team, key },
+        "withdraw" => ConfigChange::WithdrawKey { team, key },
         other => {
             let message = format!("key: {other:?} is not add or withdraw");
             return Err(Failure::new(Code::Usage, message).into());
         }
     };
-    let secret = matches!(change, ConfigCommand::AddKey { .. }).then(|| drawn.reveal().to_owned());
+    let secret = matches!(change, ConfigChange::AddKey { .. }).then(|| drawn.reveal().to_owned());
     let command = Command {
         id: id.unwrap_or_else(RecordId::random),
         expected: None,
--- a/crates/cli/src/command/publish.rs
+++ b/crates/cli/src/command/publish.rs
@@ -1,13 +1,14 @@
 //! `publish`: publishes a configuration.
 
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use lavenderhollow_config::Safety;
 use lavenderhollow_config::diff;
+use lavenderhollow_core::configuration::ConfigChange;
 use lavenderhollow_entry::api::operator::Command;
-use lavenderhollow_entry::api::operator::ConfigCommand;
 use lavenderhollow_types::RecordId;
 use lavenderhollow_types::Version;
 use lexopt::Arg;
@@ -107,7 +108,7 @@
     let command = Command {
         id: options.id.unwrap_or_else(RecordId::random),
         expected: Some(options.expected.unwrap_or(present.version)),
-        change: ConfigCommand::Publish(config),
+        change: ConfigChange::Publish(Arc::new(config)),
     };
     println!("publishing with id {}", command.id);
     let version = client.change_config(&command)?;
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -127,6 +127,12 @@
         Some(request)
     }
 
+    /// Returns a team's next request, if the free slots allow its class.
+    pub fn peek(&self, team: &TeamName, supply: Supply) -> Option<&Waiting<T>> {
+        let (place, request) = self.teams.get(team)?.first_key_value()?;
+        (supply.free_for(place.class) > 0).then_some(request)
+    }
+
     /// Returns the class of a team's next request.
     pub fn next_class(&self, team: &TeamName) -> Option<Class> {
         let (place, _) = self.teams.get(team)?.first_key_value()?;
--- a/crates/entry/src/api/operator.rs
+++ b/crates/entry/src/api/operator.rs
@@ -15,8 +15,6 @@
 use lavenderhollow_config::Automatic;
 use lavenderhollow_config::Config;
 use lavenderhollow_config::Key;
-use lavenderhollow_config::KeyHash;
-use lavenderhollow_config::KeyName;
 use lavenderhollow_config::parse;
 use lavenderhollow_config::parse_config;
 use lavenderhollow_core::configuration::ConfigChange;
@@ -59,39 +57,6 @@
     pub change: T,
 }
 
-/// A change of the configuration.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum ConfigCommand {
-    /// Replaces the whole document.
-    Publish(Config),
-    /// Applies a JSON merge patch.
-    Patch(serde_json::Value),
-    /// Adds a key to a team.
-    AddKey {
-        /// The team.
-        team: TeamName,
-        /// The key's name.
-        key: KeyName,
-        /// The key's hash.
-        hash: KeyHash,
-    },
-    /// Withdraws a key of a team.
-    WithdrawKey {
-        /// The team.
-        team: TeamName,
-        /// The key's name.
-        key: KeyName,
-    },
-    /// Turns an automatic action, or all of them, on or off.
-    SetAutomatic {
-        /// The action; all when absent.
-        action: Option<Automatic>,
-        /// Whether it may run.
-        on: bool,
-    },
-}
-
 /// A command for a maintenance wave.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -261,12 +226,12 @@
     if !is_operator(cx, &rqctx) {
         return denied();
     }
-    let command: Command<ConfigCommand> = match read(&body) {
+    let command: Command<ConfigChange> = match read(&body) {
         Ok(command) => command,
         Err(problem) => return refused(problem),
     };
-    if let ConfigCommand::Publish(config) = &command.change {
-        let text = serde_json::to_string(config).unwrap_or_default();
+    if let ConfigChange::Publish(config) = &command.change {
+        let text = serde_json::to_string(&**config).unwrap_or_default();
         if let Err(error) = parse_config(&text) {
             let problems: Vec<_> = error.problems().iter().map(ToString::to_string).collect();
             return refused(problems.join("; "));
@@ -276,7 +241,7 @@
     let record = Record {
         id: command.id,
         expected: command.expected.map(subject_version(cx)),
-        ..stream.record(change_of(command.change), None)
+        ..stream.record(command.change, None)
     };
     let outcome = stream.propose_record(record, COMMAND_LIMIT).await;
     let version = stream.read(|fold| fold.state().version());
@@ -370,16 +335,6 @@
     }
 }
 
-fn change_of(command: ConfigCommand) -> ConfigChange {
-    match command {
-        ConfigCommand::Publish(config) => ConfigChange::Publish(Arc::new(config)),
-        ConfigCommand::Patch(patch) => ConfigChange::Patch(patch),
-        ConfigCommand::AddKey { team, key, hash } => ConfigChange::AddKey { team, key, hash },
-        ConfigCommand::WithdrawKey { team, key } => ConfigChange::WithdrawKey { team, key },
-        ConfigCommand::SetAutomatic { action, on } => ConfigChange::SetAutomatic { action, on },
-    }
-}
-
 /// Turns the configuration's version, which operators see, into that of the fold's subject. When
 /// the configuration is not at that version any more, the result matches nothing.
 fn subject_version(cx: &Context) -> impl Fn(Version) -> Version {
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -30,8 +30,10 @@
 
 use crate::context::Context;
 use crate::metric;
+use crate::pools::Ended;
 use crate::pools::Grant;
 use crate::pools::Wanted;
+use crate::pools::job_key;
 use crate::trace;
 
 /// How long an attempt waits for an answer that came over another connection.
@@ -160,10 +162,14 @@
         .in_span(span)
         .await;
     let verdict = finish(cx, sent, call, answer).await;
-    if let Ok(Verdict::Ran(reply)) = &verdict {
-        let took = cx.clock.now().saturating_duration_since(now);
-        let succeeded = reply.status == TaskStatus::Succeeded;
-        cx.pools.observe(&request.wanted, succeeded, took);
+    if !matches!(verdict, Err(SendError::NotSent(..))) {
+        let at = cx.clock.now();
+        let ended = Ended {
+            succeeded: matches!(&verdict, Ok(Verdict::Ran(r)) if r.status == TaskStatus::Succeeded),
+            took: at.saturating_duration_since(now),
+            at,
+        };
+        cx.pools.observe(cx, &request.wanted, grant.vm(), ended);
     }
     verdict
 }
@@ -250,15 +256,17 @@
     cx: &Context,
     admission: &lavenderhollow_core::keyring::Admission,
     urgent: bool,
+    body: &[u8],
 ) -> Wanted {
     let team: Option<TeamName> = admission.team.as_ref().map(|team| team.name.clone());
-    let queue = &admission.settings;
+    let expected = cx.pools.expected(admission);
     Wanted {
-        pool: queue.pool.clone(),
+        pool: admission.settings.pool.clone(),
         queue: admission.queue.clone(),
+        job: job_key(&admission.queue, team.as_ref(), body),
         team,
         class: if urgent { Class::Urgent } else { Class::Normal },
-        run_time: cx.pools.expected_run_time(admission),
-        size: queue.size,
+        run_time: expected.run_time,
+        size: expected.size,
     }
 }
--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -50,6 +50,7 @@
 use crate::metric;
 use crate::pools::Grant;
 use crate::pools::Wanted;
+use crate::pools::job_key;
 
 /// How long a submission waits for its record to be read back.
 const SUBMIT_LIMIT: Duration = Duration::from_secs(4);
@@ -304,6 +305,11 @@
         },
         run_time: job.spec.run_time,
         size: queue.size,
+        job: job_key(
+            &job.spec.queue,
+            Some(&job.spec.team),
+            job.spec.body.as_ref(),
+        ),
     })
 }
 
--- a/crates/entry/src/observers.rs
+++ b/crates/entry/src/observers.rs
@@ -90,7 +90,7 @@
             let maintenance = &follower.state().maintenance;
             cx.targets.on_fold(maintenance, confirmed, now);
             cx.pools.set_vms(maintenance);
-            cx.pools.targets_changed();
+            cx.pools.targets_changed(&cx);
         }
     }
 }
@@ -120,7 +120,7 @@
             let account = allotments.account(team, &cx.incarnation);
             cx.meters.meter(team).read(account, &settled);
         }
-        cx.pools.targets_changed();
+        cx.pools.wake();
         cx.jobs.wake.notify_one();
     }
 }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -117,7 +117,7 @@
 pub(crate) fn local(cx: &Context, arrival: &Arrival) -> Request {
     Request {
         id: RequestId::random(),
-        wanted: dispatch::wanted(cx, &arrival.admission, arrival.urgent),
+        wanted: dispatch::wanted(cx, &arrival.admission, arrival.urgent, &arrival.body),
         idempotent: arrival.admission.settings.idempotent,
         deadline: arrival.deadline,
         body: arrival.body.clone(),
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -15,6 +15,7 @@
 use arc_swap::ArcSwap;
 use futures::StreamExt;
 use futures::stream;
+use lavenderhollow_config::Resources;
 use lavenderhollow_core::maintenance::ListedVm;
 use lavenderhollow_core::maintenance::Maintenance;
 use lavenderhollow_core::maintenance::Sightings;
@@ -24,16 +25,20 @@
 use lavenderhollow_core::membership::LeaseAction;
 use lavenderhollow_core::membership::ListedTarget;
 use lavenderhollow_core::membership::Membership;
+use lavenderhollow_core::membership::OpenTarget;
 use lavenderhollow_core::membership::Snapshot;
 use lavenderhollow_core::membership::lease_action;
 use lavenderhollow_core::permit::Lease;
+use lavenderhollow_core::placement::Target;
 use lavenderhollow_platform::LeaseBody;
 use lavenderhollow_platform::UsageReport;
 use lavenderhollow_platform::VmInfo;
 use lavenderhollow_platform::VmPage;
+use lavenderhollow_platform::VmSize;
 use lavenderhollow_platform::VmState;
 use lavenderhollow_platform::WorkerError;
 use lavenderhollow_types::EntryName;
+use lavenderhollow_types::PoolName;
 use lavenderhollow_types::VmName;
 use lavenderhollow_types::ZoneName;
 
@@ -49,6 +54,9 @@
 /// For how long lists must omit a VM before it is forgotten.
 const GONE_AFTER: Duration = Duration::from_secs(60);
 
+/// The connections that a worker offers. One entry leases it, and so has all of them.
+const CONNECTIONS: u32 = 64;
+
 /// The parts of the view that only the heartbeat tasks use.
 struct View {
     membership: Membership,
@@ -67,6 +75,8 @@
     pub(crate) snapshot: Arc<ArcSwap<Snapshot>>,
     leases: ArcSwap<HashMap<VmName, Lease>>,
     slots: ArcSwap<HashMap<VmName, u32>>,
+    /// The sizes of all workers of each pool in all zones, each size once.
+    shapes: ArcSwap<HashMap<PoolName, Vec<Resources>>>,
 }
 
 impl Targets {
@@ -76,6 +86,7 @@
             snapshot: membership.reader(),
             leases: ArcSwap::default(),
             slots: ArcSwap::default(),
+            shapes: ArcSwap::default(),
             view: Mutex::new(View {
                 membership,
                 sightings: Sightings::new(zone, GONE_AFTER),
@@ -98,6 +109,28 @@
         self.slots.load().get(vm).copied().unwrap_or(0)
     }
 
+    /// Returns the sizes of the workers of a pool in all zones.
+    pub(crate) fn shapes(&self, pool: &PoolName) -> Vec<Resources> {
+        self.shapes.load().get(pool).cloned().unwrap_or_default()
+    }
+
+    /// Describes open targets for the choice of one.
+    pub(crate) fn placement_targets(&self, open: &[OpenTarget]) -> Vec<Target> {
+        let view = self.view();
+        let targets = open.iter().filter_map(|target| {
+            let info = view.listed.get(&target.vm)?;
+            Some(Target {
+                vm: target.vm.clone(),
+                rack: info.rack.clone(),
+                slots: view.slots.get(&target.vm).copied().unwrap_or(0),
+                connections: CONNECTIONS,
+                size: resources(info.size),
+                report: None,
+            })
+        });
+        targets.collect()
+    }
+
     /// Takes in the fold, which had everything that was stored before `confirmed`.
     pub(crate) fn on_fold(&self, state: &Maintenance, confirmed: Instant, now: Instant) {
         let mut view = self.view();
@@ -182,6 +215,7 @@
 }
 
 fn take_list(cx: &Context, page: VmPage) {
+    take_shapes(cx, &page);
     let now = cx.clock.now();
     let as_of = described(page.as_of, cx.clock.wall(), now);
     let (entries, workers): (Vec<_>, Vec<_>) = page
@@ -222,6 +256,33 @@
     });
 }
 
+fn take_shapes(cx: &Context, page: &VmPage) {
+    let mut shapes: BTreeMap<PoolName, BTreeSet<VmSize>> = BTreeMap::new();
+    cx.streams.fleet.read(|fold| {
+        let maintenance = &fold.state().maintenance;
+        for info in &page.vms {
+            let recorded = maintenance.vm(&info.name);
+            let pool = recorded.map_or(&info.pool, |record| &record.pool);
+            match shapes.get_mut(pool) {
+                Some(sizes) => drop(sizes.insert(info.size)),
+                None => drop(shapes.insert(pool.clone(), BTreeSet::from([info.size]))),
+            }
+        }
+    });
+    let shapes = shapes
+        .into_iter()
+        .map(|(pool, sizes)| (pool, sizes.into_iter().map(resources).collect()));
+    cx.targets.shapes.store(Arc::new(shapes.collect()));
+}
+
+fn resources(size: VmSize) -> Resources {
+    Resources {
+        milli_cores: size.milli_cores,
+        memory_mib: size.memory_mib,
+        accelerators: size.accelerators,
+    }
+}
+
 /// Converts the platform's time of a report to the monotonic time, never later than now.
 fn described(as_of: SystemTime, wall: SystemTime, now: Instant) -> Instant {
     let age = wall.duration_since(as_of).unwrap_or_default();
@@ -266,7 +327,7 @@
             .await;
         let now = cx.clock.now();
         cx.targets.publish(&cx.targets.view(), now);
-        cx.pools.targets_changed();
+        cx.pools.targets_changed(cx);
         report_open(cx);
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -16,6 +16,7 @@
 pub use vms::VmList;
 pub use vms::VmListError;
 pub use vms::VmPage;
+pub use vms::VmSize;
 pub use vms::VmState;
 pub use worker::CheckpointAnswer;
 pub use worker::HolderBody;
--- a/crates/platform/src/vms.rs
+++ b/crates/platform/src/vms.rs
@@ -49,6 +49,33 @@
     pub pool: PoolName,
     /// Whether the VM stays.
     pub state: VmState,
+    /// What the VM offers to work.
+    #[serde(default)]
+    pub size: VmSize,
+}
+
+/// What a VM offers to work.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
+)]
+pub struct VmSize {
+    /// Processor time, in thousandths of a core.
+    pub milli_cores: u32,
+    /// Memory, in MiB.
+    pub memory_mib: u32,
+    /// Accelerators.
+    pub accelerators: u32,
+}
+
+impl Default for VmSize {
+    /// Returns the usual size: 32 cores and 64 GiB.
+    fn default() -> Self {
+        Self {
+            milli_cores: 32_000,
+            memory_mib: 64 << 10,
+            accelerators: 0,
+        }
+    }
 }
 
 /// The answer of `GET /vms`.
