core: prove drains, shutdown and the closing of targets

A review against the machine found these faults in the first form: - A lease counted as held from before its request was sent; another entry could still start work between that time and the grant. It counts from the answer. - A reboot that arrived late cut the work that came after the reboot. The request now names the boot id. - A target that the platform removes was closed by the list only; its own report closes it too.

--- a/crates/core/src/maintenance/drain.rs
+++ b/crates/core/src/maintenance/drain.rs
@@ -26,7 +26,10 @@
     pub running: u32,
     /// The id of the target's present boot; another one after each reboot.
     pub boot: u64,
-    /// The monotonic time that the report describes, not the time of its arrival.
+    /// Whether the target takes no new work because it is leaving.
+    pub leaving: bool,
+    /// The monotonic time that the report describes, not the time of its arrival. Where the clocks
+    /// of target and entry are not comparable, it is the earliest time that is possible.
     pub as_of: Instant,
 }
 
@@ -53,8 +56,12 @@
     Checkpoint,
     /// Append the change and go on after it has been read back as accepted.
     Record(Change),
-    /// Reboot the target.
-    Reboot,
+    /// Reboot the target if this entry holds its lease and its boot id is still this one. The
+    /// target checks both, so that a request that arrives late cuts no later work.
+    Reboot {
+        /// The boot id.
+        boot: u64,
+    },
     /// The drain is over; give the target free.
     Done,
 }
@@ -147,7 +154,7 @@
             return DrainStep::Wait;
         }
         self.rebooted = Some(now);
-        DrainStep::Reboot
+        DrainStep::Reboot { boot }
     }
 
     fn stage(&mut self, stage: Stage, now: Instant) -> DrainStep {
--- a/crates/core/src/membership/target.rs
+++ b/crates/core/src/membership/target.rs
@@ -11,11 +11,12 @@
 
 use super::Gate;
 use super::Pass;
+use crate::maintenance::Usage;
 
 /// The ages above which a target is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
-    /// The age of the latest answer of the target.
+    /// The age of what the target reported last.
     pub probe: Duration,
     /// The age of the latest confirmation that the fold was at the log's head.
     pub fold: Duration,
@@ -53,7 +54,7 @@
     /// The latest list does not show it.
     #[display("unlisted")]
     Unlisted,
-    /// It is leaving.
+    /// It is leaving, by the list or by its own report.
     #[display("leaving")]
     Leaving,
     /// The fold does not know it yet.
@@ -68,7 +69,7 @@
     /// This entry does not hold its lease.
     #[display("no lease")]
     NoLease,
-    /// It has not answered within the bound.
+    /// It has reported nothing within the bound.
     #[display("not answering")]
     NotAnswering,
     /// The fold was not confirmed within the bound, so that a drain may have been missed.
@@ -105,7 +106,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Target {
     pub(super) listed: Option<ListedTarget>,
-    pub(super) answered: Option<Instant>,
+    pub(super) usage: Option<Usage>,
     pub(super) lease_since: Option<Instant>,
     pub(super) lease_end: Option<Instant>,
     pub(super) pool: Option<PoolName>,
@@ -123,7 +124,7 @@
         now: Instant,
     ) -> Result<OpenTarget, Closed> {
         let listed = self.listed.as_ref().ok_or(Closed::Unlisted)?;
-        if listed.leaving {
+        if listed.leaving || self.usage.is_some_and(|usage| usage.leaving) {
             return Err(Closed::Leaving);
         }
         let pool = self.pool.as_ref().ok_or(Closed::Unrecorded)?;
@@ -136,7 +137,7 @@
         let lease_end = self.lease_end.ok_or(Closed::NoLease)?;
         let lease = lease_end.checked_sub(bounds.lease_margin);
         let lease = lease.filter(|end| now < *end).ok_or(Closed::NoLease)?;
-        let probe = self.answered.map(|at| at + bounds.probe);
+        let probe = self.usage.map(|usage| usage.as_of + bounds.probe);
         let probe = probe.filter(|end| now < *end).ok_or(Closed::NotAnswering)?;
         let fold = folded.map(|at| at + bounds.fold);
         let fold = fold.filter(|end| now < *end).ok_or(Closed::StaleFold)?;
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -52,7 +52,6 @@
 pub struct Membership {
     bounds: Bounds,
     targets: BTreeMap<VmName, Target>,
-    usage: BTreeMap<VmName, Usage>,
     listed: Option<Instant>,
     folded: Option<Instant>,
     snapshot: Arc<ArcSwap<Snapshot>>,
@@ -93,25 +92,22 @@
             }
             target.listed.is_some() || target.gate.in_flight() > 0
         });
-        self.usage.retain(|vm, _| self.targets.contains_key(vm));
     }
 
-    /// Takes in an answer of a target. Answers that arrive out of order don't make it older.
+    /// Takes in a report of a target. A report that is not newer than the latest is ignored.
     pub fn on_answer(&mut self, vm: &VmName, usage: Usage) {
         let Some(target) = self.targets.get_mut(vm) else {
             return;
         };
-        if target
-            .answered
-            .is_none_or(|answered| answered < usage.as_of)
-        {
-            target.answered = Some(usage.as_of);
-            self.usage.insert(vm.clone(), usage);
+        let older = |latest: Usage| usage.as_of <= latest.as_of;
+        if !target.usage.is_some_and(older) {
+            target.usage = Some(usage);
         }
     }
 
-    /// Takes in a lease that this entry was granted at `now`, measured before the request was
-    /// sent, or the loss of it.
+    /// Takes in a lease that was granted or renewed, or its loss. `end` counts from before the
+    /// request was sent, and `now` is the time at which the answer arrived, so that the time in
+    /// which this entry alone may start work is never overstated.
     pub fn on_lease(&mut self, vm: &VmName, end: Option<Instant>, now: Instant) {
         let Some(target) = self.targets.get_mut(vm) else {
             return;
@@ -173,7 +169,7 @@
         TargetView {
             lease_since: target.lease_since.filter(|_| held),
             in_flight: target.gate.in_flight(),
-            usage: self.usage.get(vm).copied(),
+            usage: target.usage,
         }
     }
 }
--- a/crates/core/tests/fleet_world.rs
+++ b/crates/core/tests/fleet_world.rs
@@ -1,15 +1,35 @@
 //! Settings and names that the machines of the fleet's modules share.
 
+use std::collections::BTreeSet;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
 
+use lavenderhollow_core::fold::Context;
+use lavenderhollow_core::fold::State;
+use lavenderhollow_core::maintenance::Change;
+use lavenderhollow_core::maintenance::DrainRecord;
+use lavenderhollow_core::maintenance::FailureBound;
 use lavenderhollow_core::maintenance::ListedVm;
+use lavenderhollow_core::maintenance::Maintenance;
+use lavenderhollow_core::maintenance::PoolRule;
+use lavenderhollow_core::maintenance::Purpose;
+use lavenderhollow_core::maintenance::Rules;
+use lavenderhollow_core::record::Position;
+use lavenderhollow_types::Incarnation;
+use lavenderhollow_types::Offset;
 use lavenderhollow_types::PoolName;
+use lavenderhollow_types::RecordId;
+use lavenderhollow_types::Version;
 use lavenderhollow_types::VmName;
+use lavenderhollow_types::WaveId;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngSeed;
 
+/// The machines whose settings were printed; the settings are asked for with every case.
+static PRINTED: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
+
 /// Settings of a machine: a fixed seed and number of cases, so that each run gives the same
 /// verdict. `FUZZ_SEED` and `FUZZ_CASES` make another or a longer run.
 pub(crate) fn fuzz_config(machine: &str, cases: u32) -> Config {
@@ -17,7 +37,10 @@
     let seed = number("FUZZ_SEED").unwrap_or(20_261_204);
     let cases =
         number("FUZZ_CASES").map_or(cases, |cases| u32::try_from(cases).unwrap_or(cases as u32));
-    println!("{machine}: seed {seed}, {cases} cases");
+    let mut printed = PRINTED.lock().expect("no panic while printing");
+    if printed.insert(machine.to_owned()) {
+        println!("{machine}: seed {seed}, {cases} cases");
+    }
     Config {
         cases,
         rng_seed: RngSeed::Fixed(seed),
@@ -71,3 +94,65 @@
         leaving: false,
     }
 }
+
+/// Applies changes as accepted records, in their order.
+pub(crate) fn folded(changes: impl IntoIterator<Item = Change>) -> Maintenance {
+    let mut state = Maintenance::default();
+    for (offset, change) in (0..).zip(changes) {
+        let cx = Context {
+            position: Position {
+                offset: Offset::new(offset),
+                time: SystemTime::UNIX_EPOCH,
+            },
+            id: RecordId::from_number(u128::from(offset)),
+            actor: Incarnation::from_number(0),
+        };
+        let applied = state.apply(&cx, &change);
+        applied.unwrap_or_else(|rejection| panic!("{change:?}: {rejection}"));
+    }
+    state
+}
+
+pub(crate) fn add_vm(index: usize) -> Change {
+    let listed = listed_vm(index);
+    Change::AddVm {
+        vm: listed.vm,
+        zone: listed.zone,
+        rack: listed.rack,
+        pool: listed.pool,
+    }
+}
+
+/// Rules of three pools.
+pub(crate) fn rules(budget: u32, racks: u32, drains: bool, moves: bool) -> Rules {
+    let rule = PoolRule {
+        max_unavailable: budget,
+        racks_at_once: racks,
+    };
+    Rules {
+        version: Version::new(1),
+        pools: (0..3).map(|pool| (pool_name(pool), rule)).collect(),
+        drains,
+        moves,
+    }
+}
+
+pub(crate) fn start_wave() -> Change {
+    Change::StartWave {
+        wave: WaveId::from_number(1),
+        command: RecordId::from_number(1),
+        pools: (0..3).map(pool_name).collect(),
+        bound: FailureBound::default(),
+    }
+}
+
+/// A state in which a wave was granted the drain of a VM.
+pub(crate) fn granted(index: usize) -> (Maintenance, DrainRecord) {
+    let vm = vm_name(index);
+    let purpose = Purpose::Wave(WaveId::from_number(1));
+    let grant = Change::GrantDrain { vm, purpose };
+    let rules = Change::SetRules(rules(2, 1, true, true));
+    let state = folded([rules, add_vm(index), start_wave(), grant]);
+    let drain = state.drains().map(|(_, drain)| drain.clone()).next();
+    (state, drain.expect("a drain is open"))
+}
--- a/crates/core/tests/test_maintenance_machine/world.rs
+++ b/crates/core/tests/test_maintenance_machine/world.rs
@@ -295,6 +295,7 @@
             let usage = vm.alive.then_some(Usage {
                 running: vm.running,
                 boot: vm.boot,
+                leaving: false,
                 as_of: now,
             });
             let view = TargetView {
@@ -304,7 +305,7 @@
             };
             match drain.step(state, &view, now) {
                 DrainStep::Record(change) => self.submit_versioned(e, change),
-                DrainStep::Reboot => {
+                DrainStep::Reboot { .. } => {
                     self.judge();
                     self.oracle.stopped(&name);
                     self.vms[index].boot += 1;
