core: prove at most once for durable jobs by a stateful test

Cause: P8 and P7 were stated by the jobs state, but not shown.

The oracle counts runs at the target and reads the outcomes that callers get.

--- a/crates/core/tests/runner.rs
+++ b/crates/core/tests/runner.rs
@@ -6,6 +6,8 @@
 mod test_drain_machine;
 mod test_escrow_machine;
 mod test_exchange_machine;
+mod test_jobs;
+mod test_jobs_machine;
 mod test_maintenance_machine;
 mod test_membership_machine;
 mod test_once_machine;
