--- a/crates/core/tests/runner.rs
+++ b/crates/core/tests/runner.rs
@@ -14,4 +14,5 @@
 mod test_placement;
 mod test_planner;
 mod test_queue;
+mod test_retry;
 mod test_share;
