core: forget spent tickets that are never settled

Cause: a spent ticket stayed in the table until it was settled. A request whose connection ends drops its handle without settling, so that a shard of 1,024 tickets could fill for good and refuse every further ticket.

A spent ticket is now forgotten after 6 h (`TicketLimits::running`). A repeat after that is answered with "may have run", as for every forgotten ticket. Issuing scans its shard only when it is full; before, it did so each time.

test_once.rs covers this, forged and reused tickets, keys of another request or team, and the age of keys. Conclusion: the table is bounded in count and in time.

--- a/crates/core/src/once/tickets.rs
+++ b/crates/core/src/once/tickets.rs
@@ -32,6 +32,9 @@
 pub struct TicketLimits {
     /// How long a ticket can be spent after it was issued.
     pub unspent: Duration,
+    /// How long a spent ticket waits to be settled. It bounds what requests leave behind whose
+    /// connection ended before they were settled.
+    pub running: Duration,
     /// How long an answer is kept for repeats.
     pub kept: Duration,
     /// The most tickets that are held at once.
@@ -42,6 +45,7 @@
     fn default() -> Self {
         Self {
             unspent: Duration::from_secs(300),
+            running: Duration::from_secs(6 * 3600),
             kept: Duration::from_secs(600),
             count: 65_536,
         }
@@ -93,7 +97,7 @@
 
 #[derive(Debug)]
 struct Held {
-    /// The time after which the ticket is forgotten; running ones are kept.
+    /// The time after which the ticket is forgotten.
     until: Instant,
     stage: Stage,
 }
@@ -148,8 +152,11 @@
     pub fn issue(&self, now: Instant) -> Result<String, TicketError> {
         let sequence = self.next.fetch_add(1, Ordering::Relaxed);
         let mut shard = self.shard(sequence);
-        shard.retain(|_, held| held.is_kept(now));
-        if shard.len() >= self.limits.count.div_ceil(SHARDS as usize) {
+        let most = self.limits.count.div_ceil(SHARDS as usize);
+        if shard.len() >= most {
+            shard.retain(|_, held| held.is_kept(now));
+        }
+        if shard.len() >= most {
             return Err(TicketError::Full);
         }
         let held = Held {
@@ -195,6 +202,7 @@
         };
         match &held.stage {
             Stage::Unspent => {
+                held.until = now + self.limits.running;
                 held.stage = Stage::Running(digest);
                 Spend::Granted(Grant {
                     sequence: ticket.sequence,
@@ -245,7 +253,7 @@
 
 impl Held {
     fn is_kept(&self, now: Instant) -> bool {
-        matches!(self.stage, Stage::Running(_)) || now < self.until
+        now < self.until
     }
 }
 
--- a/crates/core/tests/runner.rs
+++ b/crates/core/tests/runner.rs
@@ -10,6 +10,7 @@
 mod test_jobs_machine;
 mod test_maintenance_machine;
 mod test_membership_machine;
+mod test_once;
 mod test_once_machine;
 mod test_placement;
 mod test_planner;
