entry: send demand by place in the configuration, and less of it between zones

Change: teams and pools are named by their place in the configuration, entries of other zones are asked every second heartbeat and for demand every tenth, and the document is fetched from a peer only while the log is not reached. A zone's demand is summed up by the zone, so that it no longer counts only the entries that happen to be linked. A ticket's owner in another zone is found through its zone. A reboot request names the boot that it is for, so that a late repeat cuts no later work.

--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -60,11 +60,11 @@
         ));
     }
     for (name, team) in &status.teams {
-        let near = team.used * 100 >= team.limit * NEAR_LIMIT_PERCENT && team.limit > 0;
+        let near = team.used_in_zone * 100 >= team.limit * NEAR_LIMIT_PERCENT && team.limit > 0;
         let mark = if near { " (near its limit)" } else { "" };
         lines.push(format!(
-            "team {name}: {} of {} slots in use{mark}, {} waiting here",
-            team.used, team.limit, team.waiting_here
+            "team {name}: {} of {} slots in use in this zone{mark}, {} waiting here",
+            team.used_in_zone, team.limit, team.waiting_here
         ));
     }
     for (id, wave) in &status.waves {
--- a/crates/core/src/freshness/tracker.rs
+++ b/crates/core/src/freshness/tracker.rs
@@ -116,6 +116,11 @@
         }
     }
 
+    /// Tells whether the last attempt of this entry to read the log succeeded.
+    pub fn reaches_log(&self) -> bool {
+        self.reaches_log
+    }
+
     /// Returns the time since the installed configuration was confirmed.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         let confirmed = self.confirmed?;
--- a/crates/entry/src/allotments.rs
+++ b/crates/entry/src/allotments.rs
@@ -25,7 +25,7 @@
 use lavenderhollow_types::ZoneName;
 
 use crate::context::Context;
-use crate::message::Summary;
+use crate::peers::PeerSummary;
 use crate::submitted::Submitted;
 
 /// After how long half of a past peak of demand is forgotten.
@@ -48,7 +48,9 @@
     team: &'a TeamName,
     limit: u64,
     version: Version,
-    summaries: &'a [Summary],
+    /// The place of the team in the configuration.
+    place: u16,
+    summaries: &'a [PeerSummary],
     leads: bool,
     transfers: bool,
     now: Instant,
@@ -77,8 +79,9 @@
         let live = cx.peers.live_in_zone(now);
         let subject = VmName::new("allotments").expect("the name is valid");
         let leads = owner(&subject, &live) == Some(&cx.settings.name);
-        for (team, settings) in &config.teams {
+        for (place, (team, settings)) in (0..).zip(&config.teams) {
             let round = Round {
+                place,
                 cx,
                 team,
                 limit: settings.limit.into(),
@@ -344,20 +347,17 @@
             used: meter.used().into(),
             waiting: cx.pools.waiting(self.team) as u64,
         };
-        let own_zone = |summary: &&Summary| summary.zone == cx.settings.zone;
-        let others = self
-            .summaries
-            .iter()
-            .filter(own_zone)
-            .map(|summary| HolderDemand {
-                holder: summary.incarnation,
-                usable: local
-                    .holders
-                    .get(&summary.incarnation)
-                    .map_or(0, Account::usable),
-                used: demand(summary, self.team).0,
-                waiting: demand(summary, self.team).1,
-            });
+        let own_zone = |peer: &&PeerSummary| peer.zone == cx.settings.zone;
+        let others = self.summaries.iter().filter(own_zone).map(|peer| {
+            let account = local.holders.get(&peer.incarnation);
+            let (used, waiting) = peer.summary.demand(self.version, self.place);
+            HolderDemand {
+                holder: peer.incarnation,
+                usable: account.map_or(0, Account::usable),
+                used,
+                waiting,
+            }
+        });
         let mut demands: Vec<_> = others.collect();
         demands.push(mine);
         let base = self.base();
@@ -374,15 +374,21 @@
         let mut sums: BTreeMap<ZoneName, (u64, u64)> = BTreeMap::new();
         let own = sums.entry(cx.settings.zone.clone()).or_default();
         *own = (meter.used().into(), cx.pools.waiting(self.team) as u64);
-        for summary in self.summaries {
-            let (used, waiting) = demand(summary, self.team);
-            let sum = sums.entry(summary.zone.clone()).or_default();
-            sum.0 += used;
-            sum.1 += waiting;
+        let mut others: BTreeMap<ZoneName, (u64, u64)> = BTreeMap::new();
+        for peer in self.summaries {
+            let demand = peer.summary.demand(self.version, self.place);
+            if peer.zone == cx.settings.zone {
+                own.0 += demand.0;
+                own.1 += demand.1;
+            } else {
+                // Every entry of another zone sums up the whole zone; the larger view counts.
+                let sum = others.entry(peer.zone.clone()).or_default();
+                *sum = (*sum).max(demand);
+            }
         }
+        sums.extend(others);
         let demands = sums.into_iter().map(|(zone, (used, waiting))| {
-            let entries = self.summaries.iter().filter(|summary| summary.zone == zone);
-            let entries = entries.count() as u64 + u64::from(zone == cx.settings.zone);
+            let entries = cx.peers.listed_in(&zone) as u64;
             HolderDemand {
                 usable: escrow.holders.get(&zone).map_or(0, Account::usable),
                 used,
@@ -394,11 +400,6 @@
     }
 }
 
-fn demand(summary: &Summary, team: &TeamName) -> (u64, u64) {
-    let demand = summary.teams.iter().find(|demand| demand.team == *team);
-    demand.map_or((0, 0), |demand| (demand.used.into(), demand.waiting.into()))
-}
-
 fn subject(team: &TeamName) -> String {
     lavenderhollow_core::escrow::Escrow::<ZoneName>::subject(&Change::Return {
         team: team.clone(),
--- a/crates/entry/src/api/operator.rs
+++ b/crates/entry/src/api/operator.rs
@@ -38,6 +38,7 @@
 use super::reply;
 use super::reply::Answer;
 use crate::context::Context;
+use crate::summary;
 
 /// How long an operator's command waits for its record to be read back.
 const COMMAND_LIMIT: Duration = Duration::from_secs(5);
@@ -131,8 +132,8 @@
 pub struct TeamView {
     /// The upper limit, in slots.
     pub limit: u32,
-    /// Slots in use in the entries that were heard lately.
-    pub used: u32,
+    /// Slots in use in the entries of this zone that were heard lately.
+    pub used_in_zone: u32,
     /// Slots allotted to this entry.
     pub usable_here: u32,
     /// Requests that wait in this entry.
@@ -403,13 +404,18 @@
 
 fn teams(cx: &Context, config: &Config) -> BTreeMap<TeamName, TeamView> {
     let summaries = cx.peers.summaries(cx.clock.now());
+    let installed = cx.config.load_full();
     let view = |(name, settings): (&TeamName, &lavenderhollow_config::Team)| {
         let meter = cx.meters.meter(name);
-        let elsewhere = summaries.iter().flat_map(|summary| &summary.teams);
-        let elsewhere = elsewhere.filter(|demand| demand.team == *name);
+        let place = summary::team_place(&installed, name).unwrap_or(u16::MAX);
+        let elsewhere = summaries
+            .iter()
+            .filter(|peer| peer.zone == cx.settings.zone)
+            .map(|peer| peer.summary.demand(installed.version, place).0);
+        let used = u64::from(meter.used()) + elsewhere.sum::<u64>();
         let view = TeamView {
             limit: settings.limit,
-            used: meter.used() + elsewhere.map(|demand| demand.used).sum::<u32>(),
+            used_in_zone: u32::try_from(used).unwrap_or(u32::MAX),
             usable_here: meter.usable(),
             waiting_here: cx.pools.waiting(name),
         };
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -17,6 +17,7 @@
 use lavenderhollow_core::maintenance::VmLoad;
 use lavenderhollow_core::maintenance::WaveDriver;
 use lavenderhollow_core::membership::owner;
+use lavenderhollow_platform::RebootBody;
 use lavenderhollow_types::VmName;
 
 use crate::context::Context;
@@ -118,8 +119,12 @@
                 self.submit(cx, change, now);
                 "record"
             }
-            DrainStep::Reboot => {
-                let answer = cx.workers.reboot(address, cx.incarnation).await;
+            DrainStep::Reboot { boot } => {
+                let body = RebootBody {
+                    holder: cx.incarnation,
+                    boots: boot,
+                };
+                let answer = cx.workers.reboot(address, body).await;
                 if let Err(error) = answer {
                     log::warn!("{vm} does not reboot: {error}");
                 }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -24,6 +24,7 @@
 use crate::peers::call_context;
 use crate::seal::Kind;
 use crate::serve::Arrival;
+use crate::summary;
 use crate::trace;
 
 /// How much longer than the caller's deadline a forwarded request is waited for.
@@ -52,13 +53,16 @@
 
 /// Returns the peer with the most free slots of a pool, as far as its summary says.
 pub(crate) fn with_room(cx: &Context, pool: &PoolName) -> Option<EntryName> {
+    let installed = cx.config.load_full();
+    let place = summary::pool_place(&installed, pool)?;
     let summaries = cx.peers.summaries(cx.clock.now());
-    let rooms = summaries.iter().filter_map(|summary| {
-        let room = summary.pools.iter().find(|room| room.pool == *pool)?;
-        Some((room.free, summary.incarnation))
-    });
-    let (_, incarnation) = rooms.max()?;
-    cx.peers.by_incarnation(incarnation)
+    // The summary of another zone's entry is that of its zone, so that it may have no room itself.
+    let own_zone = summaries
+        .iter()
+        .filter(|peer| peer.zone == cx.settings.zone);
+    let rooms = own_zone.map(|peer| (peer.summary.free(installed.version, place), &peer.name));
+    let (_, name) = rooms.filter(|(free, _)| *free > 0).max()?;
+    Some(name.clone())
 }
 
 /// Sends a request to a peer and waits for its reply.
@@ -71,6 +75,7 @@
     peer: &EntryName,
     arrival: &Arrival,
     purpose: ForwardFor,
+    hops: u8,
     parent: &Span,
 ) -> Result<ForwardReply, ForwardError> {
     let span = Span::enter_with_parent("peer", parent).with_property(|| ("peer", peer.to_string()));
@@ -87,7 +92,7 @@
         urgent: arrival.urgent,
         left,
         trace: trace::header_of(&span),
-        hops: 1,
+        hops: hops + 1,
         body: arrival.body.to_vec(),
     };
     let client = cx.peers.connect(peer).await?;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -9,51 +9,99 @@
 use lavenderhollow_types::Doubt;
 use lavenderhollow_types::Incarnation;
 use lavenderhollow_types::JobId;
-use lavenderhollow_types::PoolName;
 use lavenderhollow_types::QueueName;
 use lavenderhollow_types::Refusal;
 use lavenderhollow_types::RequestId;
 use lavenderhollow_types::TeamName;
 use lavenderhollow_types::Version;
-use lavenderhollow_types::ZoneName;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::seal::SealError;
 use crate::seal::Sealed;
 
-/// What an entry has and wants of one team's limit.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// How much a status question asks for. Summaries are the larger part of the traffic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Detail {
+    /// Freshness alone.
+    Freshness,
+    /// Freshness and the entry's own summary.
+    Entry,
+    /// Freshness and the sum over the entry's availability zone.
+    Zone,
+}
+
+/// What is in use and waiting of one team's limit.
+///
+/// Teams are named by their place in the configuration, which makes a message several times
+/// smaller than names do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct TeamDemand {
-    pub(crate) team: TeamName,
-    pub(crate) usable: u32,
+    pub(crate) team: u16,
     pub(crate) used: u32,
     pub(crate) waiting: u32,
 }
 
-/// Free slots of one pool in one entry.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Free slots of one pool, which is named by its place in the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PoolRoom {
-    pub(crate) pool: PoolName,
+    pub(crate) pool: u16,
     pub(crate) free: u32,
 }
 
-/// What an entry tells its peers about itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Demand and free slots of an entry or of a zone. Teams and pools without any are left out.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Summary {
-    pub(crate) incarnation: Incarnation,
-    pub(crate) zone: ZoneName,
-    /// Teams that have or want something.
+    /// The configuration whose teams and pools are meant.
+    pub(crate) version: Version,
     pub(crate) teams: Vec<TeamDemand>,
-    /// Pools with free slots.
     pub(crate) pools: Vec<PoolRoom>,
 }
 
+impl Summary {
+    /// Returns the demand of a team in use and waiting, if the summary is of this configuration.
+    pub(crate) fn demand(&self, version: Version, team: u16) -> (u64, u64) {
+        let mut teams = self.teams.iter().filter(|_| self.version == version);
+        let demand = teams.find(|demand| demand.team == team);
+        demand.map_or((0, 0), |demand| (demand.used.into(), demand.waiting.into()))
+    }
+
+    /// Returns the free slots of a pool, if the summary is of this configuration.
+    pub(crate) fn free(&self, version: Version, pool: u16) -> u32 {
+        let mut pools = self.pools.iter().filter(|_| self.version == version);
+        let room = pools.find(|room| room.pool == pool);
+        room.map_or(0, |room| room.free)
+    }
+
+    /// Adds another summary of the same configuration.
+    pub(crate) fn add(&mut self, other: &Self) {
+        if other.version != self.version {
+            return;
+        }
+        for demand in &other.teams {
+            match self.teams.iter_mut().find(|d| d.team == demand.team) {
+                Some(sum) => {
+                    sum.used = sum.used.saturating_add(demand.used);
+                    sum.waiting = sum.waiting.saturating_add(demand.waiting);
+                }
+                None => self.teams.push(*demand),
+            }
+        }
+        for room in &other.pools {
+            match self.pools.iter_mut().find(|r| r.pool == room.pool) {
+                Some(sum) => sum.free = sum.free.saturating_add(room.free),
+                None => self.pools.push(*room),
+            }
+        }
+    }
+}
+
 /// The answer to a status question.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct StatusReply {
+    pub(crate) incarnation: Incarnation,
     pub(crate) report: Report,
-    pub(crate) summary: Summary,
+    pub(crate) summary: Option<Summary>,
 }
 
 /// A configuration as a peer has it installed.
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -21,6 +21,7 @@
 use crate::context::Context;
 use crate::dispatch;
 use crate::message::ConfigReply;
+use crate::message::Detail;
 use crate::message::Forward;
 use crate::message::ForwardFor;
 use crate::message::ForwardReply;
@@ -29,7 +30,6 @@
 use crate::message::Peer;
 use crate::message::PeerError;
 use crate::message::StatusReply;
-use crate::message::Summary;
 use crate::peers::MAX_MESSAGE;
 use crate::seal::Kind;
 use crate::seal::Sealed;
@@ -74,11 +74,12 @@
 impl Peer for PeerServer {
     async fn status(self, _: context::Context, question: Sealed) -> Result<Sealed, PeerError> {
         let (cx, wall) = (&self.cx, self.cx.clock.wall());
-        let (_, _): (_, Summary) = cx.peers.seal.open(Kind::Status, &question, wall)?;
+        let (_, detail): (_, Detail) = cx.peers.seal.open(Kind::Status, &question, wall)?;
         let now = cx.clock.now();
         let reply = StatusReply {
+            incarnation: cx.incarnation,
             report: cx.with_freshness(|freshness| freshness.report(now)),
-            summary: summary::of(cx),
+            summary: summary::of(cx, detail),
         };
         cx.peers.sealed(Kind::StatusReply, &reply, wall)
     }
@@ -139,7 +140,7 @@
             serve::forwarded(verdict.map(|reply| serve::stored(&reply)))
         }
         ForwardFor::Claim(key) => serve::forwarded(serve::claim(cx, &arrival, key, span).await),
-        ForwardFor::Ticket(text) => serve::forwarded(serve::spend(cx, &arrival, text, span).await),
+        ForwardFor::Ticket(text) => serve::ticket(cx, &arrival, text, forward.hops, span).await,
         ForwardFor::Submit(job) => submit(cx, &arrival, job).await,
     }
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -29,6 +29,7 @@
 use tarpc::tokio_serde::formats::Bincode;
 
 use crate::context::Context;
+use crate::message::Detail;
 use crate::message::PeerClient;
 use crate::message::PeerError;
 use crate::message::StatusReply;
@@ -38,9 +39,17 @@
 use crate::seal::Seal;
 use crate::seal::Sealed;
 
-/// How many entries of each other zone an entry talks with.
+/// How many entries of each other zone an entry talks with, in turn.
 const LINKS_PER_ZONE: usize = 2;
 
+/// After how many heartbeats an entry of another zone is asked again. Two heartbeats are well below
+/// the bound for freshness and halve the traffic between zones.
+const ZONE_ROUNDS: u64 = 2;
+
+/// After how many heartbeats the demand of another zone is asked for. Allotments move between zones
+/// over several seconds anyhow.
+const ZONE_SUMMARY_ROUNDS: u64 = 10;
+
 /// For how long an entry of the own zone that was not heard still counts as live.
 const LIVE_FOR: Duration = Duration::from_secs(3);
 
@@ -55,14 +64,31 @@
 
 /// One other entry.
 #[derive(Clone)]
-pub(crate) struct Peer {
-    pub(crate) name: EntryName,
-    pub(crate) zone: ZoneName,
-    pub(crate) address: SocketAddr,
+struct Peer {
+    name: EntryName,
+    zone: ZoneName,
+    address: SocketAddr,
     leaving: bool,
     client: Option<PeerClient>,
     heard: Option<Instant>,
-    summary: Option<Summary>,
+    incarnation: Option<Incarnation>,
+    summary: Summary,
+}
+
+/// The latest summary of a peer: its own if it is in this zone, that of its zone if not.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerSummary {
+    pub(crate) name: EntryName,
+    pub(crate) zone: ZoneName,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) summary: Summary,
+}
+
+/// A peer to be asked now, and for what.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Link {
+    name: EntryName,
+    detail: Detail,
 }
 
 /// What a call of a peer failed with.
@@ -124,7 +150,8 @@
                 leaving: false,
                 client: None,
                 heard: None,
-                summary: None,
+                incarnation: None,
+                summary: Summary::default(),
             });
             peer.leaving = info.state == VmState::Leaving;
             listed.insert(name, peer);
@@ -148,11 +175,26 @@
         self.peers().len() + 1
     }
 
+    /// Returns the number of listed entries of a zone, this one included.
+    pub(crate) fn listed_in(&self, zone: &ZoneName) -> usize {
+        let peers = self.peers();
+        let others = peers.values().filter(|peer| peer.zone == *zone).count();
+        others + usize::from(*zone == self.zone)
+    }
+
     /// Returns the latest summaries of the entries that were heard lately.
-    pub(crate) fn summaries(&self, now: Instant) -> Vec<Summary> {
+    pub(crate) fn summaries(&self, now: Instant) -> Vec<PeerSummary> {
         let peers = self.peers();
         let live = peers.values().filter(|peer| peer.is_heard(now));
-        live.filter_map(|peer| peer.summary.clone()).collect()
+        live.filter_map(|peer| {
+            Some(PeerSummary {
+                name: peer.name.clone(),
+                zone: peer.zone.clone(),
+                incarnation: peer.incarnation?,
+                summary: peer.summary.clone(),
+            })
+        })
+        .collect()
     }
 
     /// Returns the incarnations of all entries of this zone, this one's `own` included, or nothing
@@ -165,8 +207,7 @@
         let peers = self.peers();
         let mut known = BTreeSet::from([own]);
         for peer in peers.values().filter(|peer| peer.zone == self.zone) {
-            let summary = peer.summary.as_ref().filter(|_| peer.is_heard(now));
-            known.insert(summary?.incarnation);
+            known.insert(peer.incarnation.filter(|_| peer.is_heard(now))?);
         }
         Some(known)
     }
@@ -174,10 +215,9 @@
     /// Returns the entry that has an incarnation.
     pub(crate) fn by_incarnation(&self, incarnation: Incarnation) -> Option<EntryName> {
         let peers = self.peers();
-        let mut matching = peers.values().filter(|peer| {
-            let summary = peer.summary.as_ref();
-            summary.is_some_and(|summary| summary.incarnation == incarnation)
-        });
+        let mut matching = peers
+            .values()
+            .filter(|peer| peer.incarnation == Some(incarnation));
         matching.next().map(|peer| peer.name.clone())
     }
 
@@ -195,27 +235,43 @@
         names
     }
 
-    /// Returns the peers to talk with every heartbeat: all of the zone and some of each other.
-    fn links(&self) -> Vec<EntryName> {
+    /// Returns the peers to ask in a round: all of this zone, and of each other zone one in turn.
+    fn links(&self, round: u64) -> Vec<Link> {
         let peers = self.peers();
         let mut zones: BTreeMap<&ZoneName, Vec<&EntryName>> = BTreeMap::new();
         for peer in peers.values() {
             zones.entry(&peer.zone).or_default().push(&peer.name);
         }
-        let me = VmName::new(self.name.as_str());
         let mut links = Vec::new();
         for (zone, names) in zones {
-            match &me {
-                Ok(me) if *zone != self.zone => {
-                    let ranked = ranked(me, names);
-                    links.extend(ranked.into_iter().take(LINKS_PER_ZONE).cloned());
-                }
-                _ => links.extend(names.into_iter().cloned()),
+            if *zone == self.zone {
+                links.extend(names.into_iter().map(|name| Link {
+                    name: name.clone(),
+                    detail: Detail::Entry,
+                }));
+            } else if round.is_multiple_of(ZONE_ROUNDS) {
+                links.extend(self.zone_link(names, round));
             }
         }
         links
     }
 
+    /// Chooses which entry of another zone is asked. Entries choose differently, so that the
+    /// questions spread over the zone.
+    fn zone_link(&self, names: Vec<&EntryName>, round: u64) -> Option<Link> {
+        let me = VmName::new(self.name.as_str()).ok()?;
+        let ranked = ranked(&me, names);
+        let turn = round / ZONE_ROUNDS;
+        let count = ranked.len().min(LINKS_PER_ZONE) as u64;
+        let place = usize::try_from(turn.checked_rem(count)?).ok()?;
+        let detail = match round % ZONE_SUMMARY_ROUNDS {
+            0 => Detail::Zone,
+            _ => Detail::Freshness,
+        };
+        let name = (*ranked.get(place)?).clone();
+        Some(Link { name, detail })
+    }
+
     /// Returns the connection to a peer, opening it if there is none.
     pub(crate) async fn connect(&self, name: &EntryName) -> Result<PeerClient, CallError> {
         let (address, present) = {
@@ -247,10 +303,13 @@
         }
     }
 
-    fn heard(&self, name: &EntryName, at: Instant, summary: Summary) {
+    fn heard(&self, name: &EntryName, at: Instant, reply: StatusReply) {
         if let Some(peer) = self.peers().get_mut(name) {
             peer.heard = peer.heard.max(Some(at));
-            peer.summary = Some(summary);
+            peer.incarnation = Some(reply.incarnation);
+            if let Some(summary) = reply.summary {
+                peer.summary = summary;
+            }
         }
     }
 
@@ -291,26 +350,28 @@
 /// Tells the linked peers this entry's status and hears theirs, for ever.
 pub(crate) async fn gossip(cx: &Arc<Context>) {
     let mut ticks = tokio::time::interval(cx.settings.heartbeat);
+    let mut round = 0;
     loop {
         ticks.tick().await;
-        let links = cx.peers.links();
-        let rounds = stream::iter(links).for_each_concurrent(CALLS_AT_ONCE, |name| async move {
-            if let Err(error) = ask_status(cx, &name).await {
+        let links = cx.peers.links(round);
+        round += 1;
+        let asked = stream::iter(links).for_each_concurrent(CALLS_AT_ONCE, |link| async move {
+            if let Err(error) = ask_status(cx, &link).await {
                 metrics::counter!(metric::PEER_ERRORS).increment(1);
-                log::debug!("no status of {name}: {error:?}");
-                cx.peers.disconnect(&name);
+                log::debug!("no status of {}: {error:?}", link.name);
+                cx.peers.disconnect(&link.name);
             }
         });
-        rounds.await;
+        asked.await;
     }
 }
 
-async fn ask_status(cx: &Arc<Context>, name: &EntryName) -> Result<(), CallError> {
+async fn ask_status(cx: &Arc<Context>, link: &Link) -> Result<(), CallError> {
+    let name = &link.name;
     let client = cx.peers.connect(name).await?;
     let unknown = |e: &dyn std::fmt::Display| CallError::Unknown(e.to_string());
     let (sent, wall) = (cx.clock.now(), cx.clock.wall());
-    let message = crate::summary::of(cx);
-    let sealed = cx.peers.sealed(Kind::Status, &message, wall);
+    let sealed = cx.peers.sealed(Kind::Status, &link.detail, wall);
     let reply = client
         .status(call_context(CALL_LIMIT), sealed.map_err(|e| unknown(&e))?)
         .await
@@ -320,9 +381,14 @@
         .peers
         .opened(Kind::StatusReply, &reply, cx.clock.wall())
         .map_err(|e| unknown(&e))?;
-    cx.with_freshness(|freshness| freshness.heard(&reply.report, sent));
-    cx.peers.heard(name, sent, reply.summary);
-    if reply.report.version > cx.config.load().version {
+    let version = reply.report.version;
+    let reaches_log = cx.with_freshness(|freshness| {
+        freshness.heard(&reply.report, sent);
+        freshness.reaches_log()
+    });
+    cx.peers.heard(name, sent, reply);
+    // The log brings small changes; a peer sends the whole document.
+    if version > cx.config.load().version && !reaches_log {
         ask_config(cx, name, &client).await?;
     }
     Ok(())
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -45,6 +45,9 @@
 /// How long a claim is waited for before the request is refused.
 const CLAIM_LIMIT: Duration = Duration::from_secs(3);
 
+/// How often a request is forwarded at most: to the owner's zone and to the owner.
+const MAX_HOPS: u8 = 2;
+
 /// The status codes that kept answers have.
 const STATUS_SUCCEEDED: u16 = 200;
 const STATUS_FAILED: u16 = 500;
@@ -102,7 +105,7 @@
     if cx.targets.snapshot.load().open(pool).is_empty()
         && let Some(peer) = forward::with_room(cx, pool)
     {
-        let forwarded = forward::send(cx, &peer, arrival, ForwardFor::Room, span).await;
+        let forwarded = forward::send(cx, &peer, arrival, ForwardFor::Room, 0, span).await;
         match forwarded {
             Ok(reply) => return answer(reply),
             Err(doubt) if doubt.sent => return Verdict::MayHaveRun(Doubt::new(doubt.detail)),
@@ -130,24 +133,44 @@
     text: &str,
     span: &Span,
 ) -> Verdict<Bytes> {
+    answer(ticket(cx, &arrival, text, 0, span).await)
+}
+
+/// Serves a submission with a ticket here or at the ticket's owner.
+///
+/// An entry of another zone may not know the owner's address. It forwards to its zone, whose entries
+/// all know each other.
+pub(crate) async fn ticket(
+    cx: &Arc<Context>,
+    arrival: &Arrival,
+    text: &str,
+    hops: u8,
+    span: &Span,
+) -> ForwardReply {
     let ticket = match Ticket::parse(text) {
         Ok(ticket) => ticket,
         Err(error) => {
-            return Verdict::NotRun(Refusal::new(RefusalKind::Invalid, error.to_string()));
+            return ForwardReply::NotRun(Refusal::new(RefusalKind::Invalid, error.to_string()));
         }
     };
     if ticket.incarnation == cx.incarnation {
-        return bytes_of(spend(cx, &arrival, text, span).await);
+        return forwarded(spend(cx, arrival, text, span).await);
     }
     // An earlier submission may have run at the owner, so that no failure here means "not run".
-    let doubt = |detail: &str| Verdict::MayHaveRun(Doubt::new(detail));
-    let Some(owner) = cx.peers.by_incarnation(ticket.incarnation) else {
-        return doubt("the ticket's owner can't be reached");
+    let doubt = |detail: String| ForwardReply::MayHaveRun(Doubt::new(detail));
+    let owner = cx.peers.by_incarnation(ticket.incarnation);
+    let in_zone = || {
+        let mut names = cx.peers.in_zone(&ticket.zone, cx.clock.now()).into_iter();
+        names.next().filter(|_| ticket.zone != cx.settings.zone)
+    };
+    let next = owner.or_else(in_zone).filter(|_| hops < MAX_HOPS);
+    let Some(next) = next else {
+        return doubt("the ticket's owner can't be reached".to_owned());
     };
     let purpose = ForwardFor::Ticket(text.to_owned());
-    match forward::send(cx, &owner, &arrival, purpose, span).await {
-        Ok(reply) => answer(reply),
-        Err(error) => doubt(&error.detail),
+    match forward::send(cx, &next, arrival, purpose, hops, span).await {
+        Ok(reply) => reply,
+        Err(error) => doubt(error.detail),
     }
 }
 
@@ -188,7 +211,7 @@
     };
     for peer in cx.peers.in_zone(&member.settings.home, cx.clock.now()) {
         let purpose = ForwardFor::Claim(text.to_owned());
-        match forward::send(cx, &peer, &arrival, purpose, span).await {
+        match forward::send(cx, &peer, &arrival, purpose, 0, span).await {
             Ok(reply) => return answer(reply),
             // The claim decides: the request runs at most once, whoever got it.
             Err(error) if error.sent => return Verdict::MayHaveRun(Doubt::new(error.detail)),
@@ -311,7 +334,7 @@
     }
     for peer in cx.peers.in_zone(&member.settings.home, cx.clock.now()) {
         let purpose = ForwardFor::Submit(job.to_string());
-        match forward::send(cx, &peer, &arrival, purpose, span).await {
+        match forward::send(cx, &peer, &arrival, purpose, 0, span).await {
             Ok(ForwardReply::Submitted) => return Ok(job),
             Ok(ForwardReply::NotRun(refusal)) => return Err(refusal),
             // Submitting the same job again is harmless, because the id is the same.
--- a/crates/entry/src/summary.rs
+++ b/crates/entry/src/summary.rs
@@ -1,43 +1,75 @@
-//! What this entry tells its peers about itself.
+//! What this entry tells its peers about demand and free slots.
 
+use lavenderhollow_core::freshness::Installed;
+use lavenderhollow_types::PoolName;
 use lavenderhollow_types::TeamName;
 
 use crate::context::Context;
+use crate::message::Detail;
 use crate::message::PoolRoom;
 use crate::message::Summary;
 use crate::message::TeamDemand;
 
-/// Sums up allotments, demand and free slots. Teams and pools without any are left out.
-pub(crate) fn of(cx: &Context) -> Summary {
-    let meters = cx.meters.all();
-    let teams = meters.keys().filter_map(|team| demand(cx, team)).collect();
+/// Answers a question of this detail.
+pub(crate) fn of(cx: &Context, detail: Detail) -> Option<Summary> {
+    match detail {
+        Detail::Freshness => None,
+        Detail::Entry => Some(of_entry(cx)),
+        Detail::Zone => Some(of_zone(cx)),
+    }
+}
+
+/// Sums up this entry.
+pub(crate) fn of_entry(cx: &Context) -> Summary {
+    let installed = cx.config.load_full();
     let snapshot = cx.targets.snapshot.load();
-    let rooms = snapshot.pools().filter_map(|(pool, targets)| {
-        let free = targets.iter().map(|target| {
+    let teams = installed.config.teams.keys().enumerate();
+    let demands = teams.filter_map(|(place, team)| {
+        let demand = TeamDemand {
+            team: u16::try_from(place).ok()?,
+            used: cx.meters.meter(team).used(),
+            waiting: u32::try_from(cx.pools.waiting(team)).unwrap_or(u32::MAX),
+        };
+        (demand.used > 0 || demand.waiting > 0).then_some(demand)
+    });
+    let pools = installed.config.pools.keys().enumerate();
+    let rooms = pools.filter_map(|(place, pool)| {
+        let free = snapshot.open(pool).iter().map(|target| {
             let slots = cx.targets.slots(&target.vm);
             slots.saturating_sub(target.gate.in_flight())
         });
-        let free: u32 = free.sum();
-        (free > 0).then(|| PoolRoom {
-            pool: pool.clone(),
-            free,
-        })
+        let room = PoolRoom {
+            pool: u16::try_from(place).ok()?,
+            free: free.sum(),
+        };
+        (room.free > 0).then_some(room)
     });
     Summary {
-        incarnation: cx.incarnation,
-        zone: cx.settings.zone.clone(),
-        teams,
+        version: installed.version,
+        teams: demands.collect(),
         pools: rooms.collect(),
     }
 }
 
-fn demand(cx: &Context, team: &TeamName) -> Option<TeamDemand> {
-    let meter = cx.meters.meter(team);
-    let demand = TeamDemand {
-        team: team.clone(),
-        usable: meter.usable(),
-        used: meter.used(),
-        waiting: u32::try_from(cx.pools.waiting(team)).unwrap_or(u32::MAX),
-    };
-    (demand.usable > 0 || demand.waiting > 0).then_some(demand)
+/// Sums up the entries of this zone.
+fn of_zone(cx: &Context) -> Summary {
+    let mut sum = of_entry(cx);
+    for peer in cx.peers.summaries(cx.clock.now()) {
+        if peer.zone == cx.settings.zone {
+            sum.add(&peer.summary);
+        }
+    }
+    sum
+}
+
+/// Returns the place of a team in the configuration.
+pub(crate) fn team_place(installed: &Installed, team: &TeamName) -> Option<u16> {
+    let place = installed.config.teams.keys().position(|name| name == team);
+    place.and_then(|place| u16::try_from(place).ok())
+}
+
+/// Returns the place of a pool in the configuration.
+pub(crate) fn pool_place(installed: &Installed, pool: &PoolName) -> Option<u16> {
+    let place = installed.config.pools.keys().position(|name| name == pool);
+    place.and_then(|place| u16::try_from(place).ok())
 }
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -419,6 +419,7 @@
     Usage {
         running: u32::try_from(report.running.len()).unwrap_or(u32::MAX),
         boot: report.boots,
+        leaving: report.leaving,
         as_of: as_of.min(sent),
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -23,6 +23,7 @@
 pub use worker::LeaseAnswer;
 pub use worker::LeaseBody;
 pub use worker::LeaseRef;
+pub use worker::RebootBody;
 pub use worker::RunningTask;
 pub use worker::StartTask;
 pub use worker::TaskAnswer;
--- a/crates/platform/src/worker.rs
+++ b/crates/platform/src/worker.rs
@@ -56,13 +56,22 @@
     pub left: Duration,
 }
 
-/// The body of `DELETE /lease`, `POST /reboot` and the task actions: who asks.
+/// The body of `DELETE /lease` and the task actions: who asks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct HolderBody {
     /// The entry that holds the worker's lease.
     pub holder: Incarnation,
 }
 
+/// The body of `POST /reboot`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct RebootBody {
+    /// The entry that holds the worker's lease.
+    pub holder: Incarnation,
+    /// The boots that the holder saw; with another number the worker has rebooted since.
+    pub boots: u64,
+}
+
 /// The body of `POST /tasks/{id}/throttle`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct ThrottleBody {
--- a/crates/platform/src/worker_client.rs
+++ b/crates/platform/src/worker_client.rs
@@ -21,6 +21,7 @@
 use crate::LeaseAnswer;
 use crate::LeaseBody;
 use crate::Limits;
+use crate::RebootBody;
 use crate::StartTask;
 use crate::TaskAnswer;
 use crate::ThrottleBody;
@@ -169,8 +170,7 @@
         answer.await.map(drop)
     }
 
-    async fn reboot(&self, worker: SocketAddr, holder: Incarnation) -> Result<(), WorkerError> {
-        let body = HolderBody { holder };
+    async fn reboot(&self, worker: SocketAddr, body: RebootBody) -> Result<(), WorkerError> {
         let answer = self.control(Method::POST, worker, "/reboot", Some(&body));
         answer.await.map(drop)
     }
--- a/crates/platform/src/worker_service.rs
+++ b/crates/platform/src/worker_service.rs
@@ -15,6 +15,7 @@
 use crate::CheckpointAnswer;
 use crate::LeaseAnswer;
 use crate::LeaseBody;
+use crate::RebootBody;
 use crate::StartTask;
 use crate::TaskAnswer;
 use crate::ThrottleBody;
@@ -152,6 +153,6 @@
     ///
     /// # Errors
     ///
-    /// Refused while tasks run and while another entry's lease runs.
-    async fn reboot(&self, worker: SocketAddr, holder: Incarnation) -> Result<(), WorkerError>;
+    /// Refused while tasks run, after another reboot and while another entry's lease runs.
+    async fn reboot(&self, worker: SocketAddr, body: RebootBody) -> Result<(), WorkerError>;
 }
--- a/crates/testing/src/standin/worker_api.rs
+++ b/crates/testing/src/standin/worker_api.rs
@@ -13,6 +13,7 @@
 use lavenderhollow_platform::CheckpointAnswer;
 use lavenderhollow_platform::HolderBody;
 use lavenderhollow_platform::LeaseBody;
+use lavenderhollow_platform::RebootBody;
 use lavenderhollow_platform::ThrottleBody;
 use lavenderhollow_platform::WorkerRefusal;
 use lavenderhollow_platform::WorkerRefusalKind;
@@ -145,11 +146,10 @@
 
 /// Reboots the worker when no task runs.
 #[endpoint { method = POST, path = "/reboot" }]
-async fn reboot(request: Request, body: TypedBody<HolderBody>) -> Answer {
+async fn reboot(request: Request, body: TypedBody<RebootBody>) -> Answer {
     let worker = request.context();
     worker.unpaused().await;
-    let holder = body.into_inner().holder;
-    let result = worker.state().reboot(SystemTime::now(), holder);
+    let result = worker.state().reboot(SystemTime::now(), body.into_inner());
     if result.is_ok() {
         worker.begin_reboot();
     }
--- a/crates/testing/src/standin/worker_state.rs
+++ b/crates/testing/src/standin/worker_state.rs
@@ -9,6 +9,7 @@
 use lavenderhollow_platform::LeaseAnswer;
 use lavenderhollow_platform::LeaseBody;
 use lavenderhollow_platform::LeaseRef;
+use lavenderhollow_platform::RebootBody;
 use lavenderhollow_platform::RunningTask;
 use lavenderhollow_platform::StartTask;
 use lavenderhollow_platform::TaskStatus;
@@ -225,11 +226,14 @@
     /// # Errors
     ///
     /// Refuses while tasks run and while another entry's lease runs.
-    pub fn reboot(&mut self, now: SystemTime, holder: Incarnation) -> Result<(), WorkerRefusal> {
+    pub fn reboot(&mut self, now: SystemTime, body: RebootBody) -> Result<(), WorkerRefusal> {
         self.expire(now);
-        if self.lease.is_some_and(|lease| lease.holder != holder) {
+        if self.lease.is_some_and(|lease| lease.holder != body.holder) {
             return Err(refusal(WorkerRefusalKind::OtherHolder, "lease runs"));
         }
+        if self.boots != body.boots {
+            return Err(refusal(WorkerRefusalKind::Invalid, "rebooted since"));
+        }
         if self.running().count() > 0 {
             return Err(refusal(WorkerRefusalKind::Busy, "tasks run"));
         }
--- a/crates/testing/tests/test_worker_leases.rs
+++ b/crates/testing/tests/test_worker_leases.rs
@@ -2,6 +2,7 @@
 
 use assert_matches::assert_matches;
 use lavenderhollow_platform::LeaseBody;
+use lavenderhollow_platform::RebootBody;
 use lavenderhollow_platform::TaskStatus;
 use lavenderhollow_platform::ThrottleBody;
 use lavenderhollow_platform::WorkerError;
@@ -124,13 +125,14 @@
 async fn reboot_waits_for_tasks_and_comes_back() -> eyre::Result<()> {
     let setup = Setup::new()?;
     let (address, holder) = (setup.worker.address(), setup.holder);
+    let first = RebootBody { holder, boots: 0 };
     let lease = setup.lease(30.0).await?;
     let start = setup.spawn(task(lease, 300));
     sleep_ms(100).await;
-    let result = setup.calls.reboot(address, holder).await;
+    let result = setup.calls.reboot(address, first).await;
     assert_eq!(refusal(&result), Some(WorkerRefusalKind::Busy));
     assert_eq!(start.await??.status, TaskStatus::Succeeded);
-    setup.calls.reboot(address, holder).await?;
+    setup.calls.reboot(address, first).await?;
     sleep_ms(150).await;
     let result = setup.start(task(lease, 0)).await;
     assert_matches!(result, Err(WorkerError::NotSent(_)));
@@ -138,6 +140,9 @@
         sleep_ms(100).await;
         if let Ok(usage) = setup.calls.usage(address).await {
             assert_eq!((usage.boots, usage.lease), (1, None));
+            // The same request again, as a repeat that arrives late.
+            let result = setup.calls.reboot(address, first).await;
+            assert_eq!(refusal(&result), Some(WorkerRefusalKind::Invalid));
             return Ok(());
         }
     }
