--- a/crates/core/src/follower/stream.rs
+++ b/crates/core/src/follower/stream.rs
@@ -112,7 +112,8 @@
         self.pending.submit(record, due, now);
     }
 
-    /// Returns records to be appended now. The answer goes to [`Follower::answered`].
+    /// Returns records to be appended now. [`Follower::answered`] must follow for every batch, after
+    /// a time-out if need be, because no other batch is returned before.
     pub fn flush(&mut self, now: Instant) -> Option<Batch<S::Change>> {
         self.pending.flush(&mut self.pace, now)
     }
