core: free an attempt of a job only after its record was read back

Cause: the entry had to remember by itself that a job's attempt may be sent only after its `Start` record was accepted, and under the recorded attempt id.

PendingStart holds the permit until the fold's outcome is known. RecordedStart starts under the recorded attempt. Permit::start_as is no longer public.

Ruled out: a verdict "not run" when the record was refused. The job may be started by the entry that took it over, so the permit is dropped without one.

Conclusion: an attempt that was not read back can't be sent.

--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -3,6 +3,7 @@
 mod change;
 mod index;
 mod job;
+mod pending;
 mod state;
 mod transition;
 
@@ -15,6 +16,8 @@
 pub use job::Stage;
 pub use job::job_time;
 pub use job::new_job;
+pub use pending::PendingStart;
+pub use pending::RecordedStart;
 pub use state::FINISHED_RETENTION;
 pub use state::Jobs;
 pub use state::LEASE_MARGIN;
--- a/crates/core/src/permit.rs
+++ b/crates/core/src/permit.rs
@@ -96,11 +96,7 @@
     }
 
     /// Does what [`Permit::start`] does, under the attempt id of a `Start` record.
-    ///
-    /// # Errors
-    ///
-    /// Gives the permit back when the deadline has passed or the lease has ended.
-    pub fn start_as(
+    pub(crate) fn start_as(
         self,
         attempt: AttemptId,
         lease: &Lease,
--- a/crates/core/tests/jobs/world.rs
+++ b/crates/core/tests/jobs/world.rs
@@ -13,6 +13,8 @@
 use lavenderhollow_core::jobs::JobOutcome;
 use lavenderhollow_core::jobs::JobSpec;
 use lavenderhollow_core::jobs::Jobs;
+use lavenderhollow_core::jobs::PendingStart;
+use lavenderhollow_core::jobs::RecordedStart;
 use lavenderhollow_core::jobs::Stage;
 use lavenderhollow_core::once::ClaimKey;
 use lavenderhollow_core::permit::Lease;
@@ -69,14 +71,11 @@
     }
 }
 
-/// A started attempt whose `Start` record was read back.
-type Ready = (Permit<JobId>, AttemptId);
-
 pub(super) struct Entry {
     id: Incarnation,
     fold: Fold<Jobs>,
-    started: Vec<AttemptId>,
-    ready: VecDeque<Ready>,
+    pending: Vec<PendingStart<JobId>>,
+    ready: VecDeque<RecordedStart<JobId>>,
     lease: Lease,
     pub(super) skew: i64,
     pub(super) paused: bool,
@@ -147,7 +146,7 @@
         Entry {
             id,
             fold,
-            started: Vec::new(),
+            pending: Vec::new(),
             ready: VecDeque::new(),
             lease: self.lease(id),
             skew: 0,
@@ -161,13 +160,16 @@
     }
 
     fn append(&mut self, at: usize, change: JobChange) {
-        let record = Record {
+        self.append_record(Record {
             id: RecordId::random(),
             created: shifted(self.time(), self.entries[at].skew),
             actor: self.entries[at].id,
             expected: None,
             change,
-        };
+        });
+    }
+
+    fn append_record(&mut self, record: Record<JobChange>) {
         self.appended.push(record);
         self.repeat(self.appended.len() - 1);
     }
@@ -203,43 +205,43 @@
     }
 
     pub(super) fn start(&mut self, at: usize) {
+        let deadline = self.now() + Duration::from_secs(600);
+        let time = self.time();
         let entry = &mut self.entries[at];
         let Some(job) = entry.fold.state().next(entry.id).filter(|_| !entry.paused) else {
             return;
         };
-        let attempt = AttemptId::random();
-        entry.started.push(attempt);
-        let change = JobChange::Start {
-            job,
-            attempt,
-            worker: VmName::new("vm-1").unwrap(),
-            lease_end: shifted(entry.lease.end, entry.skew),
+        // A worker's clock that is off makes the recorded end wrong, as the entry's skew here.
+        let lease = Lease {
+            end: shifted(entry.lease.end, entry.skew),
+            ..entry.lease.clone()
         };
-        self.append(at, change);
+        let worker = VmName::new("vm-1").unwrap();
+        let permit = Permit::new(job, deadline);
+        let wall = shifted(time, entry.skew);
+        let pending = PendingStart::new(permit, job, worker, &lease, entry.id, wall);
+        let record = pending.record().clone();
+        entry.pending.push(pending);
+        self.append_record(record);
     }
 
     pub(super) fn sync(&mut self, at: usize) {
         if self.entries[at].paused {
             return;
         }
-        let deadline = self.now() + Duration::from_secs(600);
         self.entries[at].lease = self.lease(self.entries[at].id);
         let entry = &mut self.entries[at];
         for (position, item) in self.log.read(entry.fold.next(), 20).unwrap_or_default() {
-            let won = entry.fold.apply(position, &item).is_accepted();
+            let outcome = entry.fold.apply(position, &item);
             let Item::Change(record) = item else { continue };
             if let JobChange::TakeOver { .. } = record.change {
-                TAKEN.fetch_add(
-                    u64::from(won && record.actor == entry.id),
-                    Ordering::Relaxed,
-                );
+                let won = outcome.is_accepted() && record.actor == entry.id;
+                TAKEN.fetch_add(u64::from(won), Ordering::Relaxed);
             }
-            if let JobChange::Start { job, attempt, .. } = record.change
-                && let Some(index) = entry.started.iter().position(|id| *id == attempt)
-                && won
-            {
-                entry.started.swap_remove(index);
-                entry.ready.push_back((Permit::new(job, deadline), attempt));
+            let mine = |pending: &PendingStart<JobId>| pending.record().id == record.id;
+            if let Some(index) = entry.pending.iter().position(mine) {
+                let pending = entry.pending.swap_remove(index);
+                entry.ready.extend(pending.resolve(&outcome));
             }
         }
         self.read_outcomes(at);
@@ -251,11 +253,11 @@
         if entry.paused {
             return;
         }
-        let Some((permit, attempt)) = entry.ready.pop_front() else {
+        let Some(start) = entry.ready.pop_front() else {
             return;
         };
-        let job = *permit.request();
-        let sent = match permit.start_as(attempt, &entry.lease, now) {
+        let (job, attempt) = (start.job(), start.attempt());
+        let sent = match start.start(&entry.lease, now) {
             Ok(sent) => sent,
             Err(error) => return self.unanswered(at, job, attempt, error),
         };
