entry: send a job's attempt only from its recorded start

The lease of a grant is taken with the grant, so that a lease that is given back meanwhile is seen as ended and not as missing.

--- a/crates/entry/src/api/operator.rs
+++ b/crates/entry/src/api/operator.rs
@@ -241,7 +241,7 @@
     let stream = &cx.streams.config;
     let record = Record {
         id: command.id,
-        expected: command.expected.map(subject_version(cx)),
+        expected: command.expected,
         ..stream.record(command.change, None)
     };
     let outcome = stream.propose_record(record, COMMAND_LIMIT).await;
@@ -336,22 +336,6 @@
     }
 }
 
-/// Turns the configuration's version, which operators see, into that of the fold's subject. When
-/// the configuration is not at that version any more, the result matches nothing.
-fn subject_version(cx: &Context) -> impl Fn(Version) -> Version {
-    let (version, subject) = cx.streams.config.read(|fold| {
-        let subject = fold.version(lavenderhollow_core::configuration::SUBJECT);
-        (fold.state().version(), subject)
-    });
-    move |expected| {
-        if expected == version {
-            subject
-        } else {
-            Version::new(u64::MAX)
-        }
-    }
-}
-
 fn status(cx: &Context) -> StatusView {
     let now = cx.clock.now();
     let installed = cx.config.load_full();
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -9,6 +9,8 @@
 use fastrace::future::FutureExt;
 use lavenderhollow_core::exchange::Answer;
 use lavenderhollow_core::exchange::Digest;
+use lavenderhollow_core::jobs::RecordedStart;
+use lavenderhollow_core::permit::Lease;
 use lavenderhollow_core::permit::Permit;
 use lavenderhollow_core::permit::SendError;
 use lavenderhollow_core::permit::Sent;
@@ -19,10 +21,7 @@
 use lavenderhollow_platform::TaskAnswer;
 use lavenderhollow_platform::TaskStatus;
 use lavenderhollow_platform::WorkerError;
-use lavenderhollow_types::AttemptId;
 use lavenderhollow_types::Doubt;
-use lavenderhollow_types::Refusal;
-use lavenderhollow_types::RefusalKind;
 use lavenderhollow_types::RequestId;
 use lavenderhollow_types::TeamName;
 use lavenderhollow_types::Verdict;
@@ -107,7 +106,7 @@
             Ok(grant) => grant,
             Err(refusal) => return permit.refuse(refusal),
         };
-        match send(cx, permit, AttemptId::random(), grant, parent).await {
+        match send(cx, Start::Permitted(permit), grant, parent).await {
             Ok(verdict) => return verdict,
             Err(SendError::Unknown(doubt)) => return Verdict::MayHaveRun(doubt),
             Err(SendError::NotSent(back, refusal)) => {
@@ -121,6 +120,27 @@
     }
 }
 
+/// What allows a request to be sent.
+pub(crate) enum Start {
+    /// The permit alone.
+    Permitted(Permit<Arc<Request>>),
+    /// The record of the start of a durable job's attempt, which was read back.
+    Recorded(RecordedStart<Arc<Request>>),
+}
+
+impl Start {
+    fn start(
+        self,
+        lease: &Lease,
+        now: Instant,
+    ) -> Result<Sent<Arc<Request>>, SendError<Arc<Request>>> {
+        match self {
+            Self::Permitted(permit) => permit.start(lease, now),
+            Self::Recorded(start) => start.start(lease, now),
+        }
+    }
+}
+
 /// Sends a request to the target of a grant.
 ///
 /// # Errors
@@ -128,20 +148,13 @@
 /// Gives the permit back when the target did not get the request, or doubt.
 pub(crate) async fn send(
     cx: &Arc<Context>,
-    permit: Permit<Arc<Request>>,
-    attempt: AttemptId,
+    start: Start,
     grant: Grant,
     parent: &Span,
 ) -> Result<Verdict<Reply>, SendError<Arc<Request>>> {
     let now = cx.clock.now();
-    let Some(lease) = cx.targets.lease(grant.vm()) else {
-        let refusal = Refusal::new(
-            RefusalKind::NoTarget,
-            "lease was given back before the start",
-        );
-        return Err(SendError::NotSent(permit, refusal));
-    };
-    let sent = permit.start_as(attempt, &lease, now)?;
+    let sent = start.start(grant.lease(), now)?;
+    let attempt = sent.attempt();
     metrics::counter!(metric::ATTEMPTS).increment(1);
     let span = Span::enter_with_parent("target", parent)
         .with_property(|| ("target", grant.vm().to_string()));
--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -21,11 +21,14 @@
 use lavenderhollow_core::jobs::JobSpec;
 use lavenderhollow_core::jobs::LEASE_MARGIN;
 use lavenderhollow_core::jobs::MAX_RESULT;
+use lavenderhollow_core::jobs::PendingStart;
+use lavenderhollow_core::jobs::RecordedStart;
 use lavenderhollow_core::jobs::Stage;
 use lavenderhollow_core::permit::Permit;
 use lavenderhollow_core::permit::SendError;
 use lavenderhollow_core::queue::Class;
 use lavenderhollow_core::record::RECORD_WINDOW;
+use lavenderhollow_core::record::Record;
 use lavenderhollow_core::zone::ZoneChange;
 use lavenderhollow_core::zone::ZoneRejection;
 use lavenderhollow_platform::TaskStatus;
@@ -45,6 +48,7 @@
 use crate::dispatch;
 use crate::dispatch::Reply;
 use crate::dispatch::Request;
+use crate::dispatch::Start;
 use crate::message::JobState;
 use crate::message::JobView;
 use crate::metric;
@@ -274,10 +278,6 @@
     let Ok(grant) = cx.pools.acquire(cx, &wanted, deadline).await else {
         return;
     };
-    let attempt = AttemptId::random();
-    let Some(grant) = record_start(cx, id, attempt, grant).await else {
-        return;
-    };
     let request = Arc::new(Request {
         id: RequestId::from(id.as_uuid()),
         wanted,
@@ -285,9 +285,12 @@
         deadline: cx.clock.now() + RUN_LIMIT,
         body: Bytes::copy_from_slice(job.spec.body.as_ref()),
     });
-    let permit = Permit::new(Arc::clone(&request), request.deadline);
+    let Some(start) = record_start(cx, id, &request, &grant).await else {
+        return;
+    };
+    let attempt = start.attempt();
     let span = crate::trace::hop("job", None);
-    let result = dispatch::send(cx, permit, attempt, grant, &span).await;
+    let result = dispatch::send(cx, Start::Recorded(start), grant, &span).await;
     record_end(cx, id, attempt, &request, result).await;
 }
 
@@ -313,24 +316,38 @@
     })
 }
 
-/// Records the start of an attempt. The attempt may be sent only when a grant comes back.
+/// Records the start of an attempt, which may be sent only when the record was read back.
 async fn record_start(
     cx: &Arc<Context>,
     job: JobId,
-    attempt: AttemptId,
-    grant: Grant,
-) -> Option<Grant> {
-    let lease = cx.targets.lease(grant.vm())?;
-    let change = JobChange::Start {
-        job,
-        attempt,
-        worker: grant.vm().clone(),
-        lease_end: lease.end,
-    };
-    let record = cx.streams.zone.record(change.into(), None);
+    request: &Arc<Request>,
+    grant: &Grant,
+) -> Option<RecordedStart<Arc<Request>>> {
+    let permit = Permit::new(Arc::clone(request), request.deadline);
+    let (lease, wall) = (grant.lease(), cx.clock.wall());
+    let worker = grant.vm().clone();
+    let pending = PendingStart::new(permit, job, worker, lease, cx.incarnation, wall);
+    let record = zone_record(pending.record());
     let outcome = cx.streams.zone.propose_record(record, START_LIMIT).await;
-    // Without an answer the record may still be accepted; the next sweep then returns the attempt.
-    matches!(outcome, Ok(Outcome::Accepted(_))).then_some(grant)
+    match outcome {
+        Ok(Outcome::Accepted(version)) => pending.resolve(&Outcome::Accepted(version)),
+        Ok(_) => None,
+        Err(_) => {
+            // The record may still be accepted; the job then goes back to waiting.
+            cx.streams.zone.submit(pending.abandon().into(), None);
+            None
+        }
+    }
+}
+
+fn zone_record(record: &Record<JobChange>) -> Record<ZoneChange> {
+    Record {
+        id: record.id,
+        created: record.created,
+        actor: record.actor,
+        expected: record.expected,
+        change: record.change.clone().into(),
+    }
 }
 
 /// Records how an attempt ended, until the log has it.
--- a/crates/entry/src/pools/grant.rs
+++ b/crates/entry/src/pools/grant.rs
@@ -14,6 +14,7 @@
 use lavenderhollow_core::evidence::JobKey;
 use lavenderhollow_core::membership::OpenTarget;
 use lavenderhollow_core::membership::Pass;
+use lavenderhollow_core::permit::Lease;
 use lavenderhollow_core::placement::Place;
 use lavenderhollow_core::queue::Class;
 use lavenderhollow_types::PoolName;
@@ -61,6 +62,7 @@
 #[derive(Debug)]
 pub(crate) struct Grant {
     pub(super) target: OpenTarget,
+    pub(super) lease: Lease,
     pub(super) _pass: Pass,
     pub(super) _place: Place,
     pub(super) _slot: Option<Slot>,
@@ -73,6 +75,11 @@
         &self.target.vm
     }
 
+    /// Returns the lease of the target as it was at the grant.
+    pub(crate) fn lease(&self) -> &Lease {
+        &self.lease
+    }
+
     pub(crate) fn address(&self) -> SocketAddr {
         self.target.address
     }
--- a/crates/entry/src/pools/pool.rs
+++ b/crates/entry/src/pools/pool.rs
@@ -135,8 +135,10 @@
             None => None,
         };
         let (target, pass, place) = self.choose(cx.clock.now(), wanted)?;
+        let lease = cx.targets.lease(&target.vm).ok_or_else(no_target)?;
         Ok(Grant {
             target,
+            lease,
             _pass: pass,
             _place: place,
             _slot: slot,
@@ -159,7 +161,7 @@
                 return Ok((target.clone(), pass, place));
             }
         }
-        Err(Refusal::new(RefusalKind::NoTarget, "no target is open"))
+        Err(no_target())
     }
 
     /// Returns this entry's part of the pool's buffer. It never takes more than a part of the
@@ -212,6 +214,10 @@
     }
 }
 
+fn no_target() -> Refusal {
+    Refusal::new(RefusalKind::NoTarget, "no target is open")
+}
+
 fn at_limit() -> Refusal {
     let detail = "the team uses all slots of its limit that this entry may give";
     Refusal::new(RefusalKind::Limit, detail)
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -200,7 +200,7 @@
             freshness: Mutex::new(Freshness::new(name.clone(), zone.clone(), bound)),
             tickets: Tickets::new(zone.clone(), incarnation, &secret, TicketLimits::default()),
             peers: Peers::new(name, zone.clone(), &settings.peer_secret),
-            targets: Targets::new(zone),
+            targets: Targets::new(zone, settings.probe),
             config: Current::default(),
             keyed_until: ArcSwapOption::empty(),
             meters: Meters::default(),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -88,7 +88,11 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "lease_ms", default = "default_lease")]
     pub lease: Duration,
-    /// How often workers are probed and peers are told, in milliseconds.
+    /// How often workers are probed and their leases renewed, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "probe_ms", default = "default_probe")]
+    pub probe: Duration,
+    /// How often peers are asked, in milliseconds.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "heartbeat_ms", default = "default_heartbeat")]
     pub heartbeat: Duration,
@@ -149,6 +153,10 @@
                 problems.push(Problem::new(field, &0, "1 or more"));
             }
         }
+        if self.probe.is_zero() || self.probe * 3 > self.lease {
+            let allowed = "at most a third of lease_ms";
+            problems.push(Problem::new("probe_ms", &self.probe.as_millis(), allowed));
+        }
         if self.heartbeat * 2 > self.staleness_bound {
             let allowed = "at most half of staleness_bound_ms";
             problems.push(Problem::new(
@@ -173,6 +181,10 @@
     Duration::from_secs(6)
 }
 
+fn default_probe() -> Duration {
+    Duration::from_secs(1)
+}
+
 fn default_heartbeat() -> Duration {
     Duration::from_secs(1)
 }
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -48,8 +48,8 @@
 /// How many workers are called at once. A zone of the largest fleet has about 700.
 const CALLS_AT_ONCE: usize = 64;
 
-/// After how many heartbeats without an answer a worker counts as failed.
-const MISSED_HEARTBEATS: u32 = 3;
+/// After how many probes without an answer a worker counts as failed.
+const MISSED_PROBES: u32 = 3;
 
 /// For how long lists must omit a VM before it is forgotten.
 const GONE_AFTER: Duration = Duration::from_secs(60);
@@ -80,8 +80,12 @@
 }
 
 impl Targets {
-    pub(crate) fn new(zone: ZoneName) -> Self {
-        let membership = Membership::new(Bounds::default());
+    pub(crate) fn new(zone: ZoneName, probe: Duration) -> Self {
+        let default = Bounds::default();
+        let membership = Membership::new(Bounds {
+            probe: default.probe.max(probe * MISSED_PROBES),
+            ..default
+        });
         Self {
             snapshot: membership.reader(),
             leases: ArcSwap::default(),
@@ -309,7 +313,7 @@
 
 /// Keeps the leases of this entry's workers and probes them, for ever.
 pub(crate) async fn keep_leases(cx: &Context) {
-    let mut ticks = tokio::time::interval(cx.settings.heartbeat);
+    let mut ticks = tokio::time::interval(cx.settings.probe);
     loop {
         ticks.tick().await;
         let live = cx.peers.live_in_zone(cx.clock.now());
@@ -426,7 +430,7 @@
 
 /// Returns the time without an answer after which a worker counts as failed.
 pub(crate) fn failed_after(cx: &Context) -> Duration {
-    cx.settings.heartbeat * MISSED_HEARTBEATS
+    cx.settings.probe * MISSED_PROBES
 }
 
 /// Gives a lease back once no work of this entry is on the worker.
