core: halve the saved-up flushes of an idle entry

Every entry may save up flushes for urgent records, so that all entries after a quiet time could exceed the append budget of 300 a second for a moment.

Saving up a single flush was ruled out: two urgent records in a row would then always wait for the flush interval.

--- a/crates/core/src/follower/pace.rs
+++ b/crates/core/src/follower/pace.rs
@@ -4,8 +4,9 @@
 /// The fleet's budget of appends to the log, in appends per second.
 pub const APPENDS_PER_SECOND: u32 = 300;
 
-/// How many flushes an idle entry saves up for urgent records.
-const BURST: u32 = 4;
+/// How many flushes an idle entry saves up for urgent records. With 200 writers each one more allows
+/// 200 more appends in the same second.
+const BURST: u32 = 2;
 
 /// Spreads the fleet's append budget over its writers.
 ///
