core: correct the comments on job ids and pending claims

Cause: the comment on job_time named a key where the function returns a time, and the one on PendingClaim described its caller.

--- a/crates/core/src/jobs/job.rs
+++ b/crates/core/src/jobs/job.rs
@@ -27,7 +27,7 @@
     ClaimKey::from_parts(wall, rand::random()).as_uuid().into()
 }
 
-/// Returns the key that is in a job's id, or nothing if the id is not a UUID of version 7.
+/// Returns the time in a job's id, or nothing if the id is not a UUID of version 7.
 pub fn job_time(job: JobId) -> Option<SystemTime> {
     let key = ClaimKey::try_from(Uuid::from(job)).ok()?;
     Some(key.time())
--- a/crates/core/src/once/pending.rs
+++ b/crates/core/src/once/pending.rs
@@ -2,6 +2,7 @@
 
 use std::time::SystemTime;
 
+use lavenderhollow_types::Doubt;
 use lavenderhollow_types::Incarnation;
 use lavenderhollow_types::RecordId;
 use lavenderhollow_types::Refusal;
@@ -9,6 +10,7 @@
 use lavenderhollow_types::TeamName;
 use lavenderhollow_types::Verdict;
 
+use super::Settled;
 use super::Stored;
 use super::claims::ClaimChange;
 use super::claims::ClaimRejection;
@@ -22,8 +24,7 @@
 /// A request whose claim is appended and not read back yet.
 ///
 /// It is either resolved, which may free the permit, or abandoned, which refuses the request for
-/// good. A claim that is accepted after that is settled as not run by [`PendingClaim::abandon`]'s
-/// caller.
+/// good.
 #[derive(Debug)]
 #[must_use]
 pub struct PendingClaim<R> {
@@ -105,7 +106,7 @@
     pub fn abandon(self, refusal: Refusal) -> (Verdict<Stored>, ClaimChange) {
         let settle = ClaimChange::Settle {
             key: self.key(),
-            outcome: super::Settled::NotRun(refusal.clone()),
+            outcome: Settled::NotRun(refusal.clone()),
         };
         (self.permit.refuse(refusal), settle)
     }
@@ -123,10 +124,6 @@
             } => claims.answer(key, team, digest),
             ClaimChange::Settle { .. } => None,
         };
-        answer.unwrap_or_else(|| {
-            Verdict::MayHaveRun(lavenderhollow_types::Doubt::new(
-                "key was claimed by another",
-            ))
-        })
+        answer.unwrap_or_else(|| Verdict::MayHaveRun(Doubt::new("key was claimed by another")))
     }
 }
