--- a/crates/core/src/planner/cost.rs
+++ b/crates/core/src/planner/cost.rs
@@ -14,7 +14,8 @@
 pub struct Outlook {
     /// VM hours kept free.
     pub buffer: f64,
-    /// The distance from the share times hours: the part of the wanted slots that is missing.
+    /// The distance from the share times hours, added up over pools: the part of the wanted slots
+    /// that is missing.
     pub distance: f64,
     /// Hours that a running wave still takes.
     pub rollout: f64,
@@ -91,7 +92,7 @@
 /// Returns the slots to keep free for peaks: one more slot costs its part of a VM hour and lowers
 /// the part of a peak that finds no room.
 pub(super) fn buffer(weights: &Weights, demand: &Demand, slots: u32) -> u32 {
-    let most = (demand.peak - demand.mean).max(0.0).ceil() as u32;
+    let most = (demand.peak - demand.now).max(0.0).ceil() as u32;
     let slot_hour = weights.buffer_hour / f64::from(slots.max(1));
     let saved = weights.share_distance * demand.busy / demand.peak.max(1.0);
     if saved > slot_hour { most } else { 0 }
--- a/crates/core/tests/test_planner.rs
+++ b/crates/core/tests/test_planner.rs
@@ -63,13 +63,20 @@
         .collect()
 }
 
+/// The second that plans are asked for, between two peaks; in a peak its buffer is in use.
+const LATEST: u64 = 420;
+
 fn plan(weights: Weights, switches: Switches) -> Plan {
     let start = Instant::now();
     let mut planner = Planner::new(weights, Tuning::default());
-    for second in 0..404 {
+    for second in 0..=LATEST {
         planner.observe(&pools(second), start + Duration::from_secs(second));
     }
-    planner.plan(&pools(403), &switches, start + Duration::from_secs(403))
+    planner.plan(
+        &pools(LATEST),
+        &switches,
+        start + Duration::from_secs(LATEST),
+    )
 }
 
 /// Guards against weights that have no effect: the user who weighs nearness to share gets VMs and
