entry: plan buffers, the pace of waves and moves

Buffers of the configuration are the least that the plan keeps free. Summaries now carry the waiting requests of a pool.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -33,6 +33,7 @@
 use crate::jobs::DurableJobs;
 use crate::meters::Meters;
 use crate::peers::Peers;
+use crate::plan::Plans;
 use crate::pools::Pools;
 use crate::settings::Settings;
 use crate::stream::Stream;
@@ -67,6 +68,7 @@
     pub(crate) tickets: Tickets,
     pub(crate) peers: Peers,
     pub(crate) jobs: DurableJobs,
+    pub(crate) plans: Plans,
     pub(crate) gate: RequestGate,
 }
 
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -17,6 +17,7 @@
 use lavenderhollow_core::maintenance::VmLoad;
 use lavenderhollow_core::maintenance::WaveDriver;
 use lavenderhollow_core::membership::owner;
+use lavenderhollow_core::planner;
 use lavenderhollow_platform::RebootBody;
 use lavenderhollow_types::VmName;
 
@@ -171,8 +172,11 @@
                 let mut view = FleetView::new(Rules::of(installed.version, &installed.config), now);
                 view.folded = folded;
                 view.listed = listed;
+                let moves = cx.plans.moves.load();
+                changes.extend(planner::grants(state, &moves, &loads));
                 view.loads = loads;
                 view.suspects = sightings.suspects(state, answers);
+                view.pace = BTreeMap::clone(&cx.plans.pace.load());
                 changes.extend(WaveDriver::default().next(state, &view));
                 changes
             })
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -60,7 +60,7 @@
     let own_zone = summaries
         .iter()
         .filter(|peer| peer.zone == cx.settings.zone);
-    let rooms = own_zone.map(|peer| (peer.summary.free(installed.version, place), &peer.name));
+    let rooms = own_zone.map(|peer| (peer.summary.room(installed.version, place).0, &peer.name));
     let (_, name) = rooms.filter(|(free, _)| *free > 0).max()?;
     Some(name.clone())
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod observers;
 mod peer_server;
 mod peers;
+mod plan;
 mod pools;
 mod process;
 mod seal;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -42,11 +42,12 @@
     pub(crate) waiting: u32,
 }
 
-/// Free slots of one pool, which is named by its place in the configuration.
+/// Free slots and waiting requests of one pool, which is named by its place in the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PoolRoom {
     pub(crate) pool: u16,
     pub(crate) free: u32,
+    pub(crate) waiting: u32,
 }
 
 /// Demand and free slots of an entry or of a zone. Teams and pools without any are left out.
@@ -66,11 +67,12 @@
         demand.map_or((0, 0), |demand| (demand.used.into(), demand.waiting.into()))
     }
 
-    /// Returns the free slots of a pool, if the summary is of this configuration.
-    pub(crate) fn free(&self, version: Version, pool: u16) -> u32 {
+    /// Returns the free slots and the waiting requests of a pool, if the summary is of this
+    /// configuration.
+    pub(crate) fn room(&self, version: Version, pool: u16) -> (u32, u32) {
         let mut pools = self.pools.iter().filter(|_| self.version == version);
         let room = pools.find(|room| room.pool == pool);
-        room.map_or(0, |room| room.free)
+        room.map_or((0, 0), |room| (room.free, room.waiting))
     }
 
     /// Adds another summary of the same configuration.
@@ -89,7 +91,10 @@
         }
         for room in &other.pools {
             match self.pools.iter_mut().find(|r| r.pool == room.pool) {
-                Some(sum) => sum.free = sum.free.saturating_add(room.free),
+                Some(sum) => {
+                    sum.free = sum.free.saturating_add(room.free);
+                    sum.waiting = sum.waiting.saturating_add(room.waiting);
+                }
                 None => self.pools.push(*room),
             }
         }
--- a/crates/entry/src/observers.rs
+++ b/crates/entry/src/observers.rs
@@ -89,7 +89,6 @@
         if let Some(confirmed) = at_head {
             let maintenance = &follower.state().maintenance;
             cx.targets.on_fold(maintenance, confirmed, now);
-            cx.pools.set_vms(maintenance);
             cx.pools.targets_changed(&cx);
         }
     }
--- a/crates/entry/src/pools/mod.rs
+++ b/crates/entry/src/pools/mod.rs
@@ -20,7 +20,6 @@
 use lavenderhollow_core::estimate::Estimate;
 use lavenderhollow_core::estimate::Estimator;
 use lavenderhollow_core::keyring::Admission;
-use lavenderhollow_core::maintenance::Maintenance;
 use lavenderhollow_types::PoolName;
 use lavenderhollow_types::Refusal;
 use lavenderhollow_types::RefusalKind;
@@ -62,11 +61,11 @@
     pub(crate) fn configure(&self, config: &Config, now: Instant) {
         let present = self.pools.load();
         let mut pools = HashMap::new();
-        for (name, settings) in &config.pools {
+        for name in config.pools.keys() {
             let pool = present.get(name).cloned();
             let new = || Arc::new(Pool::new(name.clone(), config, &self.wake, now));
             let pool = pool.unwrap_or_else(new);
-            pool.configure(settings, &config.teams);
+            pool.configure(&config.teams);
             pools.insert(name.clone(), pool);
         }
         self.pools.store(Arc::new(pools));
@@ -144,11 +143,19 @@
         waiting.sum()
     }
 
-    /// Takes over how many VMs each pool has.
-    pub(crate) fn set_vms(&self, maintenance: &Maintenance) {
-        for (name, pool) in self.pools.load().iter() {
-            let vms = maintenance.pool(name).map_or(0, |pool| pool.vms.len());
-            pool.vms.store(vms as u64, Ordering::Release);
+    /// Returns how many requests wait for a pool.
+    pub(crate) fn waiting_in(&self, pool: &PoolName) -> u32 {
+        let pools = self.pools.load();
+        let waiting = pools
+            .get(pool)
+            .map_or(0, |pool| pool.waiting.load(Ordering::Acquire));
+        u32::try_from(waiting).unwrap_or(u32::MAX)
+    }
+
+    /// Takes over the slots to keep free in this zone's part of a pool, which has `vms` VMs.
+    pub(crate) fn set_buffer(&self, pool: &PoolName, slots: u32, vms: u32) {
+        if let Some(pool) = self.pools.load().get(pool) {
+            pool.set_buffer(slots, vms);
         }
     }
 
--- a/crates/entry/src/pools/pool.rs
+++ b/crates/entry/src/pools/pool.rs
@@ -53,10 +53,10 @@
     pub(super) name: PoolName,
     pub(super) waiting: AtomicUsize,
     pub(super) retry: RetryBudget,
-    /// The VMs of the pool in all zones.
-    pub(super) vms: AtomicU64,
     pub(super) waiters: Mutex<Waiters>,
+    /// The slots to keep free in the zone, and the VMs that the pool has there.
     buffer: AtomicU64,
+    vms: AtomicU64,
     view: ArcSwap<View>,
     running: ArcSwap<HashMap<TeamName, Arc<AtomicU64>>>,
     wake: Arc<Notify>,
@@ -71,9 +71,9 @@
             name,
             waiting: AtomicUsize::new(0),
             retry: RetryBudget::new(now),
-            vms: AtomicU64::new(0),
             waiters: Mutex::new(Waiters::new(bound as usize)),
             buffer: AtomicU64::new(0),
+            vms: AtomicU64::new(0),
             view: ArcSwap::default(),
             running: ArcSwap::default(),
             wake: Arc::clone(wake),
@@ -81,16 +81,15 @@
         }
     }
 
-    pub(super) fn configure(
-        &self,
-        settings: &lavenderhollow_config::Pool,
-        teams: &BTreeMap<TeamName, Team>,
-    ) {
-        self.buffer
-            .store(settings.buffer_slots.into(), Ordering::Release);
+    pub(super) fn configure(&self, teams: &BTreeMap<TeamName, Team>) {
         self.waiters().set_weights(teams);
     }
 
+    pub(super) fn set_buffer(&self, slots: u32, vms: u32) {
+        self.buffer.store(slots.into(), Ordering::Release);
+        self.vms.store(vms.into(), Ordering::Release);
+    }
+
     /// Takes over the open targets of a snapshot.
     pub(super) fn set_targets(&self, cx: &Context, snapshot: &Snapshot) {
         let open = snapshot.open(&self.name);
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -50,6 +50,8 @@
 use crate::peer_server;
 use crate::peers;
 use crate::peers::Peers;
+use crate::plan;
+use crate::plan::Plans;
 use crate::pools::Pools;
 use crate::settings::Settings;
 use crate::stream::Stream;
@@ -207,6 +209,7 @@
             pools: Pools::default(),
             exchange: Exchange::default(),
             jobs: DurableJobs::default(),
+            plans: Plans::default(),
             gate: RequestGate::default(),
             clock: self.clock,
             incarnation,
@@ -335,6 +338,8 @@
     let shared = Arc::clone(cx);
     tasks.spawn(async move { drive::keep(&shared).await });
     let shared = Arc::clone(cx);
+    tasks.spawn(async move { plan::keep(&shared).await });
+    let shared = Arc::clone(cx);
     tasks.spawn(async move { jobs::keep(&shared).await });
     let shared = Arc::clone(cx);
     tasks.spawn(async move { shared.pools.serve(&shared).await });
--- a/crates/entry/src/summary.rs
+++ b/crates/entry/src/summary.rs
@@ -41,8 +41,9 @@
         let room = PoolRoom {
             pool: u16::try_from(place).ok()?,
             free: free.sum(),
+            waiting: cx.pools.waiting_in(pool),
         };
-        (room.free > 0).then_some(room)
+        (room.free > 0 || room.waiting > 0).then_some(room)
     });
     Summary {
         version: installed.version,
@@ -52,7 +53,7 @@
 }
 
 /// Sums up the entries of this zone.
-fn of_zone(cx: &Context) -> Summary {
+pub(crate) fn of_zone(cx: &Context) -> Summary {
     let mut sum = of_entry(cx);
     for peer in cx.peers.summaries(cx.clock.now()) {
         if peer.zone == cx.settings.zone {
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -113,6 +113,15 @@
         self.slots.load().get(vm).copied().unwrap_or(0)
     }
 
+    /// Returns the pools that the list names for the workers of this zone.
+    pub(crate) fn labels(&self) -> BTreeMap<VmName, PoolName> {
+        let view = self.view();
+        let listed = view.listed.values();
+        listed
+            .map(|info| (info.name.clone(), info.pool.clone()))
+            .collect()
+    }
+
     /// Returns the sizes of the workers of a pool in all zones.
     pub(crate) fn shapes(&self, pool: &PoolName) -> Vec<Resources> {
         self.shapes.load().get(pool).cloned().unwrap_or_default()
