--- a/crates/core/tests/target_world.rs
+++ b/crates/core/tests/target_world.rs
@@ -1,6 +1,9 @@
 //! Entries that start work on leased targets, drain them and shut down, with a network that delays
 //! what they send.
 
+mod entries;
+mod ops;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,13 +39,14 @@
 use lavenderhollow_types::Version;
 use lavenderhollow_types::VmName;
 use lavenderhollow_types::WaveId;
-use proptest::prelude::*;
 
 use crate::fleet_world::WorldTime;
 use crate::fleet_world::listed_vm;
 use crate::fleet_world::pool_name;
 use crate::fleet_world::vm_name;
 
+pub(crate) use self::ops::ops;
+
 pub(crate) const ENTRIES: usize = 3;
 pub(crate) const TARGETS: usize = 3;
 
@@ -76,42 +80,6 @@
     Repeat(usize),
 }
 
-/// Operations as both machines draw them. Most of them are what entries do all the time, so that
-/// targets are open and busy when a fault comes.
-pub(crate) fn ops() -> BoxedStrategy<Op> {
-    let e = 0..ENTRIES;
-    let t = 0..TARGETS;
-    let fault = prop_oneof![2 => Just(Fault::None), 1 => Just(Fault::Down)];
-    let work = prop_oneof![
-        10 => prop_oneof![3 => 20..600u64, 1 => 600..2500u64].prop_map(Op::Tick),
-        20 => (e.clone(), prop::bool::weighted(0.8), any::<bool>())
-            .prop_map(|(e, follows, fresh)| Op::Serve(e, follows, fresh)),
-        20 => (e.clone(), t.clone()).prop_map(|(e, t)| Op::Start(e, t)),
-        16 => (0..9usize).prop_map(Op::Deliver),
-        5 => t.clone().prop_map(Op::Finish),
-        8 => t.clone().prop_map(Op::Report),
-        6 => e.clone().prop_map(Op::Drive),
-        3 => (t.clone(), prop::bool::weighted(0.7)).prop_map(|(t, wave)| Op::Grant(t, wave)),
-    ];
-    let parts = prop_oneof![
-        1 => e.clone().prop_map(Op::Probe),
-        2 => (e.clone(), 0..4usize).prop_map(|(e, back)| Op::ReadList(e, back)),
-        2 => (e.clone(), 1..4usize).prop_map(|(e, n)| Op::Follow(e, n)),
-        2 => (e.clone(), t.clone()).prop_map(|(e, t)| Op::Lease(e, t)),
-        1 => e.clone().prop_map(Op::Load),
-    ];
-    let faults = prop_oneof![
-        3 => (e.clone(), e.clone(), any::<bool>()).prop_map(|(e, o, l)| Op::Believe(e, o, l)),
-        1 => (t, any::<bool>()).prop_map(|(t, knows)| Op::Leave(t, knows)),
-        2 => e.clone().prop_map(Op::Kill),
-        4 => (e.clone(), any::<bool>()).prop_map(|(e, paused)| Op::SetPaused(e, paused)),
-        1 => e.prop_map(Op::Shutdown),
-        3 => fault.prop_map(Op::Log),
-        3 => (0..9usize).prop_map(Op::Repeat),
-    ];
-    prop_oneof![20 => work, 3 => parts, 2 => faults].boxed()
-}
-
 #[derive(Debug)]
 struct Worker {
     lease: Option<(Incarnation, Duration)>,
@@ -367,69 +335,6 @@
         self.lists.push((list.collect(), self.time.passed));
     }
 
-    /// Reads one of the latest lists, since answers may come late.
-    fn read_list(&mut self, e: usize, back: usize) {
-        let index = (self.lists.len() - 1).saturating_sub(back);
-        let (list, as_of) = &self.lists[index];
-        let entry = &mut self.entries[e];
-        if *as_of > entry.newest {
-            entry.newest = *as_of;
-            entry.seen_leaving = std::array::from_fn(|t| list[t].leaving);
-        }
-        let as_of = self.time.now() - (self.time.passed - *as_of);
-        entry.membership.on_list(list.clone(), as_of);
-        entry.membership.publish(self.time.now());
-    }
-
-    fn follow(&mut self, e: usize, most: usize) {
-        let entry = &mut self.entries[e];
-        let Ok(items) = self.log.read(entry.fold.next(), most) else {
-            return;
-        };
-        for (position, item) in items {
-            entry.fold.apply(position, &item);
-        }
-        let now = self.time.now();
-        let at_head = entry.fold.next() == self.log.head();
-        let confirmed = if at_head { now } else { now - self.time.passed };
-        entry.membership.on_fold(entry.fold.state(), confirmed);
-        entry.membership.publish(now);
-    }
-
-    fn start(&mut self, e: usize, choice: usize) {
-        let now = self.time.now();
-        let entry = &mut self.entries[e];
-        let loaded = Arc::clone(&entry.loaded);
-        let open: Vec<_> = loaded.pools().flat_map(|(_, targets)| targets).collect();
-        let target = open.get(choice % open.len().max(1)).copied();
-        if entry.waiting == 0 && entry.shutdown.is_some() {
-            return;
-        }
-        entry.waiting = entry.waiting.max(1);
-        let Some((target, pass)) = target.and_then(|t| Some((t, t.enter(now)?))) else {
-            return;
-        };
-        let lease_end = self.time.passed + (target.lease_end - now);
-        let t = (0..TARGETS).find(|t| vm_name(*t) == target.vm);
-        let t = t.expect("the target is known");
-        let request = Request {
-            by: entry.me,
-            _pass: pass,
-        };
-        entry.waiting -= 1;
-        let seen = entry.seen_leaving[t];
-        self.network.push(Message::Start {
-            target: t,
-            lease_end,
-            request,
-        });
-        assert!(
-            !seen,
-            "entry {e} saw target {t} leaving and started work on it"
-        );
-        self.check_closing(t, CLOSED_AFTER);
-    }
-
     /// P9: no start on a target that has been leaving or draining for longer than `bound`. A
     /// target that leaves without knowing it is closed by the list only, whose lag is not ours.
     fn check_closing(&self, t: usize, bound: Duration) {
@@ -485,110 +390,6 @@
         }
     }
 
-    fn lease(&mut self, e: usize, t: usize) {
-        let (vm, now) = (vm_name(t), self.time.now());
-        let passed = self.time.passed;
-        let entry = &mut self.entries[e];
-        let worker = &mut self.workers[t];
-        let holder = match worker.lease {
-            Some((holder, end)) if holder == entry.me && passed < end => Holder::Me,
-            Some((_, end)) if passed < end => Holder::Other,
-            Some((_, end)) => Holder::Nobody(passed - end),
-            None => Holder::Nobody(passed),
-        };
-        let names: Vec<_> = (0..ENTRIES).map(entry_name).collect();
-        let live = names.iter().zip(entry.live).filter(|(_, live)| *live);
-        match lease_action(&names[e], &vm, live.map(|(name, _)| name), holder) {
-            LeaseAction::Take | LeaseAction::Renew => {
-                worker.lease = Some((entry.me, passed + LEASE));
-                entry.membership.on_lease(&vm, Some(now + LEASE), now);
-            }
-            LeaseAction::GiveBack => {
-                entry.membership.on_lease(&vm, None, now);
-                entry.membership.publish(now);
-                if entry.membership.target_view(&vm, now).in_flight == 0 {
-                    worker.lease = None;
-                }
-            }
-            LeaseAction::Leave => {}
-        }
-        entry.membership.publish(now);
-    }
-
-    fn drive(&mut self, e: usize) {
-        let now = self.time.now();
-        self.shut_down(e);
-        for t in 0..TARGETS {
-            let vm = vm_name(t);
-            let entry = &mut self.entries[e];
-            let state = entry.fold.state();
-            let record = state.vm(&vm).and_then(|record| record.drain.as_ref());
-            let Some(record) = record else {
-                entry.drains.remove(&vm);
-                continue;
-            };
-            let drain = entry.drains.entry(vm.clone());
-            let drain = drain.or_insert_with(|| Drain::new(vm.clone(), record, now));
-            let view = entry.membership.target_view(&vm, now);
-            let by = entry.me;
-            match drain.step(state, &view, now) {
-                DrainStep::Record(change) => self.append(change),
-                DrainStep::Reboot { boot } => {
-                    let target = t;
-                    self.network
-                        .push(Message::Reboot(Reboot { target, by, boot }));
-                }
-                DrainStep::Done => drop(entry.drains.remove(&vm)),
-                DrainStep::Checkpoint | DrainStep::Wait | DrainStep::TakeLease => {}
-            }
-        }
-    }
-
-    /// The requests of an entry that are not answered: waiting, on the way or running.
-    fn open(&self, e: usize) -> u32 {
-        let me = self.entries[e].me;
-        let tasks = self.workers.iter().flat_map(|worker| &worker.tasks);
-        let running = tasks.filter(|task| task.by == me).count();
-        let sent = self.network.iter().filter(|message| match message {
-            Message::Start { request, .. } => request.by == me,
-            Message::Reboot(_) => false,
-        });
-        self.entries[e].waiting + (running + sent.count()) as u32
-    }
-
-    fn shut_down(&mut self, e: usize) {
-        let (now, passed) = (self.time.now(), self.time.passed);
-        let open = self.open(e);
-        let entry = &mut self.entries[e];
-        let Some(shutdown) = &mut entry.shutdown else {
-            return;
-        };
-        let me = entry.me;
-        let held = self
-            .workers
-            .iter()
-            .filter(|worker| worker.holder(passed) == Some(me));
-        let view = ShutdownView {
-            open: entry.waiting + in_flight(&entry.membership, now),
-            held: held.count() as u32,
-        };
-        match shutdown.step(&view, now) {
-            ShutdownStep::HandOver => {
-                for t in 0..TARGETS {
-                    entry.membership.on_lease(&vm_name(t), None, now);
-                    self.workers[t].lease.take_if(|(holder, _)| *holder == me);
-                }
-                entry.membership.publish(now);
-            }
-            ShutdownStep::Exit => {
-                assert_eq!(open, 0, "entry {e} exits with {open} open requests");
-                self.replace(e);
-            }
-            ShutdownStep::StopAccepting | ShutdownStep::Finish { .. } => {}
-            ShutdownStep::Confirm { .. } => {}
-        }
-    }
-
     /// Grants a drain: of the pool's open wave, of a new wave when that one is through, or for a
     /// move.
     fn grant(&mut self, t: usize, wave: bool) {
