entry: keep targets open while no entry of the zone reaches the log

Cause: targets close when the fold is not confirmed for 5 s, so that in a log outage every queue stopped, open ones included. Drains of a zone's VMs are recorded by entries of that zone alone. While all of them were heard and none reaches the log, the fold therefore lacks nothing, and counts as confirmed.

A lease counts as held from the arrival of its grant, not from the request. The limit that is scaled down at once is the highest one seen since the mirrored version: a raised limit may have been allotted before it was lowered.

--- a/crates/core/src/freshness/tracker.rs
+++ b/crates/core/src/freshness/tracker.rs
@@ -121,6 +121,13 @@
         self.reaches_log
     }
 
+    /// Returns the latest instant at which no entry of this zone had reached the log, if all of them
+    /// were heard.
+    pub fn zone_cut_off(&self, now: Instant) -> Option<Instant> {
+        let own = self.own(now);
+        self.zones.state(self.zones.own(), &own).cut_off
+    }
+
     /// Returns the time since the installed configuration was confirmed.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         let confirmed = self.confirmed?;
--- a/crates/core/src/freshness/zones.rs
+++ b/crates/core/src/freshness/zones.rs
@@ -79,6 +79,10 @@
         self.heard.retain(|zone, _| self.entries.contains_key(zone));
     }
 
+    pub(super) fn own(&self) -> &ZoneName {
+        &self.own
+    }
+
     pub(super) fn names(&self) -> impl Iterator<Item = &ZoneName> {
         self.entries.keys()
     }
--- a/crates/entry/src/allotments.rs
+++ b/crates/entry/src/allotments.rs
@@ -40,6 +40,23 @@
     entries: BTreeMap<TeamName, Rebalancer<Incarnation>>,
     zones: BTreeMap<TeamName, Rebalancer<ZoneName>>,
     submitted: Submitted,
+    limits: BTreeMap<TeamName, LimitHistory>,
+}
+
+/// The limits of a team that this entry has seen since the one that its zone's stream mirrors.
+#[derive(Debug, Default)]
+struct LimitHistory(Vec<(Version, u64)>);
+
+impl LimitHistory {
+    /// Notes the limit of a version and returns the highest one that allotments may come from.
+    fn highest(&mut self, limit: u64, version: Version, mirrored: (Version, u64)) -> u64 {
+        if self.0.last().is_none_or(|(_, last)| *last != limit) {
+            self.0.push((version, limit));
+        }
+        self.0.retain(|(seen, _)| *seen > mirrored.0);
+        let seen = self.0.iter().map(|(_, limit)| *limit);
+        seen.chain([mirrored.1, limit]).max().unwrap_or(limit)
+    }
 }
 
 /// One team in one round.
@@ -91,12 +108,24 @@
                 transfers: config.automatic.is_on(Automatic::Transfers),
                 now,
             };
-            round.scale();
+            self.scale(&round);
             self.fleet_records(&round);
             self.zone_records(&round);
         }
     }
 
+    /// Scales the use at once when the limit is lower than one that allotments may come from. A
+    /// limit may have been raised and mirrored in the fleet's stream before it was lowered, so that
+    /// the zone's mirrored limit alone does not tell.
+    fn scale(&mut self, round: &Round<'_>) {
+        let mirrored = round.zone_escrow();
+        let history = self.limits.entry(round.team.clone()).or_default();
+        let mirrored = (mirrored.version, mirrored.limit);
+        let highest = history.highest(round.limit, round.version, mirrored);
+        let lowered = (round.limit < highest).then_some((round.limit, highest));
+        round.cx.meters.meter(round.team).lower(lowered);
+    }
+
     /// Submits changes of the zones' allotments. One entry of the zone speaks for it.
     fn fleet_records(&mut self, round: &Round<'_>) {
         if !round.leads {
@@ -311,13 +340,6 @@
 }
 
 impl Round<'_> {
-    /// Scales the use at once when the limit is lower than the mirrored one.
-    fn scale(&self) {
-        let mirrored = self.zone_escrow().limit;
-        let lowered = (self.limit < mirrored).then_some((self.limit, mirrored));
-        self.cx.meters.meter(self.team).lower(lowered);
-    }
-
     fn zone_version(&self) -> Version {
         let subject = subject(self.team);
         self.cx.streams.zone.read(|fold| fold.version(&subject))
--- a/crates/entry/src/observers.rs
+++ b/crates/entry/src/observers.rs
@@ -94,6 +94,20 @@
     }
 }
 
+/// Keeps the targets open while no entry of this zone reaches the log: drains of the zone's VMs are
+/// recorded by entries of the zone alone, so that none can be missing.
+pub(crate) fn confirm_fold(cx: &Context) {
+    let now = cx.clock.now();
+    let cut_off = cx.with_freshness(|freshness| freshness.zone_cut_off(now));
+    if let Some(confirmed) = cut_off {
+        cx.streams.fleet.read(|fold| {
+            let maintenance = &fold.state().maintenance;
+            cx.targets.confirm_fold(maintenance, confirmed, now);
+        });
+        cx.pools.targets_changed(cx);
+    }
+}
+
 /// Observes the stream of the entry's zone.
 pub(crate) struct ZoneObserver(pub(crate) Weak<Context>);
 
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -44,6 +44,7 @@
 use crate::jobs::DurableJobs;
 use crate::meters::Meters;
 use crate::metric;
+use crate::observers;
 use crate::observers::ConfigObserver;
 use crate::observers::FleetObserver;
 use crate::observers::ZoneObserver;
@@ -202,7 +203,7 @@
             freshness: Mutex::new(Freshness::new(name.clone(), zone.clone(), bound)),
             tickets: Tickets::new(zone.clone(), incarnation, &secret, TicketLimits::default()),
             peers: Peers::new(name, zone.clone(), &settings.peer_secret),
-            targets: Targets::new(zone, settings.probe),
+            targets: Targets::new(zone, settings.probe()),
             config: Current::default(),
             keyed_until: ArcSwapOption::empty(),
             meters: Meters::default(),
@@ -355,6 +356,7 @@
         ticks.tick().await;
         let now = cx.clock.now();
         cx.tickets.expire(now);
+        observers::confirm_fold(cx);
         drop(cx.exchange.expire(now));
         let writers = cx.peers.listed() * STREAMS;
         cx.streams.config.set_writers(writers);
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -19,6 +19,9 @@
 /// The shortest peer secret that is accepted, in bytes.
 const MIN_SECRET_BYTES: usize = 16;
 
+/// How often a lease is renewed within its length.
+const PROBES_PER_LEASE: u32 = 6;
+
 /// The shortest worker lease. A lease is renewed after a third of it, so that a shorter one would
 /// lapse on a slow call.
 const MIN_LEASE: Duration = Duration::from_millis(500);
@@ -88,10 +91,11 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "lease_ms", default = "default_lease")]
     pub lease: Duration,
-    /// How often workers are probed and their leases renewed, in milliseconds.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[serde(rename = "probe_ms", default = "default_probe")]
-    pub probe: Duration,
+    /// How often workers are probed and their leases renewed, in milliseconds; a sixth of the lease
+    /// if it is not set.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(rename = "probe_ms", default)]
+    pub probe: Option<Duration>,
     /// How often peers are asked, in milliseconds.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "heartbeat_ms", default = "default_heartbeat")]
@@ -132,6 +136,11 @@
         }
     }
 
+    /// Returns how often workers are probed and their leases renewed.
+    pub fn probe(&self) -> Duration {
+        self.probe.unwrap_or(self.lease / PROBES_PER_LEASE)
+    }
+
     fn problems(&self) -> Vec<Problem> {
         let mut problems = Vec::new();
         if self.peer_secret.len() < MIN_SECRET_BYTES {
@@ -153,9 +162,10 @@
                 problems.push(Problem::new(field, &0, "1 or more"));
             }
         }
-        if self.probe.is_zero() || self.probe * 3 > self.lease {
+        let probe = self.probe();
+        if probe.is_zero() || probe * 3 > self.lease {
             let allowed = "at most a third of lease_ms";
-            problems.push(Problem::new("probe_ms", &self.probe.as_millis(), allowed));
+            problems.push(Problem::new("probe_ms", &probe.as_millis(), allowed));
         }
         if self.heartbeat * 2 > self.staleness_bound {
             let allowed = "at most half of staleness_bound_ms";
@@ -181,10 +191,6 @@
     Duration::from_secs(6)
 }
 
-fn default_probe() -> Duration {
-    Duration::from_secs(1)
-}
-
 fn default_heartbeat() -> Duration {
     Duration::from_secs(1)
 }
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -152,6 +152,13 @@
         view.membership.publish(now);
     }
 
+    /// Notes that nothing was stored before `confirmed` that the fold does not have.
+    pub(crate) fn confirm_fold(&self, state: &Maintenance, confirmed: Instant, now: Instant) {
+        if self.folded_at().is_some_and(|at| at < confirmed) {
+            self.on_fold(state, confirmed, now);
+        }
+    }
+
     /// Returns when the fold was last known to be at the log's head.
     pub(crate) fn folded_at(&self) -> Option<Instant> {
         self.view().folded_at
@@ -322,7 +329,7 @@
 
 /// Keeps the leases of this entry's workers and probes them, for ever.
 pub(crate) async fn keep_leases(cx: &Context) {
-    let mut ticks = tokio::time::interval(cx.settings.probe);
+    let mut ticks = tokio::time::interval(cx.settings.probe());
     loop {
         ticks.tick().await;
         let live = cx.peers.live_in_zone(cx.clock.now());
@@ -383,8 +390,9 @@
                 until: sent + answer.left,
                 end: answer.lease.end,
             };
+            let answered = cx.clock.now();
             let mut view = cx.targets.view();
-            view.membership.on_lease(vm, Some(lease.until), sent);
+            view.membership.on_lease(vm, Some(lease.until), answered);
             cx.targets.set_lease(vm, Some(&lease));
         }
         Err(error) => {
@@ -439,7 +447,7 @@
 
 /// Returns the time without an answer after which a worker counts as failed.
 pub(crate) fn failed_after(cx: &Context) -> Duration {
-    cx.settings.probe * MISSED_PROBES
+    cx.settings.probe() * MISSED_PROBES
 }
 
 /// Gives a lease back once no work of this entry is on the worker.
