core: bound the failures remembered for a worker

A worker kept up to 4096 failed jobs, which is 32 KB a worker. It keeps the latest 16 now; three that succeed elsewhere are enough to take it out.

--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -24,6 +24,9 @@
 /// The workers remembered for one job.
 const MAX_OUTCOMES: usize = 8;
 
+/// The failures remembered for one worker; the oldest are forgotten.
+const MAX_FAILURES: usize = 16;
+
 /// The time that a worker stays out before its first probation.
 const FIRST_REST: Duration = Duration::from_secs(60);
 
@@ -56,8 +59,8 @@
 
 #[derive(Clone, Debug, Default)]
 struct Worker {
-    /// Jobs that failed here since the last success of any job.
-    failed: HashSet<JobKey>,
+    /// Jobs that failed here. A success here clears those that never succeeded anywhere.
+    failed: VecDeque<JobKey>,
     out: Option<Out>,
 }
 
@@ -97,10 +100,8 @@
         actions.extend(self.probed(now, worker, ok));
         if ok {
             self.exonerate(worker);
-        } else if let Some(worker) = self.workers.get_mut(worker)
-            && worker.failed.len() < MAX_JOBS
-        {
-            worker.failed.insert(job);
+        } else {
+            self.incriminate(worker, job);
         }
         // A success elsewhere is evidence against every worker that the job failed on.
         let failed = self.jobs.get(&job).map(|job| job.failed.clone());
@@ -159,6 +160,18 @@
         }
     }
 
+    fn incriminate(&mut self, worker: &VmName, job: JobKey) {
+        let Some(worker) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if !worker.failed.contains(&job) {
+            worker.failed.push_back(job);
+        }
+        if worker.failed.len() > MAX_FAILURES {
+            worker.failed.pop_front();
+        }
+    }
+
     /// Clears a worker of the failures of jobs that never succeeded anywhere.
     fn exonerate(&mut self, worker: &VmName) {
         let jobs = &self.jobs;
