core: test gifts against concurrent starts

escrow_machine runs in one thread, so that a race between Meter::give and Meter::try_take was not covered. With the check of used slots removed from the reduction (scratch edit) the new test fails in round 3 of 200 with 3 slots used and 6 of 8 given away; it passes with the check.

An older configuration version was one of two scratch edits that escrow_machine does not see. A focused test covers it and fails with the check removed.

--- a/crates/core/examples/escrow_stranded.rs
+++ b/crates/core/examples/escrow_stranded.rs
@@ -2,6 +2,8 @@
 
 #[path = "escrow_stranded/entry.rs"]
 mod entry;
+#[path = "escrow_stranded/stream.rs"]
+mod stream;
 #[path = "escrow_stranded/world.rs"]
 mod world;
 
--- a/crates/core/tests/test_escrow_machine.rs
+++ b/crates/core/tests/test_escrow_machine.rs
@@ -3,8 +3,25 @@
 #[path = "escrow/mod.rs"]
 mod escrow;
 
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::SystemTime;
+
 use escrow::Op;
 use escrow::World;
+use lavenderhollow_core::escrow::Account;
+use lavenderhollow_core::escrow::Change;
+use lavenderhollow_core::escrow::Escrow;
+use lavenderhollow_core::escrow::Meter;
+use lavenderhollow_core::escrow::Rejection;
+use lavenderhollow_core::fold::Context;
+use lavenderhollow_core::fold::State;
+use lavenderhollow_core::record::Position;
+use lavenderhollow_types::Incarnation;
+use lavenderhollow_types::Offset;
+use lavenderhollow_types::RecordId;
+use lavenderhollow_types::Version;
+use lavenderhollow_types::ZoneName;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngSeed;
@@ -171,3 +188,74 @@
     }
     assert_eq!(world.running(), 12);
 }
+
+/// Guards against a start that passes a gift in another thread: the giver would run on slots that
+/// the receiver owns.
+#[test]
+fn gift_excludes_concurrent_starts() {
+    for round in 0..200 {
+        let meter = Meter::default();
+        let account = Account {
+            credited: 8,
+            ..Account::default()
+        };
+        meter.read(account, &[]);
+        let stop = AtomicBool::new(false);
+        std::thread::scope(|scope| {
+            for _ in 0..3 {
+                scope.spawn(|| {
+                    // Bounded, so that a failed assertion ends the test.
+                    for _ in 0..100_000 {
+                        drop((meter.try_take(), meter.try_take(), meter.try_take()));
+                        if stop.load(Ordering::Relaxed) {
+                            break;
+                        }
+                    }
+                });
+            }
+            let mut given = 0;
+            for id in 0..8 {
+                let gift = meter.give(RecordId::from_number(id), 1);
+                given += gift.map_or(0, |gift| gift.amount);
+                for _ in 0..50 {
+                    let used = u64::from(meter.used());
+                    assert!(
+                        used + given <= 8,
+                        "round {round}: {used} used, {given} given"
+                    );
+                }
+            }
+            stop.store(true, Ordering::Relaxed);
+        });
+    }
+}
+
+/// Guards against racing operators' mirrors that arrive in the wrong order.
+#[test]
+fn older_configuration_version_has_no_effect() {
+    let mut escrow = Escrow::<ZoneName>::default();
+    let cx = Context {
+        position: Position {
+            offset: Offset::new(0),
+            time: SystemTime::UNIX_EPOCH,
+        },
+        id: RecordId::from_number(1),
+        actor: Incarnation::from_number(1),
+    };
+    let mut set = |limit, version| {
+        let (team, version, withheld) = (escrow::team(), Version::new(version), 0);
+        escrow.apply(
+            &cx,
+            &Change::SetLimit {
+                team,
+                limit,
+                version,
+                withheld,
+            },
+        )
+    };
+    assert!(set(5, 2).is_ok());
+    assert_eq!(set(12, 1), Err(Rejection::OldVersion(Version::new(2))));
+    assert_eq!(set(12, 2), Err(Rejection::OldVersion(Version::new(2))));
+    assert_eq!(escrow.teams[&escrow::team()].limit, 5);
+}
