--- a/crates/core/tests/fleet_world.rs
+++ b/crates/core/tests/fleet_world.rs
@@ -1,7 +1,5 @@
 //! Settings and names that the machines of the fleet's modules share.
 
-use std::collections::BTreeSet;
-use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
@@ -24,31 +22,6 @@
 use lavenderhollow_types::Version;
 use lavenderhollow_types::VmName;
 use lavenderhollow_types::WaveId;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
-
-/// The machines whose settings were printed; the settings are asked for with every case.
-static PRINTED: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
-
-/// Settings of a machine: a fixed seed and number of cases, so that each run gives the same
-/// verdict. `FUZZ_SEED` and `FUZZ_CASES` make another or a longer run.
-pub(crate) fn fuzz_config(machine: &str, cases: u32) -> Config {
-    let number = |name| std::env::var(name).ok().and_then(|text| text.parse().ok());
-    let seed = number("FUZZ_SEED").unwrap_or(20_261_204);
-    let cases =
-        number("FUZZ_CASES").map_or(cases, |cases| u32::try_from(cases).unwrap_or(cases as u32));
-    let mut printed = PRINTED.lock().expect("no panic while printing");
-    if printed.insert(machine.to_owned()) {
-        println!("{machine}: seed {seed}, {cases} cases");
-    }
-    Config {
-        cases,
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        max_shrink_iters: 20_000,
-        ..Config::default()
-    }
-}
 
 /// The monotonic and the wall time of a world, which start together.
 #[derive(Clone, Copy, Debug)]
--- a/crates/core/tests/runner.rs
+++ b/crates/core/tests/runner.rs
@@ -1,6 +1,7 @@
 //! Tests of the core crate.
 
 mod fleet_world;
+mod fuzz;
 mod target_world;
 mod test_admission_machine;
 mod test_config_machine;
--- a/crates/core/tests/test_admission_machine.rs
+++ b/crates/core/tests/test_admission_machine.rs
@@ -21,12 +21,12 @@
 use lavenderhollow_types::RefusalKind;
 use lavenderhollow_types::TeamName;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
-use proptest::test_runner::TestRunner;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use serde_json::json;
 
+use crate::fuzz;
+
 const SEED: u64 = 20_261_204;
 const CASES: u32 = 64;
 const TEAMS: usize = 3;
@@ -219,22 +219,11 @@
 
 #[test]
 fn admission_machine() {
-    let cases = std::env::var("ADMISSION_MACHINE_CASES");
-    let cases = cases.map_or(CASES, |cases| cases.parse().unwrap());
-    let config = ProptestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        max_shrink_time: 20_000,
-        ..ProptestConfig::default()
-    };
-    let strategy = Owners::sequential_strategy(1..80);
-    let result = TestRunner::new(config.clone()).run(&strategy, |(state, operations, seen)| {
-        Machine::test_sequential(config.clone(), state, operations, seen);
-        Ok(())
-    });
+    let config = fuzz::config(SEED, CASES);
+    let result = fuzz::run::<Machine>(&config, 1..80);
+    let settings = fuzz::describe(&config);
     println!(
-        "admission_machine: seed {SEED}, {cases} cases, {} operations, {} admitted",
+        "admission_machine: {settings}, {} operations, {} admitted",
         OPERATIONS.load(Ordering::Relaxed),
         ADMITTED.load(Ordering::Relaxed),
     );
--- a/crates/core/tests/test_config_machine.rs
+++ b/crates/core/tests/test_config_machine.rs
@@ -39,12 +39,12 @@
 use lavenderhollow_types::TeamName;
 use lavenderhollow_types::Version;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
-use proptest::test_runner::TestRunner;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use serde_json::json;
 
+use crate::fuzz;
+
 const SEED: u64 = 20_261_204;
 const CASES: u32 = 32;
 const LENGTH: usize = 120;
@@ -336,22 +336,11 @@
 
 #[test]
 fn config_machine() {
-    let cases = std::env::var("CONFIG_MACHINE_CASES");
-    let cases = cases.map_or(CASES, |cases| cases.parse().unwrap());
-    let config = ProptestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        max_shrink_time: 20_000,
-        ..ProptestConfig::default()
-    };
-    let strategy = Script::sequential_strategy(1..LENGTH);
-    let result = TestRunner::new(config.clone()).run(&strategy, |(state, operations, seen)| {
-        Machine::test_sequential(config.clone(), state, operations, seen);
-        Ok(())
-    });
+    let config = fuzz::config(SEED, CASES);
+    let result = fuzz::run::<Machine>(&config, 1..LENGTH);
+    let settings = fuzz::describe(&config);
     println!(
-        "config_machine: seed {SEED}, {cases} cases, {} operations, {} checks",
+        "config_machine: {settings}, {} operations, {} checks",
         OPERATIONS.load(Ordering::Relaxed),
         CHECKS.load(Ordering::Relaxed),
     );
--- a/crates/core/tests/test_dispatch_machine.rs
+++ b/crates/core/tests/test_dispatch_machine.rs
@@ -1,6 +1,4 @@
 //! P7: a refusal that says "not run" is true.
-//!
-//! `DISPATCH_CASES` sets the number of cases for a longer run.
 
 use std::collections::BTreeMap;
 use std::sync::atomic::AtomicU64;
@@ -20,12 +18,11 @@
 use lavenderhollow_types::RefusalKind;
 use lavenderhollow_types::Verdict;
 use proptest::prelude::*;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
-use proptest::test_runner::TestRunner;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 
+use crate::fuzz;
+
 const SEED: u64 = 7_001;
 const CASES: u32 = 300;
 const TARGETS: usize = 3;
@@ -325,28 +322,17 @@
 
 #[test]
 fn dispatch_machine() {
-    let cases = std::env::var("DISPATCH_CASES").map_or(CASES, |text| text.parse().unwrap());
-    let config = Config {
-        cases,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let result = TestRunner::new(config.clone()).run(
-        &Model::sequential_strategy(50..300usize),
-        |((), ops, seen)| {
-            Dispatch::test_sequential(config.clone(), (), ops, seen);
-            Ok(())
-        },
-    );
+    let config = fuzz::config(SEED, CASES);
+    let result = fuzz::run::<Dispatch>(&config, 50..300);
     let operations = OPERATIONS.load(Ordering::Relaxed);
     let runs = RUNS.load(Ordering::Relaxed);
     let refused = REFUSED.load(Ordering::Relaxed);
+    let settings = fuzz::describe(&config);
     println!(
-        "dispatch_machine: seed {SEED}, {cases} cases, {operations} operations, {runs} runs, \
+        "dispatch_machine: {settings}, {operations} operations, {runs} runs, \
          {refused} not run"
     );
-    assert!(result.is_ok(), "{}", result.unwrap_err());
+    result.unwrap_or_else(|failure| panic!("{failure}"));
     assert!(
         runs > 0 && refused > 0,
         "too little happened to prove anything"
--- a/crates/core/tests/test_drain_machine.rs
+++ b/crates/core/tests/test_drain_machine.rs
@@ -13,15 +13,16 @@
 use proptest::prelude::*;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
-use proptest_state_machine::prop_state_machine;
 
-use crate::fleet_world::fuzz_config;
 use crate::fleet_world::granted;
 use crate::fleet_world::vm_name;
+use crate::fuzz;
 use crate::target_world::Op;
 use crate::target_world::TargetWorld;
 use crate::target_world::ops;
 
+const CASES: u32 = 300;
+
 #[derive(Debug)]
 struct Ops;
 
@@ -62,11 +63,11 @@
     }
 }
 
-prop_state_machine! {
-    #![proptest_config(fuzz_config("drain_machine", 300))]
-
-    #[test]
-    fn drain_machine(sequential 100..500 => Machine);
+#[test]
+fn drain_machine() {
+    let config = fuzz::config(fuzz::SEED, CASES);
+    println!("drain_machine: {}", fuzz::describe(&config));
+    fuzz::run::<Machine>(&config, 100..500).unwrap_or_else(|failure| panic!("{failure}"));
 }
 
 /// Guards against a reboot on a report from before this entry alone could start work: work that
--- a/crates/core/tests/test_escrow_machine.rs
+++ b/crates/core/tests/test_escrow_machine.rs
@@ -23,12 +23,11 @@
 use lavenderhollow_types::Version;
 use lavenderhollow_types::ZoneName;
 use proptest::prelude::*;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
-use proptest::test_runner::TestRunner;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 
+use crate::fuzz;
+
 const SEED: u64 = 0x05e5_c801;
 const CASES: u32 = 400;
 
@@ -136,28 +135,11 @@
 
 /// Guards against overshoot of a limit by lost answers, duplicates, races, pauses, replaced
 /// holders, reclaims and limits that change.
-///
-/// `ESCROW_CASES` lengthens the run; `ESCROW_SEED` changes its seed.
 #[test]
 fn escrow_machine() {
-    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse().ok());
-    let seed = number("ESCROW_SEED").unwrap_or(SEED);
-    let cases = number("ESCROW_CASES").map_or(CASES, |cases| cases as u32);
-    let config = Config {
-        cases,
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        ..Config::default()
-    };
-    println!("escrow_machine: seed {seed}, {cases} cases");
-    let script = Script::sequential_strategy(50..200);
-    let run = TestRunner::new(config.clone()).run(&script, |(state, ops, seen)| {
-        Machine::test_sequential(config.clone(), state, ops, seen);
-        Ok(())
-    });
-    if let Err(failure) = run {
-        panic!("seed {seed}: {failure}");
-    }
+    let config = fuzz::config(SEED, CASES);
+    println!("escrow_machine: {}", fuzz::describe(&config));
+    fuzz::run::<Machine>(&config, 50..200).unwrap_or_else(|failure| panic!("{failure}"));
 }
 
 /// Guards against an escrow that is safe only because it hands out nothing.
--- a/crates/core/tests/test_exchange_machine.rs
+++ b/crates/core/tests/test_exchange_machine.rs
@@ -1,6 +1,4 @@
 //! P6: a caller gets the whole answer to its own request, or none.
-//!
-//! `EXCHANGE_CASES` sets the number of cases for a longer run.
 
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -13,12 +11,11 @@
 use lavenderhollow_types::AttemptId;
 use lavenderhollow_types::RequestId;
 use proptest::prelude::*;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
-use proptest::test_runner::TestRunner;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 
+use crate::fuzz;
+
 const SEED: u64 = 6_001;
 const CASES: u32 = 300;
 
@@ -255,28 +252,17 @@
 
 #[test]
 fn exchange_machine() {
-    let cases = std::env::var("EXCHANGE_CASES").map_or(CASES, |text| text.parse().unwrap());
-    let config = Config {
-        cases,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let result = TestRunner::new(config.clone()).run(
-        &Model::sequential_strategy(50..300usize),
-        |((), ops, seen)| {
-            Exchanges::test_sequential(config.clone(), (), ops, seen);
-            Ok(())
-        },
-    );
+    let config = fuzz::config(SEED, CASES);
+    let result = fuzz::run::<Exchanges>(&config, 50..300);
     let operations = OPERATIONS.load(Ordering::Relaxed);
     let delivered = DELIVERED.load(Ordering::Relaxed);
     let dropped = DROPPED.load(Ordering::Relaxed);
+    let settings = fuzz::describe(&config);
     println!(
-        "exchange_machine: seed {SEED}, {cases} cases, {operations} operations, \
+        "exchange_machine: {settings}, {operations} operations, \
          {delivered} delivered, {dropped} dropped"
     );
-    assert!(result.is_ok(), "{}", result.unwrap_err());
+    result.unwrap_or_else(|failure| panic!("{failure}"));
     assert!(
         delivered > 0 && dropped > 0,
         "too little happened to prove anything"
--- a/crates/core/tests/test_jobs_machine.rs
+++ b/crates/core/tests/test_jobs_machine.rs
@@ -1,6 +1,4 @@
 //! P8 for durable jobs: a non-idempotent job runs at most once, and "not run" is true.
-//!
-//! `JOBS_CASES` sets the number of cases for a longer run.
 
 #[path = "jobs/model.rs"]
 mod model;
@@ -11,10 +9,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
-use proptest::test_runner::TestRunner;
-use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 
 use self::model::Model;
@@ -23,6 +17,8 @@
 use self::world::TAKEN;
 use self::world::World;
 
+use crate::fuzz;
+
 const SEED: u64 = 8_002;
 const CASES: u32 = 300;
 
@@ -62,28 +58,17 @@
 
 #[test]
 fn jobs_machine() {
-    let cases = std::env::var("JOBS_CASES").map_or(CASES, |text| text.parse().unwrap());
-    let config = Config {
-        cases,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let result = TestRunner::new(config.clone()).run(
-        &Model::sequential_strategy(50..400usize),
-        |((), ops, seen)| {
-            Jobs::test_sequential(config.clone(), (), ops, seen);
-            Ok(())
-        },
-    );
+    let config = fuzz::config(SEED, CASES);
+    let result = fuzz::run::<Jobs>(&config, 50..400);
     let operations = OPERATIONS.load(Ordering::Relaxed);
     let runs = RUNS.load(Ordering::Relaxed);
     let taken = TAKEN.load(Ordering::Relaxed);
+    let settings = fuzz::describe(&config);
     println!(
-        "jobs_machine: seed {SEED}, {cases} cases, {operations} operations, {runs} runs, \
+        "jobs_machine: {settings}, {operations} operations, {runs} runs, \
          {taken} takeovers"
     );
-    assert!(result.is_ok(), "{}", result.unwrap_err());
+    result.unwrap_or_else(|failure| panic!("{failure}"));
     assert!(
         runs > 0 && taken > 0,
         "too little happened to prove anything"
--- a/crates/core/tests/test_maintenance_machine.rs
+++ b/crates/core/tests/test_maintenance_machine.rs
@@ -8,12 +8,13 @@
 use proptest::prelude::*;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
-use proptest_state_machine::prop_state_machine;
 
 use self::world::ENTRIES;
 use self::world::VMS;
 use self::world::World;
-use crate::fleet_world::fuzz_config;
+use crate::fuzz;
+
+const CASES: u32 = 150;
 
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Command {
@@ -126,9 +127,9 @@
     }
 }
 
-prop_state_machine! {
-    #![proptest_config(fuzz_config("maintenance_machine", 150))]
-
-    #[test]
-    fn maintenance_machine(sequential 40..160 => Machine);
+#[test]
+fn maintenance_machine() {
+    let config = fuzz::config(fuzz::SEED, CASES);
+    println!("maintenance_machine: {}", fuzz::describe(&config));
+    fuzz::run::<Machine>(&config, 40..160).unwrap_or_else(|failure| panic!("{failure}"));
 }
--- a/crates/core/tests/test_membership_machine.rs
+++ b/crates/core/tests/test_membership_machine.rs
@@ -20,19 +20,20 @@
 use proptest::prelude::*;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
-use proptest_state_machine::prop_state_machine;
 
 use crate::fleet_world::add_vm;
 use crate::fleet_world::folded;
-use crate::fleet_world::fuzz_config;
 use crate::fleet_world::listed_vm;
 use crate::fleet_world::vm_name;
+use crate::fuzz;
 use crate::target_world::ENTRIES;
 use crate::target_world::Op;
 use crate::target_world::TARGETS;
 use crate::target_world::TargetWorld;
 use crate::target_world::ops;
 
+const CASES: u32 = 300;
+
 #[derive(Debug)]
 struct Ops;
 
@@ -81,11 +82,11 @@
     }
 }
 
-prop_state_machine! {
-    #![proptest_config(fuzz_config("membership_machine", 300))]
-
-    #[test]
-    fn membership_machine(sequential 100..400 => Machine);
+#[test]
+fn membership_machine() {
+    let config = fuzz::config(fuzz::SEED, CASES);
+    println!("membership_machine: {}", fuzz::describe(&config));
+    fuzz::run::<Machine>(&config, 100..400).unwrap_or_else(|failure| panic!("{failure}"));
 }
 
 fn usage(as_of: Instant) -> Usage {
--- a/crates/core/tests/test_once_machine.rs
+++ b/crates/core/tests/test_once_machine.rs
@@ -1,16 +1,10 @@
 //! P8 for claims and tickets: a non-idempotent request runs at most once.
-//!
-//! `ONCE_CASES` sets the number of cases for a longer run.
 
 #[path = "once/model.rs"]
 mod model;
 #[path = "once/world.rs"]
 mod world;
 
-use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
-use proptest::test_runner::TestRunner;
-use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -21,6 +15,8 @@
 use self::world::RUNS;
 use self::world::World;
 
+use crate::fuzz;
+
 const SEED: u64 = 8_001;
 const CASES: u32 = 300;
 
@@ -78,23 +74,15 @@
 
 #[test]
 fn once_machine() {
-    let cases = std::env::var("ONCE_CASES").map_or(CASES, |text| text.parse().unwrap());
-    let config = Config {
-        cases,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let result = TestRunner::new(config.clone()).run(
-        &Model::sequential_strategy(50..400usize),
-        |((), ops, seen)| {
-            Once::test_sequential(config.clone(), (), ops, seen);
-            Ok(())
-        },
-    );
+    let config = fuzz::config(SEED, CASES);
+    let result = fuzz::run::<Once>(&config, 50..400);
     let operations = OPERATIONS.load(Ordering::Relaxed);
     let runs = RUNS.load(Ordering::Relaxed);
-    println!("once_machine: seed {SEED}, {cases} cases, {operations} operations, {runs} runs");
-    assert!(result.is_ok(), "{}", result.unwrap_err());
-    assert!(runs > u64::from(cases), "too few runs to prove anything");
+    let settings = fuzz::describe(&config);
+    println!("once_machine: {settings}, {operations} operations, {runs} runs");
+    result.unwrap_or_else(|failure| panic!("{failure}"));
+    assert!(
+        runs > u64::from(config.cases),
+        "too few runs to prove anything"
+    );
 }
