--- a/crates/cli/examples/capacity/deployment.rs
+++ b/crates/cli/examples/capacity/deployment.rs
@@ -290,7 +290,7 @@
         .args(["entry", "--settings"])
         .arg(&file)
         .stdout(Stdio::piped())
-        .stderr(Stdio::null())
+        .stderr(Stdio::inherit())
         .spawn()?;
     let output = child.stdout.take().ok_or_eyre("no output")?;
     let mut lines = BufReader::new(output).lines();
