entry: take over the running jobs and allotments of a killed entry

Cause, found by the demo (an entry is killed while a durable job runs):

- The entry submitted `Reclaim` with evidence that is lease + 5 s old, and moved the evidence with every try.
The fold wants lease + 10 s (`CLOCK_MARGIN`), so that every reclaim was refused and the slots of a killed entry were lost until operators intervene.

Ruled out: no leases (2 targets open), configuration not fresh (keyed work taken), reclaims switched off, records lost (four `reclaim` records 6.5 s apart in the stream, none effective).

The note now keeps its first time and is made only when a record is submitted. Reclaims wait for the fold's own margin with fixed evidence.

--- a/crates/core/src/escrow/mod.rs
+++ b/crates/core/src/escrow/mod.rs
@@ -18,5 +18,6 @@
 pub use rebalance::HolderDemand;
 pub use rebalance::Rebalancer;
 pub use rebalance::Step;
+pub use state::CLOCK_MARGIN;
 pub use state::Escrow;
 pub use state::TeamEscrow;
--- a/crates/core/src/escrow/state.rs
+++ b/crates/core/src/escrow/state.rs
@@ -19,7 +19,7 @@
 use crate::fold::State;
 
 /// How far the clocks of the VM list and of the log may differ.
-const CLOCK_MARGIN: Duration = Duration::from_secs(10);
+pub const CLOCK_MARGIN: Duration = Duration::from_secs(10);
 
 /// The allotments of one team in one stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use lavenderhollow_config::Automatic;
+use lavenderhollow_core::escrow::CLOCK_MARGIN;
 use lavenderhollow_core::escrow::Evidence;
 use lavenderhollow_core::exchange::Body;
 use lavenderhollow_core::fold::Outcome;
@@ -77,6 +78,8 @@
     gone: Mutex<BTreeMap<Incarnation, Instant>>,
     /// Jobs with a record under way that the sweep would submit again.
     asked: Mutex<BTreeMap<JobId, Instant>>,
+    /// Holders whose reclaim is under way.
+    reclaimed: Mutex<BTreeMap<Incarnation, Instant>>,
 }
 
 impl DurableJobs {
@@ -87,8 +90,14 @@
     /// Tells whether the sweep may submit a record for a job now, and notes that it does.
     fn may_ask(&self, job: JobId, now: Instant) -> bool {
         let mut asked = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
-        asked.retain(|_, at| now < *at + RECORD_WAIT);
-        asked.insert(job, now).is_none()
+        note_once(&mut asked, job, now)
+    }
+
+    /// Tells whether a reclaim may be submitted now, and notes that it is.
+    fn may_reclaim(&self, holder: Incarnation, now: Instant) -> bool {
+        let reclaimed = self.reclaimed.lock();
+        let mut reclaimed = reclaimed.unwrap_or_else(PoisonError::into_inner);
+        note_once(&mut reclaimed, holder, now)
     }
 
     /// Returns the number of jobs that are worked on.
@@ -97,6 +106,15 @@
     }
 }
 
+/// Notes the time of a record and returns true, unless one was noted less than `RECORD_WAIT` ago.
+fn note_once<K: Ord>(noted: &mut BTreeMap<K, Instant>, key: K, now: Instant) -> bool {
+    noted.retain(|_, at| now < *at + RECORD_WAIT);
+    // An earlier time stays: a caller that asks again and again must be let through in the end.
+    let fresh = !noted.contains_key(&key);
+    noted.entry(key).or_insert(now);
+    fresh
+}
+
 /// Stores a job in the log.
 ///
 /// # Errors
@@ -413,21 +431,25 @@
     for who in owners.iter().chain(&holders) {
         gone.entry(*who).or_insert(now);
     }
-    let wait = cx.settings.lease + LEASE_MARGIN;
-    let over = |(who, at): (&Incarnation, &Instant)| (now >= *at + wait).then_some(*who);
-    let ended: BTreeSet<Incarnation> = gone.iter().filter_map(over).collect();
+    let over = |at: &Instant, margin| now >= *at + cx.settings.lease + margin;
     if config.config.automatic.is_on(Automatic::Reclaims) {
-        for holder in holders.intersection(&ended) {
-            let evidence = Evidence {
-                gone: cx.clock.wall() - wait,
-            };
-            let change = allotments::reclaim(*holder, evidence);
-            cx.streams.zone.submit(change, None);
-            gone.insert(*holder, now);
+        for holder in &holders {
+            // The fold compares the evidence with the log's clock, hence the larger margin.
+            let at = gone.get(holder).filter(|at| over(at, CLOCK_MARGIN));
+            if let Some(at) = at
+                && cx.jobs.may_reclaim(*holder, now)
+            {
+                let evidence = Evidence {
+                    gone: cx.clock.wall() - now.saturating_duration_since(*at),
+                };
+                let change = allotments::reclaim(*holder, evidence);
+                cx.streams.zone.submit(change, None);
+            }
         }
     }
     for owner in &owners {
-        take_over_jobs(cx, *owner, ended.contains(owner));
+        let ended = gone.get(owner).is_some_and(|at| over(at, LEASE_MARGIN));
+        take_over_jobs(cx, *owner, ended);
     }
 }
 
@@ -437,14 +459,12 @@
         let jobs = &fold.state().jobs;
         let owned = jobs.owned(owner).filter_map(|id| {
             let job = jobs.get(id)?;
-            if !cx.jobs.may_ask(id, cx.clock.now()) {
-                return None;
-            }
-            match &job.stage {
+            let taken = match &job.stage {
                 Stage::Waiting => Some((id, None)),
                 Stage::Running(attempt) if ended => Some((id, Some(attempt.id))),
                 _ => None,
-            }
+            };
+            taken.filter(|_| cx.jobs.may_ask(id, cx.clock.now()))
         });
         owned
             .map(|(job, attempt)| JobChange::TakeOver { job, attempt }.into())
