--- a/crates/testing/src/standin/worker_control.rs
+++ b/crates/testing/src/standin/worker_control.rs
@@ -84,6 +84,9 @@
 pub struct Runs {
     /// How often a task was started for each request.
     pub runs: BTreeMap<RequestId, u32>,
+    /// How often a task was started for each short text body, whatever id an entry gave it.
+    #[serde(default)]
+    pub bodies: BTreeMap<String, u32>,
 }
 
 type Request = RequestContext<Arc<Worker>>;
@@ -114,7 +117,11 @@
 /// Returns how often each request was started.
 #[endpoint { method = GET, path = "/runs" }]
 async fn get_runs(request: Request) -> Answer {
-    let runs = request.context().state().runs().clone();
-    let runs = runs.into_iter().collect();
-    json(StatusCode::OK, &Runs { runs })
+    let state = request.context().state();
+    let runs = state.runs().iter().map(|(id, count)| (*id, *count));
+    let runs = Runs {
+        runs: runs.collect(),
+        bodies: state.bodies().clone(),
+    };
+    json(StatusCode::OK, &runs)
 }
--- a/crates/testing/src/standin/worker_state.rs
+++ b/crates/testing/src/standin/worker_state.rs
@@ -19,6 +19,9 @@
 use lavenderhollow_types::Incarnation;
 use lavenderhollow_types::RequestId;
 
+/// The longest body that is counted. A limit keeps long measurements with large bodies small.
+const MAX_COUNTED_BODY: usize = 64;
+
 #[derive(Clone, Debug)]
 struct Running {
     task: RunningTask,
@@ -34,6 +37,7 @@
     tasks: BTreeMap<u64, Running>,
     next_key: u64,
     runs: HashMap<RequestId, u32>,
+    bodies: BTreeMap<String, u32>,
     boots: u64,
 }
 
@@ -120,6 +124,7 @@
         let key = self.next_key;
         self.next_key += 1;
         *self.runs.entry(start.request).or_default() += 1;
+        self.count_body(&start.body);
         let running = Running {
             task: RunningTask {
                 request: start.request,
@@ -257,6 +262,19 @@
         &self.runs
     }
 
+    /// Returns how often each short text body was started.
+    pub fn bodies(&self) -> &BTreeMap<String, u32> {
+        &self.bodies
+    }
+
+    fn count_body(&mut self, body: &[u8]) {
+        if body.len() <= MAX_COUNTED_BODY
+            && let Ok(text) = std::str::from_utf8(body)
+        {
+            *self.bodies.entry(text.to_owned()).or_default() += 1;
+        }
+    }
+
     fn running(&self) -> impl Iterator<Item = &Running> {
         self.tasks.values().filter(|task| task.ended.is_none())
     }
