--- a/crates/cli/src/command/entry.rs
+++ b/crates/cli/src/command/entry.rs
@@ -1,8 +1,10 @@
 //! `entry`: runs an entry process.
 
+use std::io::Write;
 use std::path::PathBuf;
 
 use eyre::WrapErr;
+use lavenderhollow_entry::Entry;
 use lavenderhollow_entry::EntryBuilder;
 use lavenderhollow_entry::Settings;
 use lavenderhollow_entry::install_metrics;
@@ -61,17 +63,26 @@
         .apply();
 }
 
+/// Prints where the entry listens. A closed standard output must not end the entry.
+fn print_addresses(entry: &Entry) {
+    let mut lines = format!(
+        "callers {}\noperators {}\npeers {}\n",
+        entry.callers(),
+        entry.operators(),
+        entry.peers()
+    );
+    if let Some(address) = entry.metrics() {
+        lines.push_str(&format!("metrics {address}\n"));
+    }
+    let _ = std::io::stdout().write_all(lines.as_bytes());
+}
+
 async fn serve(settings: Settings) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let metrics = install_metrics()?;
     let mut entry = EntryBuilder::new(settings).metrics(metrics).start().await?;
-    println!("callers {}", entry.callers());
-    println!("operators {}", entry.operators());
-    println!("peers {}", entry.peers());
-    if let Some(address) = entry.metrics() {
-        println!("metrics {address}");
-    }
+    print_addresses(&entry);
     log::info!("entry started");
     tokio::select! {
         _ = terminate.recv() => {}
