entry: send the declared run time to workers

Cause: a start request carried the learned run time, which contains the worker's own overhead and is rounded up to a bucket, so that each request was asked to run longer than those it was learned from. Ruled out: load on the machine, as the values are those of the request header. Before: 256 ms asked for after a few seconds of load on a queue declared with 20 ms. The learned time still decides on waiting.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -54,6 +54,9 @@
     pub(crate) wanted: Wanted,
     pub(crate) idempotent: bool,
     pub(crate) deadline: Instant,
+    /// The declared run time. The learned one contains what the worker adds to it, so that sending
+    /// that one would make each request longer than those it was learned from.
+    pub(crate) run_time: Duration,
     pub(crate) body: Bytes,
 }
 
@@ -196,7 +199,7 @@
             holder: sent.holder(),
             end: sent.lease_end(),
         },
-        run_time: request.wanted.run_time,
+        run_time: request.run_time,
         saved: Duration::ZERO,
         trace: trace::header_of(span),
         body: request.body.clone(),
--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -335,6 +335,7 @@
         Err(_) => {
             // The record may still be accepted; the job then goes back to waiting.
             cx.streams.zone.submit(pending.abandon().into(), None);
+        run_time: job.spec.run_time,
             None
         }
     }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -123,6 +123,7 @@
         wanted: dispatch::wanted(cx, &arrival.admission, arrival.urgent, &arrival.body),
         idempotent: arrival.admission.settings.idempotent,
         deadline: arrival.deadline,
+        run_time: arrival.admission.settings.run_time,
         body: arrival.body.clone(),
     }
 }
