entry: deliver answers that are too large to be kept

Cause: every answer went through the form in which answers are kept for repeats, which drops a body above 16 KiB. Ruled out: the worker client and the exchange, which delivered the whole body. Before: a request with an answer of 300 kB ran and was answered with may_have_run, without a key as well. After: the first caller gets the whole answer; only a repeat of a key or ticket is told that the answer was too large.

--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -136,8 +136,7 @@
     match &forward.purpose {
         ForwardFor::Room => {
             let request = serve::local(cx, &arrival);
-            let verdict = dispatch::run(cx, request, span).await;
-            serve::forwarded(verdict.map(|reply| serve::stored(&reply)))
+            serve::forwarded(dispatch::run(cx, request, span).await)
         }
         ForwardFor::Claim(key) => serve::forwarded(serve::claim(cx, &arrival, key, span).await),
         ForwardFor::Ticket(text) => serve::ticket(cx, &arrival, text, forward.hops, span).await,
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -113,7 +113,7 @@
         }
     }
     let verdict = dispatch::run(cx, local(cx, arrival), span).await;
-    bytes_of(verdict.map(|reply| stored(&reply)))
+    verdict.map(|reply| reply.body)
 }
 
 /// Makes the request to be sent to a target of this entry.
@@ -181,20 +181,19 @@
     arrival: &Arrival,
     text: &str,
     span: &Span,
-) -> Verdict<Stored> {
+) -> Verdict<Reply> {
     let grant = match cx.tickets.spend(text, arrival.digest(), cx.clock.now()) {
         Spend::Granted(grant) => grant,
-        Spend::Answered(verdict) => return verdict,
+        Spend::Answered(verdict) => return kept(verdict),
         Spend::Running => {
             return Verdict::MayHaveRun(Doubt::new("an earlier submission is still running"));
         }
     };
     let request = Arc::new(local(cx, arrival));
     let (permit, running) = grant.permit(request, arrival.deadline);
-    let verdict = dispatch::run_permit(cx, permit, span)
-        .await
-        .map(|reply| stored(&reply));
-    cx.tickets.settle(running, verdict.clone(), cx.clock.now());
+    let verdict = dispatch::run_permit(cx, permit, span).await;
+    cx.tickets
+        .settle(running, to_keep(&verdict), cx.clock.now());
     verdict
 }
 
@@ -204,7 +203,8 @@
         return Verdict::NotRun(Refusal::new(RefusalKind::Unauthorized, detail));
     };
     if member.settings.home == cx.settings.zone {
-        return bytes_of(claim(cx, &arrival, text, span).await);
+        let verdict = claim(cx, &arrival, text, span).await;
+        return verdict.map(|reply| reply.body);
     }
     let unreachable = |detail: &str| {
         let refusal = Refusal::new(RefusalKind::LogUnavailable, detail);
@@ -228,7 +228,7 @@
     arrival: &Arrival,
     text: &str,
     span: &Span,
-) -> Verdict<Stored> {
+) -> Verdict<Reply> {
     let invalid = |detail: String| Verdict::NotRun(Refusal::new(RefusalKind::Invalid, detail));
     let key: ClaimKey = match text.parse() {
         Ok(key) => key,
@@ -245,17 +245,15 @@
     });
     let pending = match pending {
         Ok(pending) => pending,
-        Err(verdict) => return verdict,
+        Err(verdict) => return kept(verdict),
     };
     match resolve(cx, pending).await {
         Ok(permit) => {
-            let verdict = dispatch::run_permit(cx, permit, span)
-                .await
-                .map(|reply| stored(&reply));
-            settle(cx, key, verdict.clone());
+            let verdict = dispatch::run_permit(cx, permit, span).await;
+            settle(cx, key, to_keep(&verdict));
             verdict
         }
-        Err(verdict) => verdict,
+        Err(verdict) => kept(verdict),
     }
 }
 
@@ -420,20 +418,35 @@
     jobs::view(cx, &member.name, job).ok_or_else(missing)
 }
 
-/// Keeps a target's answer.
-pub(crate) fn stored(reply: &Reply) -> Stored {
-    let status = match reply.status {
-        TaskStatus::Succeeded => STATUS_SUCCEEDED,
-        _ => STATUS_FAILED,
-    };
-    Stored::new(status, Body::from(&reply.body[..]))
+/// Returns what is kept of a verdict for repeats; a large answer is kept without its body.
+fn to_keep(verdict: &Verdict<Reply>) -> Verdict<Stored> {
+    match verdict {
+        Verdict::Ran(reply) => {
+            let status = match reply.status {
+                TaskStatus::Succeeded => STATUS_SUCCEEDED,
+                _ => STATUS_FAILED,
+            };
+            Verdict::Ran(Stored::new(status, Body::from(&reply.body[..])))
+        }
+        Verdict::NotRun(refusal) => Verdict::NotRun(refusal.clone()),
+        Verdict::MayHaveRun(doubt) => Verdict::MayHaveRun(doubt.clone()),
+    }
 }
 
-fn bytes_of(verdict: Verdict<Stored>) -> Verdict<Bytes> {
+/// Returns the verdict for a repeat.
+fn kept(verdict: Verdict<Stored>) -> Verdict<Reply> {
     match verdict {
         Verdict::Ran(Stored {
-            body: Some(body), ..
-        }) => Verdict::Ran(Bytes::copy_from_slice(body.as_ref())),
+            body: Some(body),
+            status,
+            ..
+        }) => Verdict::Ran(Reply {
+            status: match status {
+                STATUS_SUCCEEDED => TaskStatus::Succeeded,
+                _ => TaskStatus::Failed,
+            },
+            body: Bytes::copy_from_slice(body.as_ref()),
+        }),
         Verdict::Ran(_) => {
             let detail = "the request ran, but its answer was too large to be kept for a repeat";
             Verdict::MayHaveRun(Doubt::new(detail))
@@ -453,12 +466,11 @@
 }
 
 /// Turns a verdict into the answer to a forwarded request.
-pub(crate) fn forwarded(verdict: Verdict<Stored>) -> ForwardReply {
-    let succeeded = matches!(&verdict, Verdict::Ran(stored) if stored.status == STATUS_SUCCEEDED);
-    match bytes_of(verdict) {
-        Verdict::Ran(body) => ForwardReply::Ran {
-            succeeded,
-            body: body.to_vec(),
+pub(crate) fn forwarded(verdict: Verdict<Reply>) -> ForwardReply {
+    match verdict {
+        Verdict::Ran(reply) => ForwardReply::Ran {
+            succeeded: reply.status == TaskStatus::Succeeded,
+            body: reply.body.to_vec(),
         },
         Verdict::NotRun(refusal) => ForwardReply::NotRun(refusal),
         Verdict::MayHaveRun(doubt) => ForwardReply::MayHaveRun(doubt),
