entry: refuse large and broken bodies with a verdict

Cause: the HTTP library read the body before the handler, and its refusal has no verdict. Before: status 400 without lavenderhollow-verdict. After: not_run with kind invalid; a request without a valid key is refused before its body is read.

--- a/crates/entry/src/api/caller.rs
+++ b/crates/entry/src/api/caller.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use dropshot::ApiDescription;
 use dropshot::ApiDescriptionRegisterError;
 use dropshot::Path;
 use dropshot::RequestContext;
-use dropshot::UntypedBody;
+use dropshot::StreamingBody;
 use dropshot::endpoint;
+use futures::TryStreamExt;
 use http::StatusCode;
 use lavenderhollow_core::keyring::Admission;
 use lavenderhollow_types::JobId;
@@ -65,7 +67,7 @@
 
 /// Runs a request and answers with its result.
 #[endpoint { method = POST, path = "/v1/queues/{queue}/requests" }]
-async fn run_request(rqctx: Request, path: Path<QueuePath>, body: UntypedBody) -> Answer {
+async fn run_request(rqctx: Request, path: Path<QueuePath>, body: StreamingBody) -> Answer {
     let cx = rqctx.context();
     let queue = path.into_inner().queue;
     let started = cx.clock.now();
@@ -75,8 +77,7 @@
     };
     let span = trace::hop("entry", headers.trace.as_deref());
     let header = trace::header_of(&span);
-    let body = Bytes::copy_from_slice(body.as_bytes());
-    let verdict = match arrive(cx, &queue, headers, body) {
+    let verdict = match arrive(cx, &queue, headers, body).await {
         Ok(arrival) => serve::request(cx, arrival, &span).await,
         Err(refusal) => Verdict::NotRun(refusal),
     };
@@ -88,7 +89,7 @@
 
 /// Stores a durable job.
 #[endpoint { method = POST, path = "/v1/queues/{queue}/jobs" }]
-async fn submit_job(rqctx: Request, path: Path<QueuePath>, body: UntypedBody) -> Answer {
+async fn submit_job(rqctx: Request, path: Path<QueuePath>, body: StreamingBody) -> Answer {
     let cx = rqctx.context();
     let queue = path.into_inner().queue;
     let headers = match CallerHeaders::read(rqctx.request.headers()) {
@@ -96,8 +97,7 @@
         Err(refusal) => return reply::refused(&refusal),
     };
     let span = trace::hop("entry", headers.trace.as_deref());
-    let body = Bytes::copy_from_slice(body.as_bytes());
-    let submitted = match arrive(cx, &queue, headers, body) {
+    let submitted = match arrive(cx, &queue, headers, body).await {
         Ok(arrival) => serve::submit(cx, arrival, &span).await,
         Err(refusal) => Err(refusal),
     };
@@ -166,13 +166,15 @@
     reply::json(status, &serde_json::json!({ "ready": ready }))
 }
 
-fn arrive(
+/// Admits a request and reads its body.
+async fn arrive(
     cx: &Arc<Context>,
     queue: &str,
     headers: CallerHeaders,
-    body: Bytes,
+    body: StreamingBody,
 ) -> Result<Arrival, Refusal> {
     let admission: Admission = cx.admit(headers.key.as_ref(), queue)?;
+    let body = read_body(body).await?;
     let longest = admission.settings.deadline;
     let wait: Duration = headers.deadline.map_or(longest, |wait| wait.min(longest));
     Ok(Arrival {
@@ -185,6 +187,20 @@
     })
 }
 
+/// Reads a whole body. It is read here, because the HTTP library's own refusal of a large or broken
+/// body has no verdict.
+async fn read_body(body: StreamingBody) -> Result<Bytes, Refusal> {
+    let chunks = body
+        .into_stream()
+        .try_fold(BytesMut::new(), |mut all, chunk| async move {
+            all.extend_from_slice(&chunk);
+            Ok(all)
+        });
+    let body = chunks.await;
+    let body = body.map_err(|error| Refusal::new(RefusalKind::Invalid, error.external_message));
+    body.map(BytesMut::freeze)
+}
+
 /// Returns the queue's name for a label, so that callers can't create labels.
 fn known(cx: &Context, queue: String) -> String {
     let installed = cx.config.load();
