entry: keep targets open while no zone reaches the log

Cause: targets close when the fold of the fleet stream was not confirmed for 5 s, and only a read of the log confirmed it. Ruled out: leases and probes, which went on. After: the fold also counts as the newest when every zone was heard and none reaches the log, the rule that keyed work has.

--- a/crates/entry/src/observers.rs
+++ b/crates/entry/src/observers.rs
@@ -93,6 +93,33 @@
             cx.pools.targets_changed(&cx);
         }
     }
+
+    fn unreachable(&self) {
+        let Some(cx) = self.0.upgrade() else {
+            return;
+        };
+        let now = cx.clock.now();
+        if let Some(since) = unchanged_since(&cx, now) {
+            cx.streams.fleet.read(|fold| {
+                let maintenance = &fold.state().maintenance;
+                cx.targets.on_unchanged(maintenance, since, now);
+            });
+            cx.pools.targets_changed(&cx);
+        }
+    }
+}
+
+/// Returns since when no entry can have read a new record, when every zone was heard and none
+/// reaches the log.
+fn unchanged_since(cx: &Context, now: Instant) -> Option<Instant> {
+    cx.with_freshness(|freshness| {
+        let known = freshness.keyed_until(now)?;
+        let known = known.checked_sub(cx.settings.staleness_bound)?;
+        // Without this the time may be that of a read of the `config` stream by a peer, which says
+        // nothing about the `fleet` stream.
+        let by_zones = freshness.age(now)? > now.saturating_duration_since(known);
+        (by_zones && !freshness.reaches_log()).then_some(known)
+    })
 }
 
 /// Observes the stream of the entry's zone.
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -143,6 +143,13 @@
         view.membership.publish(now);
     }
 
+    /// Takes in that the fold is still the newest, because no entry has read a record since.
+    pub(crate) fn on_unchanged(&self, state: &Maintenance, since: Instant, now: Instant) {
+        let mut view = self.view();
+        view.membership.on_fold(state, since);
+        view.membership.publish(now);
+    }
+
     /// Returns when the fold was last known to be at the log's head.
     pub(crate) fn folded_at(&self) -> Option<Instant> {
         self.view().folded_at
