--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -337,8 +337,9 @@
 
 /// Reads the records of a page.
 ///
-/// What is no record at all has no effect. A record with a change that this version of the program
-/// does not know ends the page: skipping it would give another state than newer entries have.
+/// What is no record at all has no effect, nor has a snapshot that can't be read, because a snapshot
+/// changes no state. A record with a change that this version of the program does not know ends the
+/// page: skipping it would give another state than newer entries have.
 fn typed<S: State>(page: lavenderhollow_log::Page) -> Page<S> {
     let mut items = Vec::with_capacity(page.records.len());
     for logged in page.records {
@@ -363,5 +364,6 @@
 }
 
 fn is_foreign(text: &str) -> bool {
-    serde_json::from_str::<Item<Value, Value>>(text).is_err()
+    let item = serde_json::from_str::<Item<Value, Value>>(text);
+    !matches!(item, Ok(Item::Change(_)))
 }
