entry: release what a lowered limit withholds from a zone

Cause: entries returned their excess to the zone's stream, and the zone released it to the fleet only for a transfer. The fold allots nothing while the sum is above the limit. Ruled out: the rebalancer, which had no step to take. Checked by two_entries_keep_a_limit_under_load.

--- a/crates/entry/src/allotments.rs
+++ b/crates/entry/src/allotments.rs
@@ -180,6 +180,8 @@
         if round.leads {
             self.fund(round, &local);
         }
+            // The fleet's stream allots nothing while the sum is above a lowered limit.
+            self.release(round, &local, local.zone.excess());
         self.give_excess(round);
         if !round.transfers {
             return;
