entry: stop the task of a cancelled job

Cause: the fold marked a running job as cancelled and nothing told its worker. Before: a cancelled job of 30 s kept its slot and its part of the limit to its end. After: the owner stops the task at the worker. The note of jobs with a record under way was renewed at each look, so that a lost record was never submitted again; it now ends after its time.

--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -14,6 +14,7 @@
 use lavenderhollow_core::escrow::Evidence;
 use lavenderhollow_core::exchange::Body;
 use lavenderhollow_core::fold::Outcome;
+use lavenderhollow_core::jobs::Attempt;
 use lavenderhollow_core::jobs::Job;
 use lavenderhollow_core::jobs::JobChange;
 use lavenderhollow_core::jobs::JobOutcome;
@@ -83,6 +84,8 @@
     /// Jobs with a record under way that the sweep would submit again.
     asked: Mutex<BTreeMap<JobId, Instant>>,
 }
+    /// Cancelled jobs whose workers were told to stop them.
+    stopped: Mutex<BTreeMap<JobId, Instant>>,
 
 impl DurableJobs {
     fn active(&self) -> MutexGuard<'_, BTreeSet<JobId>> {
@@ -91,9 +94,12 @@
 
     /// Tells whether the sweep may submit a record for a job now, and notes that it does.
     fn may_ask(&self, job: JobId, now: Instant) -> bool {
-        let mut asked = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
-        asked.retain(|_, at| now < *at + RECORD_WAIT);
-        asked.insert(job, now).is_none()
+        first_within(&self.asked, job, now)
+    }
+
+    /// Tells whether the worker of a cancelled job may be called now, and notes that it is.
+    fn may_stop(&self, job: JobId, now: Instant) -> bool {
+        first_within(&self.stopped, job, now)
     }
 
     /// Returns the number of jobs that are worked on.
@@ -103,6 +109,16 @@
 }
 
 /// Stores a job in the log.
+/// Notes a job, and tells whether it was not noted within [`RECORD_WAIT`].
+fn first_within(noted: &Mutex<BTreeMap<JobId, Instant>>, job: JobId, now: Instant) -> bool {
+    let mut noted = noted.lock().unwrap_or_else(PoisonError::into_inner);
+    noted.retain(|_, at| now < *at + RECORD_WAIT);
+    match noted.contains_key(&job) {
+        true => false,
+        false => noted.insert(job, now).is_none(),
+    }
+}
+
 ///
 /// # Errors
 ///
@@ -219,11 +235,43 @@
         start_waiting(cx);
         take_over(cx);
     }
+        stop_cancelled(cx);
 }
 
 fn start_waiting(cx: &Arc<Context>) {
     let (waiting, stranded) = cx.streams.zone.read(|fold| {
         let jobs = &fold.state().jobs;
+/// Stops the tasks of cancelled jobs. The attempt's own answer records the end of the job.
+fn stop_cancelled(cx: &Arc<Context>) {
+    let tasks: Vec<(JobId, Attempt)> = cx.streams.zone.read(|fold| {
+        let jobs = &fold.state().jobs;
+        let owned = jobs.owned(cx.incarnation).filter_map(|id| {
+            let job = jobs.get(id).filter(|job| job.cancelled)?;
+            match &job.stage {
+                Stage::Running(attempt) => Some((id, attempt.clone())),
+                _ => None,
+            }
+        });
+        owned.collect()
+    });
+    for (job, attempt) in tasks {
+        let Some(address) = cx.targets.address(&attempt.worker) else {
+            continue;
+        };
+        if cx.jobs.may_stop(job, cx.clock.now()) {
+            let cx = Arc::clone(cx);
+            tokio::spawn(async move {
+                // A task that has ended meanwhile is unknown to the worker. After another failure
+                // the sweep tries again.
+                let stopped = cx.workers.stop(address, attempt.id, cx.incarnation);
+                if let Err(error) = stopped.await {
+                    log::debug!("cancelled job {job} was not stopped: {error}");
+                }
+            });
+        }
+    }
+}
+
         let waiting: Vec<JobId> = jobs.waiting(cx.incarnation).collect();
         let running = jobs.owned(cx.incarnation).filter_map(|id| {
             let job = jobs.get(id)?;
