entry: end durable jobs that no worker can run

Cause: a refusal while a durable job waited for a target was dropped, also one that time does not change. Before: a job larger than every worker waited for ever. After: it ends as not run, or as may have run after doubt. Checked by requests_that_fit_no_worker_are_refused.

--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -34,6 +34,7 @@
 use lavenderhollow_core::zone::ZoneRejection;
 use lavenderhollow_platform::TaskStatus;
 use lavenderhollow_types::AttemptId;
+use lavenderhollow_types::Doubt;
 use lavenderhollow_types::Incarnation;
 use lavenderhollow_types::JobId;
 use lavenderhollow_types::Refusal;
@@ -323,8 +324,9 @@
         return;
     };
     let deadline = cx.clock.now() + TARGET_WAIT + wanted.run_time;
-    let Ok(grant) = cx.pools.acquire(cx, &wanted, deadline).await else {
-        return;
+    let grant = match cx.pools.acquire(cx, &wanted, deadline).await {
+        Ok(grant) => grant,
+        Err(refusal) => return end_refused(cx, id, refusal).await,
     };
     let request = Arc::new(Request {
         id: RequestId::from(id.as_uuid()),
@@ -345,6 +347,32 @@
 fn wanted(cx: &Context, job: &Job) -> Option<Wanted> {
     let installed = cx.config.load();
     let queue = installed.config.queues.get(&job.spec.queue)?;
+/// Ends a waiting job that no worker will ever run. Any other refusal may pass.
+async fn end_refused(cx: &Context, job: JobId, refusal: Refusal) {
+    let kind = refusal.kind;
+    if !matches!(kind, RefusalKind::Impossible | RefusalKind::Quarantined) {
+        return;
+    }
+    let doubt = cx
+        .streams
+        .zone
+        .read(|fold| fold.state().jobs.get(job).is_some_and(|job| job.doubt));
+    let outcome = match doubt {
+        true => JobOutcome::MayHaveRun(Doubt::new("an attempt brought no answer")),
+        false => JobOutcome::NotRun(refusal),
+    };
+    let change = JobChange::Finish {
+        job,
+        attempt: None,
+        outcome,
+    };
+    // Without an outcome the job is still waiting, and the sweep looks at it again.
+    let ended = cx.streams.zone.propose(change.into(), None, RECORD_WAIT);
+    if ended.await.is_ok_and(|outcome| outcome.is_accepted()) {
+        metrics::counter!(metric::JOBS, "event" => "finished").increment(1);
+    }
+}
+
     Some(Wanted {
         pool: queue.pool.clone(),
         queue: job.spec.queue.clone(),
