entry: accept the repeated submission of a finished job

Cause: a finished job has no body any more, and the bodies were compared. Before: a repeat of a submission after the job's end was refused as another job. After: team and queue decide for a finished job. A key that is used again for another body after the job's end is not noticed, for which the job would have to keep a digest. Checked by appends_with_lost_or_late_answers_take_effect_once.

--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -84,9 +84,9 @@
     gone: Mutex<BTreeMap<Incarnation, Instant>>,
     /// Jobs with a record under way that the sweep would submit again.
     asked: Mutex<BTreeMap<JobId, Instant>>,
-}
     /// Cancelled jobs whose workers were told to stop them.
     stopped: Mutex<BTreeMap<JobId, Instant>>,
+}
 
 impl DurableJobs {
     fn active(&self) -> MutexGuard<'_, BTreeSet<JobId>> {
@@ -109,7 +109,6 @@
     }
 }
 
-/// Stores a job in the log.
 /// Notes a job, and tells whether it was not noted within [`RECORD_WAIT`].
 fn first_within(noted: &Mutex<BTreeMap<JobId, Instant>>, job: JobId, now: Instant) -> bool {
     let mut noted = noted.lock().unwrap_or_else(PoisonError::into_inner);
@@ -120,6 +119,7 @@
     }
 }
 
+/// Stores a job in the log.
 ///
 /// # Errors
 ///
@@ -159,13 +159,15 @@
     }
 }
 
-/// A repeated submission is the same job when team, queue and body are the same.
+/// A repeated submission is the same job when team, queue and body are the same. A finished job
+/// has no body any more, so that team and queue decide.
 fn repeated(cx: &Context, job: JobId, spec: &JobSpec) -> Result<(), Refusal> {
     let same = cx.streams.zone.read(|fold| {
         let known = fold.state().jobs.get(job);
         known.is_some_and(|known| {
-            (&known.spec.team, &known.spec.queue, &known.spec.body)
-                == (&spec.team, &spec.queue, &spec.body)
+            let finished = matches!(known.stage, Stage::Finished { .. });
+            let same = (&known.spec.team, &known.spec.queue) == (&spec.team, &spec.queue);
+            same && (finished || known.spec.body == spec.body)
         })
     });
     if same {
@@ -233,15 +235,12 @@
         if cx.gate.is_closing() {
             continue;
         }
+        stop_cancelled(cx);
         start_waiting(cx);
         take_over(cx);
     }
-        stop_cancelled(cx);
 }
 
-fn start_waiting(cx: &Arc<Context>) {
-    let (waiting, stranded) = cx.streams.zone.read(|fold| {
-        let jobs = &fold.state().jobs;
 /// Stops the tasks of cancelled jobs. The attempt's own answer records the end of the job.
 fn stop_cancelled(cx: &Arc<Context>) {
     let tasks: Vec<(JobId, Attempt)> = cx.streams.zone.read(|fold| {
@@ -273,6 +272,9 @@
     }
 }
 
+fn start_waiting(cx: &Arc<Context>) {
+    let (waiting, stranded) = cx.streams.zone.read(|fold| {
+        let jobs = &fold.state().jobs;
         let waiting: Vec<JobId> = jobs.waiting(cx.incarnation).collect();
         let running = jobs.owned(cx.incarnation).filter_map(|id| {
             let job = jobs.get(id)?;
@@ -333,6 +335,7 @@
         wanted,
         idempotent: job.spec.idempotent,
         deadline: cx.clock.now() + RUN_LIMIT,
+        run_time: job.spec.run_time,
         body: Bytes::copy_from_slice(job.spec.body.as_ref()),
     });
     let Some(start) = record_start(cx, id, &request, &grant).await else {
@@ -344,9 +347,6 @@
     record_end(cx, id, attempt, &request, result).await;
 }
 
-fn wanted(cx: &Context, job: &Job) -> Option<Wanted> {
-    let installed = cx.config.load();
-    let queue = installed.config.queues.get(&job.spec.queue)?;
 /// Ends a waiting job that no worker will ever run. Any other refusal may pass.
 async fn end_refused(cx: &Context, job: JobId, refusal: Refusal) {
     let kind = refusal.kind;
@@ -373,6 +373,9 @@
     }
 }
 
+fn wanted(cx: &Context, job: &Job) -> Option<Wanted> {
+    let installed = cx.config.load();
+    let queue = installed.config.queues.get(&job.spec.queue)?;
     Some(Wanted {
         pool: queue.pool.clone(),
         queue: job.spec.queue.clone(),
@@ -411,7 +414,6 @@
         Err(_) => {
             // The record may still be accepted; the job then goes back to waiting.
             cx.streams.zone.submit(pending.abandon().into(), None);
-        run_time: job.spec.run_time,
             None
         }
     }
