entry: stop answering peers after a shutdown

Cause: the peer server was a task of its own that ended with the process only. Before: peers of an entry that was shut down in this process went on counting it as live and left its workers to it. After: the server ends with the entry's other tasks. Checked by a_stopped_entry_cuts_nothing_and_gives_everything_back.

--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -6,7 +6,9 @@
 
 use bytes::Bytes;
 use fastrace::Span;
+use futures::FutureExt;
 use futures::StreamExt;
+use futures::future::BoxFuture;
 use lavenderhollow_core::keyring::Admission;
 use lavenderhollow_types::JobId;
 use lavenderhollow_types::Refusal;
@@ -17,6 +19,7 @@
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
 use tarpc::tokio_serde::formats::Bincode;
+use tokio::task::JoinSet;
 
 use crate::context::Context;
 use crate::dispatch;
@@ -44,17 +47,22 @@
     cx: Arc<Context>,
 }
 
-/// Listens for peers and returns the address. The task ends with the process.
+/// Listens for peers, and returns the address and the server to be run. Dropping the server closes
+/// its connections, so that peers do not take a stopped entry for a live one.
 ///
 /// # Errors
 ///
 /// Fails when the address is not free.
-pub(crate) async fn listen(cx: &Arc<Context>, address: SocketAddr) -> std::io::Result<SocketAddr> {
+pub(crate) async fn listen(
+    cx: &Arc<Context>,
+    address: SocketAddr,
+) -> std::io::Result<(SocketAddr, BoxFuture<'static, ()>)> {
     let mut listener = tcp::listen(address, Bincode::default).await?;
     listener.config_mut().max_frame_length(MAX_MESSAGE);
     let local = listener.local_addr();
     let cx = Arc::clone(cx);
-    tokio::spawn(async move {
+    let server = async move {
+        let mut open = JoinSet::new();
         // A connection that fails before its first message concerns that peer alone.
         let connections = listener.filter_map(|connection| async { connection.ok() });
         let mut connections = pin!(connections);
@@ -63,12 +71,13 @@
                 cx: Arc::clone(&cx),
             };
             let channel = BaseChannel::with_defaults(transport);
-            tokio::spawn(channel.execute(server.serve()).for_each(|call| async {
+            open.spawn(channel.execute(server.serve()).for_each(|call| async {
                 tokio::spawn(call);
             }));
+            while open.try_join_next().is_some() {}
         }
-    });
-    Ok(local)
+    };
+    Ok((local, server.boxed()))
 }
 
 impl Peer for PeerServer {
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -138,7 +138,7 @@
     pub async fn start(self) -> eyre::Result<Entry> {
         let metrics = self.metrics.clone();
         let cx = self.context();
-        let peers = peer_server::listen(&cx, cx.settings.listen.peers)
+        let (peers, peer_server) = peer_server::listen(&cx, cx.settings.listen.peers)
             .await
             .wrap_err("can't listen for peers")?;
         let api = api::caller::api().map_err(|e| eyre!("caller interface: {e}"))?;
@@ -150,7 +150,8 @@
             Some(handle) => Some(exposition::serve(handle, cx.settings.listen.metrics).await?),
             None => None,
         };
-        let tasks = spawn(&cx);
+        let mut tasks = spawn(&cx);
+        tasks.spawn(peer_server);
         Ok(Entry {
             cx,
             callers,
