entry: wait for returned allotments at a shutdown

Cause: the records were queued and the appending task was ended right after. The shutdown now waits for up to 5 s until they are read back. Covered by a_stopped_entry_cuts_nothing_and_gives_everything_back.

--- a/crates/entry/src/allotments.rs
+++ b/crates/entry/src/allotments.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures::future::join_all;
 use lavenderhollow_config::Automatic;
 use lavenderhollow_config::Config;
 use lavenderhollow_core::escrow::Account;
@@ -179,9 +180,9 @@
         let local = round.zone_escrow();
         if round.leads {
             self.fund(round, &local);
-        }
             // The fleet's stream allots nothing while the sum is above a lowered limit.
             self.release(round, &local, local.zone.excess());
+        }
         self.give_excess(round);
         if !round.transfers {
             return;
@@ -416,8 +417,10 @@
     Change::Reclaim { holder, evidence }.into()
 }
 
-/// Returns everything that this entry does not use, before it stops.
-pub(crate) fn give_all(cx: &Context) {
+/// Returns everything that this entry does not use, before it stops, and waits up to `limit` until
+/// the records are read back: the appending task ends with the process.
+pub(crate) async fn give_all(cx: &Context, limit: Duration) {
+    let mut records = Vec::new();
     for (team, meter) in cx.meters.all().iter() {
         let placeholder = Change::Return {
             team: team.clone(),
@@ -434,7 +437,15 @@
                 amount: gift.amount,
             };
             record.change = change.into();
-            cx.streams.zone.submit_record(record);
+            records.push(cx.streams.zone.propose_record(record, limit));
         }
     }
+    let unconfirmed = join_all(records)
+        .await
+        .iter()
+        .filter(|r| r.is_err())
+        .count();
+    if unconfirmed > 0 {
+        log::warn!(unconfirmed; "allotments were not confirmed as returned before the stop");
+    }
 }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -69,6 +69,10 @@
 /// The largest body of an operator's command, in bytes: a configuration of the largest fleet.
 const OPERATOR_BODY: usize = 16 << 20;
 
+/// How long a shutdown waits for the log to confirm that allotments are returned. What is not
+/// confirmed is reclaimed after the VM has left the list.
+const RETURN_LIMIT: Duration = Duration::from_secs(5);
+
 /// How often a shutdown looks at what is still open.
 const SHUTDOWN_STEP: Duration = Duration::from_millis(50);
 
@@ -301,7 +305,7 @@
 
 /// Gives back leases and allotments, so that the others need not wait for their end.
 async fn hand_over(cx: &Context) {
-    allotments::give_all(cx);
+    allotments::give_all(cx, RETURN_LIMIT).await;
     for (vm, address) in cx.targets.held() {
         targets::give_back(cx, &vm, address).await;
     }
