--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -15,6 +15,7 @@
 use lavenderhollow_core::escrow::Evidence;
 use lavenderhollow_core::exchange::Body;
 use lavenderhollow_core::fold::Outcome;
+use lavenderhollow_core::jobs::Attempt;
 use lavenderhollow_core::jobs::Job;
 use lavenderhollow_core::jobs::JobChange;
 use lavenderhollow_core::jobs::JobOutcome;
@@ -34,6 +35,7 @@
 use lavenderhollow_core::zone::ZoneRejection;
 use lavenderhollow_platform::TaskStatus;
 use lavenderhollow_types::AttemptId;
+use lavenderhollow_types::Doubt;
 use lavenderhollow_types::Incarnation;
 use lavenderhollow_types::JobId;
 use lavenderhollow_types::Refusal;
@@ -85,6 +87,8 @@
     asked: Mutex<BTreeMap<JobId, Instant>>,
     /// Holders whose reclaim is under way.
     reclaimed: Mutex<BTreeMap<Incarnation, Instant>>,
+    /// Cancelled jobs whose workers were told to stop them.
+    stopped: Mutex<BTreeMap<JobId, Instant>>,
 }
 
 impl DurableJobs {
@@ -94,15 +98,17 @@
 
     /// Tells whether the sweep may submit a record for a job now, and notes that it does.
     fn may_ask(&self, job: JobId, now: Instant) -> bool {
-        let mut asked = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
-        note_once(&mut asked, job, now)
+        note_once(&self.asked, job, now)
     }
 
     /// Tells whether a reclaim may be submitted now, and notes that it is.
     fn may_reclaim(&self, holder: Incarnation, now: Instant) -> bool {
-        let reclaimed = self.reclaimed.lock();
-        let mut reclaimed = reclaimed.unwrap_or_else(PoisonError::into_inner);
-        note_once(&mut reclaimed, holder, now)
+        note_once(&self.reclaimed, holder, now)
+    }
+
+    /// Tells whether the worker of a cancelled job may be called now, and notes that it is.
+    fn may_stop(&self, job: JobId, now: Instant) -> bool {
+        note_once(&self.stopped, job, now)
     }
 
     /// Returns the number of jobs that are worked on.
@@ -112,12 +118,14 @@
 }
 
 /// Notes the time of a record and returns true, unless one was noted less than `RECORD_WAIT` ago.
-fn note_once<K: Ord>(noted: &mut BTreeMap<K, Instant>, key: K, now: Instant) -> bool {
+fn note_once<K: Ord>(noted: &Mutex<BTreeMap<K, Instant>>, key: K, now: Instant) -> bool {
+    let mut noted = noted.lock().unwrap_or_else(PoisonError::into_inner);
     noted.retain(|_, at| now < *at + RECORD_WAIT);
     // An earlier time stays: a caller that asks again and again must be let through in the end.
-    let fresh = !noted.contains_key(&key);
-    noted.entry(key).or_insert(now);
-    fresh
+    match noted.contains_key(&key) {
+        true => false,
+        false => noted.insert(key, now).is_none(),
+    }
 }
 
 /// Stores a job in the log.
@@ -160,13 +168,15 @@
     }
 }
 
-/// A repeated submission is the same job when team, queue and body are the same.
+/// A repeated submission is the same job when team, queue and body are the same. A finished job
+/// has no body any more, so that team and queue decide.
 fn repeated(cx: &Context, job: JobId, spec: &JobSpec) -> Result<(), Refusal> {
     let same = cx.streams.zone.read(|fold| {
         let known = fold.state().jobs.get(job);
         known.is_some_and(|known| {
-            (&known.spec.team, &known.spec.queue, &known.spec.body)
-                == (&spec.team, &spec.queue, &spec.body)
+            let finished = matches!(known.stage, Stage::Finished { .. });
+            let same = (&known.spec.team, &known.spec.queue) == (&spec.team, &spec.queue);
+            same && (finished || known.spec.body == spec.body)
         })
     });
     if same {
@@ -234,11 +244,43 @@
         if cx.gate.is_closing() {
             continue;
         }
+        stop_cancelled(cx);
         start_waiting(cx);
         take_over(cx);
     }
 }
 
+/// Stops the tasks of cancelled jobs. The attempt's own answer records the end of the job.
+fn stop_cancelled(cx: &Arc<Context>) {
+    let tasks: Vec<(JobId, Attempt)> = cx.streams.zone.read(|fold| {
+        let jobs = &fold.state().jobs;
+        let owned = jobs.owned(cx.incarnation).filter_map(|id| {
+            let job = jobs.get(id).filter(|job| job.cancelled)?;
+            match &job.stage {
+                Stage::Running(attempt) => Some((id, attempt.clone())),
+                _ => None,
+            }
+        });
+        owned.collect()
+    });
+    for (job, attempt) in tasks {
+        let Some(address) = cx.targets.address(&attempt.worker) else {
+            continue;
+        };
+        if cx.jobs.may_stop(job, cx.clock.now()) {
+            let cx = Arc::clone(cx);
+            tokio::spawn(async move {
+                // A task that has ended meanwhile is unknown to the worker. After another failure
+                // the sweep tries again.
+                let stopped = cx.workers.stop(address, attempt.id, cx.incarnation);
+                if let Err(error) = stopped.await {
+                    log::debug!("cancelled job {job} was not stopped: {error}");
+                }
+            });
+        }
+    }
+}
+
 fn start_waiting(cx: &Arc<Context>) {
     let (waiting, stranded) = cx.streams.zone.read(|fold| {
         let jobs = &fold.state().jobs;
@@ -293,14 +335,16 @@
         return;
     };
     let deadline = cx.clock.now() + TARGET_WAIT + wanted.run_time;
-    let Ok(grant) = cx.pools.acquire(cx, &wanted, deadline).await else {
-        return;
+    let grant = match cx.pools.acquire(cx, &wanted, deadline).await {
+        Ok(grant) => grant,
+        Err(refusal) => return end_refused(cx, id, refusal).await,
     };
     let request = Arc::new(Request {
         id: RequestId::from(id.as_uuid()),
         wanted,
         idempotent: job.spec.idempotent,
         deadline: cx.clock.now() + RUN_LIMIT,
+        run_time: job.spec.run_time,
         body: Bytes::copy_from_slice(job.spec.body.as_ref()),
     });
     let Some(start) = record_start(cx, id, &request, &grant).await else {
@@ -312,6 +356,32 @@
     record_end(cx, id, attempt, &request, result).await;
 }
 
+/// Ends a waiting job that no worker will ever run. Any other refusal may pass.
+async fn end_refused(cx: &Context, job: JobId, refusal: Refusal) {
+    let kind = refusal.kind;
+    if !matches!(kind, RefusalKind::Impossible | RefusalKind::Quarantined) {
+        return;
+    }
+    let doubt = cx
+        .streams
+        .zone
+        .read(|fold| fold.state().jobs.get(job).is_some_and(|job| job.doubt));
+    let outcome = match doubt {
+        true => JobOutcome::MayHaveRun(Doubt::new("an attempt brought no answer")),
+        false => JobOutcome::NotRun(refusal),
+    };
+    let change = JobChange::Finish {
+        job,
+        attempt: None,
+        outcome,
+    };
+    // Without an outcome the job is still waiting, and the sweep looks at it again.
+    let ended = cx.streams.zone.propose(change.into(), None, RECORD_WAIT);
+    if ended.await.is_ok_and(|outcome| outcome.is_accepted()) {
+        metrics::counter!(metric::JOBS, "event" => "finished").increment(1);
+    }
+}
+
 fn wanted(cx: &Context, job: &Job) -> Option<Wanted> {
     let installed = cx.config.load();
     let queue = installed.config.queues.get(&job.spec.queue)?;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -72,6 +72,10 @@
 /// The largest body of an operator's command, in bytes: a configuration of the largest fleet.
 const OPERATOR_BODY: usize = 16 << 20;
 
+/// How long a shutdown waits for the log to confirm that allotments are returned. What is not
+/// confirmed is reclaimed after the VM has left the list.
+const RETURN_LIMIT: Duration = Duration::from_secs(5);
+
 /// How often a shutdown looks at what is still open.
 const SHUTDOWN_STEP: Duration = Duration::from_millis(50);
 
@@ -141,7 +145,7 @@
     pub async fn start(self) -> eyre::Result<Entry> {
         let metrics = self.metrics.clone();
         let cx = self.context();
-        let peers = peer_server::listen(&cx, cx.settings.listen.peers)
+        let (peers, peer_server) = peer_server::listen(&cx, cx.settings.listen.peers)
             .await
             .wrap_err("can't listen for peers")?;
         let api = api::caller::api().map_err(|e| eyre!("caller interface: {e}"))?;
@@ -153,7 +157,8 @@
             Some(handle) => Some(exposition::serve(handle, cx.settings.listen.metrics).await?),
             None => None,
         };
-        let tasks = spawn(&cx);
+        let mut tasks = spawn(&cx);
+        tasks.spawn(peer_server);
         Ok(Entry {
             cx,
             callers,
@@ -304,7 +309,7 @@
 
 /// Gives back leases and allotments, so that the others need not wait for their end.
 async fn hand_over(cx: &Context) {
-    allotments::give_all(cx);
+    allotments::give_all(cx, RETURN_LIMIT).await;
     for (vm, address) in cx.targets.held() {
         targets::give_back(cx, &vm, address).await;
     }
