entry: let all entries of a zone rank allotment demands alike

Cause: each entry lists its own demand last, and equal shortages keep the order of the list. When the free slots of a zone are fewer than what two idle entries ask for, each entry gives them to the other one, and an entry records an allotment only for itself. The slots stay free for ever.

Ruled out: no credit from the fleet's stream (2 slots credited and funded), transfers switched off, no targets (1 and 5 open).

The demands are now sorted by holder, so that every entry takes the same steps.

--- a/crates/entry/src/allotments.rs
+++ b/crates/entry/src/allotments.rs
@@ -360,6 +360,9 @@
             });
         let mut demands: Vec<_> = others.collect();
         demands.push(mine);
+        // The order breaks ties, so that it has to be the same in every entry: otherwise each
+        // leaves free slots to another one.
+        demands.sort_by_key(|demand| demand.holder);
         let base = self.base();
         for demand in &mut demands {
             demand.waiting = demand.waiting.max(base.saturating_sub(demand.used));
