--- a/crates/entry/tests/test_bad_input.rs
+++ b/crates/entry/tests/test_bad_input.rs
@@ -4,9 +4,11 @@
 use std::time::SystemTime;
 
 use http::Method;
+use lavenderhollow_entry::EntryBuilder;
 use serde_json::json;
 
 use crate::support::Call;
+use crate::support::Guard;
 use crate::support::HOME;
 use crate::support::OPERATOR_TOKEN;
 use crate::support::World;
@@ -15,6 +17,7 @@
 use crate::support::key_at;
 use crate::support::new_key;
 use crate::support::send_part;
+use crate::support::wait_until;
 
 const HOUR: Duration = Duration::from_secs(3600);
 
@@ -250,3 +253,36 @@
     assert_eq!(answer.status(), 200, "{answer:?}");
     assert_serves(&world).await
 }
+
+/// Guards against an entry that a malformed message stops, or that runs a request which comes
+/// with a wrong authentication code.
+#[tokio::test]
+async fn messages_of_strangers_are_not_trusted() -> eyre::Result<()> {
+    let world = WorldBuilder::new().start().await?;
+    let peers = world.entries[0].peers();
+    let long = [&u32::MAX.to_be_bytes()[..], b"frame"].concat();
+    let noise = [
+        &8_u32.to_be_bytes()[..],
+        b"\xff\xff\xff\xff\xff\xff\xff\xff",
+    ]
+    .concat();
+    for bytes in [&long[..], &noise, b"GET / HTTP/1.1\r\n\r\n", b""] {
+        exchange(peers, bytes).await?;
+    }
+    let mut settings = world.settings("stranger", HOME)?;
+    settings.peer_secret = "the secret of another deployment".to_owned();
+    let stranger = EntryBuilder::new(settings).start().await?;
+    world
+        .list("stranger", stranger.peers(), HOME, "entries")
+        .await?;
+    let header = world.guard(Guard::Ticket).await?;
+    wait_until("the stranger to admit keys", async || {
+        let call = Call::request(stranger.callers(), "fees", "fee");
+        let answer = world.send(call.header(header.0, &header.1)).await?;
+        Ok(answer.verdict() == "may_have_run")
+    })
+    .await?;
+    assert_eq!(world.run_count().await?, 0, "a stranger's request ran");
+    world.fee(0, &header, b"fee").await?.assert_ran(b"fee");
+    assert_serves(&world).await
+}
