--- a/crates/core/src/jobs/job.rs
+++ b/crates/core/src/jobs/job.rs
@@ -13,7 +13,7 @@
 use lavenderhollow_types::VmName;
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationSeconds;
+use serde_with::DurationMilliSeconds;
 use serde_with::TimestampMilliSeconds;
 use serde_with::serde_as;
 use uuid::Uuid;
@@ -51,7 +51,7 @@
     /// The declared slots.
     pub slots: u32,
     /// The declared run time.
-    #[serde_as(as = "DurationSeconds<u64>")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub run_time: Duration,
     /// The request body.
     pub body: Body,
--- a/crates/entry/src/allotments.rs
+++ b/crates/entry/src/allotments.rs
@@ -11,6 +11,7 @@
 use lavenderhollow_core::escrow::Account;
 use lavenderhollow_core::escrow::Change;
 use lavenderhollow_core::escrow::Evidence;
+use lavenderhollow_core::escrow::HALF_LIFE;
 use lavenderhollow_core::escrow::HolderDemand;
 use lavenderhollow_core::escrow::Rebalancer;
 use lavenderhollow_core::escrow::Step;
@@ -29,9 +30,6 @@
 use crate::peers::PeerSummary;
 use crate::submitted::Submitted;
 
-/// After how long half of a past peak of demand is forgotten.
-const HALF_LIFE: Duration = Duration::from_secs(30);
-
 /// The part of a limit that is spread over all entries whatever their demand, as a divisor.
 const BASE_DIVISOR: u64 = 4;
 
--- a/crates/entry/src/api/caller.rs
+++ b/crates/entry/src/api/caller.rs
@@ -26,6 +26,7 @@
 use super::reply;
 use super::reply::Answer;
 use crate::context::Context;
+use crate::dispatch::Reply;
 use crate::metric;
 use crate::serve;
 use crate::serve::Arrival;
@@ -77,9 +78,10 @@
     };
     let span = trace::hop("entry", headers.trace.as_deref());
     let header = trace::header_of(&span);
+    let identified = headers.idempotency.is_some() || headers.ticket.is_some();
     let verdict = match arrive(cx, &queue, headers, body).await {
         Ok(arrival) => serve::request(cx, arrival, &span).await,
-        Err(refusal) => Verdict::NotRun(refusal),
+        Err(refusal) => serve::refuse_early(refusal, identified),
     };
     count(&verdict);
     let took = cx.clock.now().saturating_duration_since(started);
@@ -211,7 +213,7 @@
     }
 }
 
-fn count(verdict: &Verdict<Bytes>) {
+fn count(verdict: &Verdict<Reply>) {
     let (name, kind) = match verdict {
         Verdict::Ran(_) => ("ran", String::new()),
         Verdict::MayHaveRun(_) => ("may_have_run", String::new()),
--- a/crates/entry/src/api/reply.rs
+++ b/crates/entry/src/api/reply.rs
@@ -2,7 +2,6 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use bytes::Bytes;
 use dropshot::Body;
 use dropshot::HttpError;
 use http::HeaderName;
@@ -11,6 +10,7 @@
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
 use http::header::RETRY_AFTER;
+use lavenderhollow_platform::TaskStatus;
 use lavenderhollow_types::Doubt;
 use lavenderhollow_types::JobId;
 use lavenderhollow_types::Refusal;
@@ -18,12 +18,16 @@
 use lavenderhollow_types::Verdict;
 use serde::Serialize;
 
+use crate::dispatch::Reply;
 use crate::message::JobView;
 use crate::trace::TRACE_HEADER;
 
 /// The header that says whether the request ran: `not_run`, `may_have_run` or `ran`.
 pub(crate) const VERDICT_HEADER: &str = "lavenderhollow-verdict";
 
+/// The header that says whether a task that ran `succeeded` or `failed`.
+const TASK_HEADER: &str = "lavenderhollow-task";
+
 /// The result of a handler.
 pub(crate) type Answer = Result<Response<Body>, HttpError>;
 
@@ -48,9 +52,9 @@
 }
 
 /// Answers with the verdict on a request.
-pub(crate) fn verdict(verdict: Verdict<Bytes>, trace: Option<&str>) -> Answer {
+pub(crate) fn verdict(verdict: Verdict<Reply>, trace: Option<&str>) -> Answer {
     let mut response = match verdict {
-        Verdict::Ran(body) => with_verdict(StatusCode::OK, "ran", body.into())?,
+        Verdict::Ran(reply) => ran(reply)?,
         Verdict::NotRun(refusal) => refused(&refusal)?,
         Verdict::MayHaveRun(doubt) => doubtful(&doubt)?,
     };
@@ -61,6 +65,21 @@
     Ok(response)
 }
 
+/// Answers with the target's result. A task that ran and failed is told from one that succeeded by
+/// the status and by a header.
+fn ran(reply: Reply) -> Answer {
+    let (status, task) = match reply.status {
+        TaskStatus::Succeeded => (StatusCode::OK, "succeeded"),
+        _ => (StatusCode::INTERNAL_SERVER_ERROR, "failed"),
+    };
+    let mut response = with_verdict(status, "ran", reply.body.into())?;
+    let name = HeaderName::from_static(TASK_HEADER);
+    response
+        .headers_mut()
+        .insert(name, HeaderValue::from_static(task));
+    Ok(response)
+}
+
 /// Answers that a request did not run.
 pub(crate) fn refused(refusal: &Refusal) -> Answer {
     let body = RefusalBody {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -52,16 +52,20 @@
 }
 
 /// Returns the peer with the most free slots of a pool, as far as its summary says.
-pub(crate) fn with_room(cx: &Context, pool: &PoolName) -> Option<EntryName> {
+///
+/// Entries of this zone come first. The summary of another zone's entry is that of its zone: it may
+/// have no room itself, and then forwards within its zone. A request that came from another entry
+/// stays in the zone.
+pub(crate) fn with_room(cx: &Context, pool: &PoolName, hops: u8) -> Option<EntryName> {
     let installed = cx.config.load_full();
     let place = summary::pool_place(&installed, pool)?;
     let summaries = cx.peers.summaries(cx.clock.now());
-    // The summary of another zone's entry is that of its zone, so that it may have no room itself.
-    let own_zone = summaries
-        .iter()
-        .filter(|peer| peer.zone == cx.settings.zone);
-    let rooms = own_zone.map(|peer| (peer.summary.room(installed.version, place).0, &peer.name));
-    let (_, name) = rooms.filter(|(free, _)| *free > 0).max()?;
+    let rooms = summaries.iter().filter_map(|peer| {
+        let near = peer.zone == cx.settings.zone;
+        let (free, _) = peer.summary.room(installed.version, place);
+        (free > 0 && (near || hops == 0)).then_some((near, free, &peer.name))
+    });
+    let (_, _, name) = rooms.max()?;
     Some(name.clone())
 }
 
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -22,7 +22,6 @@
 use tokio::task::JoinSet;
 
 use crate::context::Context;
-use crate::dispatch;
 use crate::message::ConfigReply;
 use crate::message::Detail;
 use crate::message::Forward;
@@ -143,10 +142,7 @@
         Err(refusal) => return ForwardReply::NotRun(refusal),
     };
     match &forward.purpose {
-        ForwardFor::Room => {
-            let request = serve::local(cx, &arrival);
-            serve::forwarded(dispatch::run(cx, request, span).await)
-        }
+        ForwardFor::Room => serve::forwarded(serve::plain(cx, &arrival, forward.hops, span).await),
         ForwardFor::Claim(key) => serve::forwarded(serve::claim(cx, &arrival, key, span).await),
         ForwardFor::Ticket(text) => serve::ticket(cx, &arrival, text, forward.hops, span).await,
         ForwardFor::Submit(job) => submit(cx, &arrival, job).await,
--- a/crates/entry/src/pools/mod.rs
+++ b/crates/entry/src/pools/mod.rs
@@ -173,6 +173,22 @@
         self.wake.notify_one();
     }
 
+    /// Returns the refusal of a request that can never run, however long it waits.
+    pub(crate) fn never(&self, cx: &Context, wanted: &Wanted) -> Option<Refusal> {
+        let pools = self.pools.load();
+        let Some(pool) = pools.get(&wanted.pool) else {
+            let detail = format!("pool {} is not configured", wanted.pool);
+            return Some(Refusal::new(RefusalKind::NoTarget, detail));
+        };
+        if pool.is_quarantined(wanted) {
+            let detail = "the same request failed on several workers that serve others";
+            return Some(Refusal::new(RefusalKind::Quarantined, detail));
+        }
+        // The grant, if there is one, is given back at once.
+        let refusal = pool.grab(cx, wanted).err();
+        refusal.filter(|refusal| refusal.kind == RefusalKind::Impossible)
+    }
+
     /// Gets a target for a request, waiting for one until the deadline.
     ///
     /// # Errors
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -45,6 +45,9 @@
 /// How long a claim is waited for before the request is refused.
 const CLAIM_LIMIT: Duration = Duration::from_secs(3);
 
+/// How long a request waits between looks for a target here or room at a peer.
+const ROOM_PAUSE: Duration = Duration::from_millis(50);
+
 /// How often a request is forwarded at most: to the owner's zone and to the owner.
 const MAX_HOPS: u8 = 2;
 
@@ -80,10 +83,13 @@
 }
 
 /// Serves a caller's request.
-pub(crate) async fn request(cx: &Arc<Context>, arrival: Arrival, span: &Span) -> Verdict<Bytes> {
+pub(crate) async fn request(cx: &Arc<Context>, arrival: Arrival, span: &Span) -> Verdict<Reply> {
     let _open = match cx.gate.enter() {
         Ok(open) => open,
-        Err(refusal) => return Verdict::NotRun(refusal),
+        Err(refusal) => {
+            let identified = arrival.ticket.is_some() || arrival.idempotency.is_some();
+            return refuse_early(refusal, identified);
+        }
     };
     if let Some(ticket) = arrival.ticket.clone() {
         return with_ticket(cx, arrival, &ticket, span).await;
@@ -96,24 +102,53 @@
                       version 7) or an execution-ticket";
         return Verdict::NotRun(Refusal::new(RefusalKind::Invalid, detail));
     }
-    plain(cx, &arrival, span).await
+    plain(cx, &arrival, 0, span).await
 }
 
-/// Runs an idempotent request here, or at a peer with room when no target is open here.
-async fn plain(cx: &Arc<Context>, arrival: &Arrival, span: &Span) -> Verdict<Bytes> {
+/// Runs an idempotent request here, or at a peer with room while no target is open here.
+pub(crate) async fn plain(
+    cx: &Arc<Context>,
+    arrival: &Arrival,
+    hops: u8,
+    span: &Span,
+) -> Verdict<Reply> {
     let pool = &arrival.admission.settings.pool;
-    if cx.targets.snapshot.load().open(pool).is_empty()
-        && let Some(peer) = forward::with_room(cx, pool)
-    {
-        let forwarded = forward::send(cx, &peer, arrival, ForwardFor::Room, 0, span).await;
-        match forwarded {
-            Ok(reply) => return answer(reply),
-            Err(doubt) if doubt.sent => return Verdict::MayHaveRun(Doubt::new(doubt.detail)),
-            Err(_) => {}
+    let request = local(cx, arrival);
+    if let Some(refusal) = cx.pools.never(cx, &request.wanted) {
+        return Verdict::NotRun(refusal);
+    }
+    while cx.targets.snapshot.load().open(pool).is_empty() {
+        let peer = forward::with_room(cx, pool, hops).filter(|_| hops < MAX_HOPS);
+        if let Some(peer) = peer {
+            match forward::send(cx, &peer, arrival, ForwardFor::Room, hops, span).await {
+                Ok(reply) => return answer(reply),
+                Err(doubt) if doubt.sent => return Verdict::MayHaveRun(Doubt::new(doubt.detail)),
+                Err(_) => {}
+            }
         }
+        if cx.clock.now() + ROOM_PAUSE >= arrival.deadline {
+            break;
+        }
+        tokio::time::sleep(ROOM_PAUSE).await;
     }
-    let verdict = dispatch::run(cx, local(cx, arrival), span).await;
-    verdict.map(|reply| reply.body)
+    dispatch::run(cx, request, span).await
+}
+
+/// Refuses a submission before the history of its key or ticket was looked at.
+///
+/// Such a refusal would be false as "not run" if an earlier submission with the same key or ticket
+/// ran. A submission without either is its own request, and did not run.
+pub(crate) fn refuse_early(refusal: Refusal, identified: bool) -> Verdict<Reply> {
+    let mends = matches!(refusal.kind, RefusalKind::Stale | RefusalKind::Closing);
+    if !identified || !mends {
+        return Verdict::NotRun(refusal);
+    }
+    let detail = format!(
+        "{}; this submission did not run, an earlier one with the same key or ticket may have: ask \
+         again with it",
+        refusal.detail
+    );
+    Verdict::MayHaveRun(Doubt::new(detail))
 }
 
 /// Makes the request to be sent to a target of this entry.
@@ -133,7 +168,7 @@
     arrival: Arrival,
     text: &str,
     span: &Span,
-) -> Verdict<Bytes> {
+) -> Verdict<Reply> {
     answer(ticket(cx, &arrival, text, 0, span).await)
 }
 
@@ -197,14 +232,14 @@
     verdict
 }
 
-async fn with_key(cx: &Arc<Context>, arrival: Arrival, text: &str, span: &Span) -> Verdict<Bytes> {
+async fn with_key(cx: &Arc<Context>, arrival: Arrival, text: &str, span: &Span) -> Verdict<Reply> {
     let Some(member) = arrival.admission.team.clone() else {
         let detail = "an idempotency-key needs a team's key: claims are kept for each team";
         return Verdict::NotRun(Refusal::new(RefusalKind::Unauthorized, detail));
     };
     if member.settings.home == cx.settings.zone {
         let verdict = claim(cx, &arrival, text, span).await;
-        return verdict.map(|reply| reply.body);
+        return verdict;
     }
     let unreachable = |detail: &str| {
         let refusal = Refusal::new(RefusalKind::LogUnavailable, detail);
@@ -456,11 +491,17 @@
     }
 }
 
-fn answer(reply: ForwardReply) -> Verdict<Bytes> {
+fn answer(reply: ForwardReply) -> Verdict<Reply> {
     match reply {
         ForwardReply::NotRun(refusal) => Verdict::NotRun(refusal),
         ForwardReply::MayHaveRun(doubt) => Verdict::MayHaveRun(doubt),
-        ForwardReply::Ran { body, .. } => Verdict::Ran(body.into()),
+        ForwardReply::Ran { succeeded, body } => Verdict::Ran(Reply {
+            status: match succeeded {
+                true => TaskStatus::Succeeded,
+                false => TaskStatus::Failed,
+            },
+            body: body.into(),
+        }),
         ForwardReply::Submitted => Verdict::MayHaveRun(Doubt::new("the job was stored")),
     }
 }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -41,6 +41,9 @@
 /// The most records that one read asks for.
 const PAGE_RECORDS: usize = 500;
 
+/// The pause after a page that ends at a record of a newer version of the program.
+const UNKNOWN_RETRY: Duration = Duration::from_secs(1);
+
 /// The pause after a failed read.
 const READ_RETRY: Duration = Duration::from_millis(200);
 
@@ -205,7 +208,16 @@
             };
             let sent = self.parts.clock.now();
             match self.parts.log.read(&self.parts.name, from).await {
-                Ok(page) => self.take(typed(page), sent, observer),
+                Ok(page) => {
+                    let page = typed(page);
+                    let cut_short = page.unknown;
+                    self.take(page.page, sent, observer);
+                    if cut_short {
+                        // The log answers at once, and the record stays unknown until this program
+                        // is replaced by a newer one.
+                        tokio::time::sleep(UNKNOWN_RETRY).await;
+                    }
+                }
                 Err(ReadError::Gone(gone)) => {
                     let page = Page {
                         oldest: gone.oldest,
@@ -335,12 +347,20 @@
     }
 }
 
+/// A page whose records are read.
+struct Typed<S: State> {
+    page: Page<S>,
+    /// Whether the page ends before a record that this version does not know.
+    unknown: bool,
+}
+
 /// Reads the records of a page.
 ///
 /// What is no record at all has no effect, nor has a snapshot that can't be read, because a snapshot
 /// changes no state. A record with a change that this version of the program does not know ends the
 /// page: skipping it would give another state than newer entries have.
-fn typed<S: State>(page: lavenderhollow_log::Page) -> Page<S> {
+fn typed<S: State>(page: lavenderhollow_log::Page) -> Typed<S> {
+    let mut unknown = false;
     let mut items = Vec::with_capacity(page.records.len());
     for logged in page.records {
         let position = Position {
@@ -352,14 +372,18 @@
             Err(_) if is_foreign(logged.record.get()) => items.push((position, Item::Foreign)),
             Err(error) => {
                 log::error!("record {} of the log is not known: {error}", logged.offset);
+                unknown = true;
                 break;
             }
         }
     }
-    Page {
-        oldest: page.oldest,
-        head: page.head,
-        items,
+    Typed {
+        unknown,
+        page: Page {
+            oldest: page.oldest,
+            head: page.head,
+            items,
+        },
     }
 }
 
