entry: hand over every slot at a shutdown

Cause: an entry that stops returned what it held at one moment. A slot that was still on its way to it, from an own record or from a peer's transfer, stayed with the stopped entry until its VM left the list. Ruled out: the half-life of past demand (the same with 30 s) and the return itself (all records were read back). Change: the status of an entry says that it is closing, so that peers give it no slots and no work, and slots are returned until three heartbeats bring none.

--- a/crates/entry/src/allotments.rs
+++ b/crates/entry/src/allotments.rs
@@ -442,7 +442,7 @@
 
 /// Returns everything that this entry does not use, before it stops, and waits up to `limit` until
 /// the records are read back: the appending task ends with the process.
-pub(crate) async fn give_all(cx: &Context, limit: Duration) {
+pub(crate) async fn give_all(cx: &Context, limit: Duration) -> usize {
     let mut records = Vec::new();
     for (team, meter) in cx.meters.all().iter() {
         let placeholder = Change::Return {
@@ -463,6 +463,7 @@
             records.push(cx.streams.zone.propose_record(record, limit));
         }
     }
+    let given = records.len();
     let unconfirmed = join_all(records)
         .await
         .iter()
@@ -471,4 +472,5 @@
     if unconfirmed > 0 {
         log::warn!(unconfirmed; "allotments were not confirmed as returned before the stop");
     }
+    given
 }
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -105,6 +105,8 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct StatusReply {
     pub(crate) incarnation: Incarnation,
+    /// Whether the entry is shutting down, so that it gets no slots and no work any more.
+    pub(crate) closing: bool,
     pub(crate) report: Report,
     pub(crate) summary: Option<Summary>,
 }
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -86,6 +86,7 @@
         let now = cx.clock.now();
         let reply = StatusReply {
             incarnation: cx.incarnation,
+            closing: cx.gate.is_closing(),
             report: cx.with_freshness(|freshness| freshness.report(now)),
             summary: summary::of(cx, detail),
         };
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -72,6 +72,7 @@
     client: Option<PeerClient>,
     heard: Option<Instant>,
     incarnation: Option<Incarnation>,
+    closing: bool,
     summary: Summary,
 }
 
@@ -115,7 +116,7 @@
     }
 
     fn takes_work(&self, now: Instant) -> bool {
-        !self.leaving && self.is_heard(now)
+        !self.leaving && !self.closing && self.is_heard(now)
     }
 }
 
@@ -151,6 +152,7 @@
                 client: None,
                 heard: None,
                 incarnation: None,
+                closing: false,
                 summary: Summary::default(),
             });
             peer.leaving = info.state == VmState::Leaving;
@@ -182,10 +184,10 @@
         others + usize::from(*zone == self.zone)
     }
 
-    /// Returns the latest summaries of the entries that were heard lately.
+    /// Returns the latest summaries of the entries that were heard lately and take work.
     pub(crate) fn summaries(&self, now: Instant) -> Vec<PeerSummary> {
         let peers = self.peers();
-        let live = peers.values().filter(|peer| peer.is_heard(now));
+        let live = peers.values().filter(|peer| peer.takes_work(now));
         live.filter_map(|peer| {
             Some(PeerSummary {
                 name: peer.name.clone(),
@@ -307,6 +309,7 @@
         if let Some(peer) = self.peers().get_mut(name) {
             peer.heard = peer.heard.max(Some(at));
             peer.incarnation = Some(reply.incarnation);
+            peer.closing = reply.closing;
             if let Some(summary) = reply.summary {
                 peer.summary = summary;
             }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -76,6 +76,9 @@
 /// confirmed is reclaimed after the VM has left the list.
 const RETURN_LIMIT: Duration = Duration::from_secs(5);
 
+/// After how many heartbeats without a slot to return the allotments count as handed over.
+const QUIET_ROUNDS: u32 = 3;
+
 /// How often a shutdown looks at what is still open.
 const SHUTDOWN_STEP: Duration = Duration::from_millis(50);
 
@@ -309,7 +312,15 @@
 
 /// Gives back leases and allotments, so that the others need not wait for their end.
 async fn hand_over(cx: &Context) {
-    allotments::give_all(cx, RETURN_LIMIT).await;
+    // A slot may still be on its way here: from an own record, or from a peer that has not heard
+    // yet that this entry is closing.
+    let limit = cx.clock.now() + RETURN_LIMIT;
+    let mut quiet = 0;
+    while quiet < QUIET_ROUNDS && cx.clock.now() < limit {
+        let given = allotments::give_all(cx, RETURN_LIMIT).await;
+        quiet = if given == 0 { quiet + 1 } else { 0 };
+        tokio::time::sleep(cx.settings.heartbeat).await;
+    }
     for (vm, address) in cx.targets.held() {
         targets::give_back(cx, &vm, address).await;
     }
