--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -22,7 +22,6 @@
 use lavenderhollow_platform::Limits;
 use lavenderhollow_types::Version;
 use lavenderhollow_types::WaveId;
-use lexopt::Arg;
 use lexopt::Parser;
 use lexopt::ValueExt;
 use serde::Serialize;
@@ -59,14 +58,18 @@
 }
 
 impl ClientOptions {
-    /// Takes an argument if it is one of these options, and tells whether it was.
-    pub(crate) fn take(&mut self, arg: &Arg<'_>, parser: &mut Parser) -> eyre::Result<bool> {
-        match arg {
-            Arg::Long("entry") => self.entries.push(parser.value()?.parse()?),
-            Arg::Long("token-file") => self.token_file = Some(parser.value()?.into()),
-            _ => return Ok(false),
+    /// Takes a long option that the command itself does not know.
+    ///
+    /// # Errors
+    ///
+    /// Fails when these options do not know it either, or its value is malformed.
+    pub(crate) fn take(&mut self, name: &str, parser: &mut Parser) -> eyre::Result<()> {
+        match name {
+            "entry" => self.entries.push(parser.value()?.parse()?),
+            "token-file" => self.token_file = Some(parser.value()?.into()),
+            _ => return Err(lexopt::Error::UnexpectedOption(format!("--{name}")).into()),
         }
-        Ok(true)
+        Ok(())
     }
 
     /// Creates the client.
--- a/crates/cli/src/command/publish.rs
+++ b/crates/cli/src/command/publish.rs
@@ -66,9 +66,7 @@
             Arg::Value(value) if options.file.is_none() => options.file = Some(value.into()),
             Arg::Long(name) => {
                 let name = name.to_owned();
-                if !client.take(&Arg::Long(&name), &mut parser)? {
-                    return Err(lexopt::Error::UnexpectedOption(format!("--{name}")).into());
-                }
+                client.take(&name, &mut parser)?;
             }
             other => return Err(other.unexpected().into()),
         }
--- a/crates/cli/src/command/wave.rs
+++ b/crates/cli/src/command/wave.rs
@@ -60,9 +60,7 @@
             Arg::Value(value) if options.wave.is_none() => options.wave = Some(value.parse()?),
             Arg::Long(name) => {
                 let name = name.to_owned();
-                if !client.take(&Arg::Long(&name), &mut parser)? {
-                    return Err(lexopt::Error::UnexpectedOption(format!("--{name}")).into());
-                }
+                client.take(&name, &mut parser)?;
             }
             other => return Err(other.unexpected().into()),
         }
--- a/crates/entry/tests/runner.rs
+++ b/crates/entry/tests/runner.rs
@@ -5,5 +5,6 @@
 mod test_limits;
 mod test_log_outage;
 mod test_pools;
+mod test_settings;
 mod test_shutdown;
 mod test_verdicts;
