--- a/crates/cli/src/command/entry.rs
+++ b/crates/cli/src/command/entry.rs
@@ -48,16 +48,22 @@
     Ok(Code::Done)
 }
 
+/// Starts the logs. The library for calls between entries logs several lines for each call, of
+/// which only warnings are of use.
 fn start_logs() {
     use logforth::append::Stderr;
+    use logforth::filter::rustlog::RustLogFilterBuilder;
     use logforth::layout::JsonLayout;
     use logforth::record::Level;
     use logforth::record::LevelFilter;
 
+    let filter = RustLogFilterBuilder::from_spec("info")
+        .filter_module("tarpc", LevelFilter::MoreSevereEqual(Level::Warn))
+        .build();
     logforth::starter_log::builder()
         .dispatch(|dispatch| {
             dispatch
-                .filter(LevelFilter::MoreSevereEqual(Level::Info))
+                .filter(filter)
                 .append(Stderr::default().with_layout(JsonLayout::default()))
         })
         .apply();
