--- a/crates/entry/src/pools/mod.rs
+++ b/crates/entry/src/pools/mod.rs
@@ -21,6 +21,7 @@
 use lavenderhollow_core::estimate::Estimator;
 use lavenderhollow_core::keyring::Admission;
 use lavenderhollow_types::PoolName;
+use lavenderhollow_types::QueueName;
 use lavenderhollow_types::Refusal;
 use lavenderhollow_types::RefusalKind;
 use lavenderhollow_types::TeamName;
@@ -53,7 +54,8 @@
 pub(crate) struct Pools {
     pools: ArcSwap<HashMap<PoolName, Arc<Pool>>>,
     wake: Arc<Notify>,
-    estimator: Mutex<Estimator>,
+    /// One estimator for each queue, so that requests of different queues share no lock.
+    estimators: ArcSwap<HashMap<QueueName, Arc<Mutex<Estimator>>>>,
 }
 
 impl Pools {
@@ -69,14 +71,18 @@
             pools.insert(name.clone(), pool);
         }
         self.pools.store(Arc::new(pools));
-        let mut estimator = self.estimator();
+        let present = self.estimators.load();
+        let mut estimators = HashMap::new();
         for (name, queue) in &config.queues {
+            let estimator = present.get(name).cloned().unwrap_or_default();
             let prior = Estimate {
                 run_time: queue.run_time,
                 size: queue.size,
             };
-            estimator.declare(name, prior);
+            lock(&estimator).declare(name, prior);
+            estimators.insert(name.clone(), estimator);
         }
+        self.estimators.store(Arc::new(estimators));
     }
 
     /// Returns what a request probably needs.
@@ -88,8 +94,10 @@
         let Some(team) = &admission.team else {
             return declared;
         };
-        let estimator = self.estimator();
-        let estimate = estimator.quantile(&admission.queue, &team.name, RUN_TIME_QUANTILE);
+        let estimators = self.estimators.load();
+        let estimate = estimators.get(&admission.queue).and_then(|estimator| {
+            lock(estimator).quantile(&admission.queue, &team.name, RUN_TIME_QUANTILE)
+        });
         estimate.unwrap_or(declared)
     }
 
@@ -100,7 +108,9 @@
                 run_time: ended.took,
                 size: wanted.size,
             };
-            self.estimator().observe(&wanted.queue, team, &seen);
+            if let Some(estimator) = self.estimators.load().get(&wanted.queue) {
+                lock(estimator).observe(&wanted.queue, team, &seen);
+            }
         }
         if let Some(pool) = self.pools.load().get(&wanted.pool) {
             let acts = cx
@@ -233,10 +243,8 @@
             }
         }
     }
+}
 
-    fn estimator(&self) -> MutexGuard<'_, Estimator> {
-        self.estimator
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
+fn lock(estimator: &Mutex<Estimator>) -> MutexGuard<'_, Estimator> {
+    estimator.lock().unwrap_or_else(PoisonError::into_inner)
 }
