entry: check whether a request can ever run without taking a grant

Cause: for each request without a key, Pools::never took a slot and a target and gave them back. That is the work of a start done twice on the request path; on a worker on probation it noted a start whose end was never recorded, so that the worker would not have been tried again. It also could not see that a request is impossible while no slot was free, because the buffer was looked at first. Change: placement::Targets has the check by itself, choose uses it, and the pool asks it together with the quarantine before it looks for room. An unknown pool and a quarantined request are refused in one place. Read in the code; the case on probation was not seen in a run.

--- a/crates/core/src/placement/targets.rs
+++ b/crates/core/src/placement/targets.rs
@@ -75,6 +75,19 @@
         view
     }
 
+    /// Checks that a worker of the pool, open or not, is large enough for a request.
+    ///
+    /// # Errors
+    ///
+    /// `Impossible` if none is; nothing is refused while no worker is known.
+    pub fn check(&self, need: &Resources) -> Result<(), Refusal> {
+        if self.shapes.is_empty() || self.shapes.iter().any(|shape| fits(need, shape)) {
+            return Ok(());
+        }
+        let detail = format!("no worker of the pool is large enough for {need:?}");
+        Err(Refusal::new(RefusalKind::Impossible, detail))
+    }
+
     /// Chooses a target with room for a request. `draw` gives random numbers.
     ///
     /// # Errors
@@ -87,10 +100,7 @@
         need: &Resources,
         draw: &mut dyn FnMut() -> u64,
     ) -> Result<Place, Refusal> {
-        if !self.shapes.is_empty() && !self.shapes.iter().any(|shape| fits(need, shape)) {
-            let detail = format!("no worker of the pool is large enough for {need:?}");
-            return Err(Refusal::new(RefusalKind::Impossible, detail));
-        }
+        self.check(need)?;
         if self.open.is_empty() {
             return Err(Refusal::new(RefusalKind::NoTarget, "no target is open"));
         }
--- a/crates/core/tests/test_placement.rs
+++ b/crates/core/tests/test_placement.rs
@@ -93,6 +93,12 @@
     assert_eq!(kind(&view, &large), Some(RefusalKind::Overloaded));
     let view = Targets::new(Vec::new(), &[large], None);
     assert_eq!(kind(&view, &large), Some(RefusalKind::NoTarget));
+    // Whether a request can ever run does not depend on open targets.
+    assert_eq!(view.check(&large), Ok(()));
+    let larger = view
+        .check(&size(128_000, 1000))
+        .map_err(|refusal| refusal.kind);
+    assert_eq!(larger, Err(RefusalKind::Impossible));
 }
 
 /// Guards against a late report that hides what was started after it, and against counting twice
--- a/crates/entry/src/pools/mod.rs
+++ b/crates/entry/src/pools/mod.rs
@@ -184,19 +184,19 @@
     }
 
     /// Returns the refusal of a request that can never run, however long it waits.
-    pub(crate) fn never(&self, cx: &Context, wanted: &Wanted) -> Option<Refusal> {
-        let pools = self.pools.load();
-        let Some(pool) = pools.get(&wanted.pool) else {
+    pub(crate) fn never(&self, wanted: &Wanted) -> Option<Refusal> {
+        self.find(wanted).err()
+    }
+
+    /// Returns the pool of a request that can run there.
+    fn find(&self, wanted: &Wanted) -> Result<Arc<Pool>, Refusal> {
+        let pool = self.pools.load().get(&wanted.pool).cloned();
+        let pool = pool.ok_or_else(|| {
             let detail = format!("pool {} is not configured", wanted.pool);
-            return Some(Refusal::new(RefusalKind::NoTarget, detail));
-        };
-        if pool.is_quarantined(wanted) {
-            let detail = "the same request failed on several workers that serve others";
-            return Some(Refusal::new(RefusalKind::Quarantined, detail));
-        }
-        // The grant, if there is one, is given back at once.
-        let refusal = pool.grab(cx, wanted).err();
-        refusal.filter(|refusal| refusal.kind == RefusalKind::Impossible)
+            Refusal::new(RefusalKind::NoTarget, detail)
+        })?;
+        pool.check(wanted)?;
+        Ok(pool)
     }
 
     /// Gets a target for a request, waiting for one until the deadline.
@@ -211,15 +211,7 @@
         wanted: &Wanted,
         deadline: Instant,
     ) -> Result<Grant, Refusal> {
-        let pool = self.pools.load().get(&wanted.pool).cloned();
-        let Some(pool) = pool else {
-            let detail = format!("pool {} is not configured", wanted.pool);
-            return Err(Refusal::new(RefusalKind::NoTarget, detail));
-        };
-        if pool.is_quarantined(wanted) {
-            let detail = "the same request failed on several workers that serve others";
-            return Err(Refusal::new(RefusalKind::Quarantined, detail));
-        }
+        let pool = self.find(wanted)?;
         if pool.waiting.load(Ordering::Acquire) == 0 {
             match pool.grab(cx, wanted) {
                 Ok(grant) => return Ok(grant),
--- a/crates/entry/src/pools/pool.rs
+++ b/crates/entry/src/pools/pool.rs
@@ -108,8 +108,17 @@
         }));
     }
 
-    pub(super) fn is_quarantined(&self, wanted: &Wanted) -> bool {
-        self.health.is_quarantined(wanted.job)
+    /// Checks that a request can run in this pool at all.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a quarantined request and one that no worker of the pool is large enough for.
+    pub(super) fn check(&self, wanted: &Wanted) -> Result<(), Refusal> {
+        if self.health.is_quarantined(wanted.job) {
+            let detail = "the same request failed on several workers that serve others";
+            return Err(Refusal::new(RefusalKind::Quarantined, detail));
+        }
+        self.view.load().targets.check(&wanted.size)
     }
 
     pub(super) fn observe(&self, wanted: &Wanted, worker: &VmName, ended: Ended, acts: bool) {
--- a/crates/entry/src/serve/mod.rs
+++ b/crates/entry/src/serve/mod.rs
@@ -107,7 +107,7 @@
 ) -> Verdict<Reply> {
     let pool = &arrival.admission.settings.pool;
     let request = local(cx, arrival);
-    if let Some(refusal) = cx.pools.never(cx, &request.wanted) {
+    if let Some(refusal) = cx.pools.never(&request.wanted) {
         return Verdict::NotRun(refusal);
     }
     while cx.targets.snapshot.load().open(pool).is_empty() {
