--- a/crates/core/tests/target_world.rs
+++ b/crates/core/tests/target_world.rs
@@ -5,6 +5,7 @@
 mod ops;
 
 use std::collections::BTreeMap;
+use std::marker::PhantomData;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -39,6 +40,8 @@
 use lavenderhollow_types::Version;
 use lavenderhollow_types::VmName;
 use lavenderhollow_types::WaveId;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
 
 use crate::fleet_world::WorldTime;
 use crate::fleet_world::listed_vm;
@@ -499,3 +502,30 @@
             .map(|(holder, _)| holder)
     }
 }
+
+/// The machine of a world under the operations that `R` draws.
+#[derive(Debug)]
+pub(crate) struct Machine<R>(PhantomData<R>);
+
+impl<R> StateMachineTest for Machine<R>
+where
+    R: ReferenceStateMachine<State = (), Transition = Op>,
+{
+    type SystemUnderTest = TargetWorld;
+    type Reference = R;
+
+    fn init_test((): &()) -> TargetWorld {
+        TargetWorld::new()
+    }
+
+    fn apply(mut world: TargetWorld, (): &(), op: Op) -> TargetWorld {
+        world.apply(&op);
+        world
+    }
+
+    /// Guards against drains that wait for ever, for instance after their driver was replaced, and
+    /// against a view that keeps the promise by leaving targets closed.
+    fn teardown(mut world: TargetWorld, (): ()) {
+        world.heal();
+    }
+}
--- a/crates/core/tests/test_drain_machine.rs
+++ b/crates/core/tests/test_drain_machine.rs
@@ -12,13 +12,12 @@
 use lavenderhollow_core::membership::Membership;
 use proptest::prelude::*;
 use proptest_state_machine::ReferenceStateMachine;
-use proptest_state_machine::StateMachineTest;
 
 use crate::fleet_world::granted;
 use crate::fleet_world::vm_name;
 use crate::fuzz;
+use crate::target_world::Machine;
 use crate::target_world::Op;
-use crate::target_world::TargetWorld;
 use crate::target_world::ops;
 
 const CASES: u32 = 300;
@@ -41,33 +40,11 @@
     fn apply((): (), _: &Op) {}
 }
 
-#[derive(Debug)]
-struct Machine;
-
-impl StateMachineTest for Machine {
-    type SystemUnderTest = TargetWorld;
-    type Reference = Ops;
-
-    fn init_test((): &()) -> TargetWorld {
-        TargetWorld::new()
-    }
-
-    fn apply(mut world: TargetWorld, (): &(), op: Op) -> TargetWorld {
-        world.apply(&op);
-        world
-    }
-
-    /// Guards against drains that wait for ever, for instance after their driver was replaced.
-    fn teardown(mut world: TargetWorld, (): ()) {
-        world.heal();
-    }
-}
-
 #[test]
 fn drain_machine() {
     let config = fuzz::config(fuzz::SEED, CASES);
     println!("drain_machine: {}", fuzz::describe(&config));
-    fuzz::run::<Machine>(&config, 100..500).unwrap_or_else(|failure| panic!("{failure}"));
+    fuzz::run::<Machine<Ops>>(&config, 100..500).unwrap_or_else(|failure| panic!("{failure}"));
 }
 
 /// Guards against a reboot on a report from before this entry alone could start work: work that
--- a/crates/core/tests/test_membership_machine.rs
+++ b/crates/core/tests/test_membership_machine.rs
@@ -19,7 +19,6 @@
 use lavenderhollow_types::EntryName;
 use proptest::prelude::*;
 use proptest_state_machine::ReferenceStateMachine;
-use proptest_state_machine::StateMachineTest;
 
 use crate::fleet_world::add_vm;
 use crate::fleet_world::folded;
@@ -27,9 +26,9 @@
 use crate::fleet_world::vm_name;
 use crate::fuzz;
 use crate::target_world::ENTRIES;
+use crate::target_world::Machine;
 use crate::target_world::Op;
 use crate::target_world::TARGETS;
-use crate::target_world::TargetWorld;
 use crate::target_world::ops;
 
 const CASES: u32 = 300;
@@ -60,33 +59,11 @@
     fn apply((): (), _: &Op) {}
 }
 
-#[derive(Debug)]
-struct Machine;
-
-impl StateMachineTest for Machine {
-    type SystemUnderTest = TargetWorld;
-    type Reference = Ops;
-
-    fn init_test((): &()) -> TargetWorld {
-        TargetWorld::new()
-    }
-
-    fn apply(mut world: TargetWorld, (): &(), op: Op) -> TargetWorld {
-        world.apply(&op);
-        world
-    }
-
-    /// Guards against a view that keeps the promise by leaving targets closed.
-    fn teardown(mut world: TargetWorld, (): ()) {
-        world.heal();
-    }
-}
-
 #[test]
 fn membership_machine() {
     let config = fuzz::config(fuzz::SEED, CASES);
     println!("membership_machine: {}", fuzz::describe(&config));
-    fuzz::run::<Machine>(&config, 100..400).unwrap_or_else(|failure| panic!("{failure}"));
+    fuzz::run::<Machine<Ops>>(&config, 100..400).unwrap_or_else(|failure| panic!("{failure}"));
 }
 
 fn usage(as_of: Instant) -> Usage {
