entry: make gifts, stream records and home zone refusals in one place each

A gift was made in two places, each from a placeholder change that was replaced afterwards. The record of a claim and that of a job's start were copied field by field into a record of the zone's stream; Record::convert does it. Behaviour is the same.

--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -35,6 +35,19 @@
     pub change: C,
 }
 
+impl<C> Record<C> {
+    /// Turns the record of a part of a stream's state into a record of the stream.
+    pub fn convert<D: From<C>>(self) -> Record<D> {
+        Record {
+            id: self.id,
+            created: self.created,
+            actor: self.actor,
+            expected: self.expected,
+            change: self.change.into(),
+        }
+    }
+}
+
 /// What a stream holds.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/entry/src/allotments.rs
+++ b/crates/entry/src/allotments.rs
@@ -13,14 +13,17 @@
 use lavenderhollow_core::escrow::Evidence;
 use lavenderhollow_core::escrow::HALF_LIFE;
 use lavenderhollow_core::escrow::HolderDemand;
+use lavenderhollow_core::escrow::Meter;
 use lavenderhollow_core::escrow::Rebalancer;
 use lavenderhollow_core::escrow::Step;
 use lavenderhollow_core::escrow::TeamEscrow;
 use lavenderhollow_core::fleet::FleetChange;
 use lavenderhollow_core::fold::State;
 use lavenderhollow_core::membership::owner;
+use lavenderhollow_core::record::Record;
 use lavenderhollow_core::zone::ZoneChange;
 use lavenderhollow_types::Incarnation;
+use lavenderhollow_types::RecordId;
 use lavenderhollow_types::TeamName;
 use lavenderhollow_types::Version;
 use lavenderhollow_types::VmName;
@@ -291,34 +294,9 @@
             return;
         }
         let meter = cx.meters.meter(round.team);
-        let placeholder = Change::Return {
-            team: round.team.clone(),
-            from: cx.incarnation,
-            at: 0,
-            amount: 0,
-        };
-        let mut record = cx.streams.zone.record(placeholder.into(), None);
-        let Some(gift) = meter.give(record.id, amount) else {
-            return;
-        };
-        let change = match to {
-            Some(to) => Change::Transfer {
-                team: round.team.clone(),
-                from: cx.incarnation,
-                to,
-                at: gift.at,
-                amount: gift.amount,
-                lease: cx.settings.lease,
-            },
-            None => Change::Return {
-                team: round.team.clone(),
-                from: cx.incarnation,
-                at: gift.at,
-                amount: gift.amount,
-            },
-        };
-        record.change = change.into();
-        cx.streams.zone.submit_record(record);
+        if let Some(record) = gift(cx, round.team, &meter, amount, to) {
+            cx.streams.zone.submit_record(record);
+        }
     }
 
     fn submit_fleet(&mut self, round: &Round<'_>, change: Change<ZoneName>, version: Version) {
@@ -435,6 +413,40 @@
     })
 }
 
+/// Reduces this entry's own use by up to `amount` and makes the record that gives the slots to
+/// another entry or back to the zone.
+fn gift(
+    cx: &Context,
+    team: &TeamName,
+    meter: &Meter,
+    amount: u64,
+    to: Option<Incarnation>,
+) -> Option<Record<ZoneChange>> {
+    let id = RecordId::random();
+    let gift = meter.give(id, amount)?;
+    let (team, from) = (team.clone(), cx.incarnation);
+    let change = match to {
+        Some(to) => Change::Transfer {
+            team,
+            from,
+            to,
+            at: gift.at,
+            amount: gift.amount,
+            lease: cx.settings.lease,
+        },
+        None => Change::Return {
+            team,
+            from,
+            at: gift.at,
+            amount: gift.amount,
+        },
+    };
+    Some(Record {
+        id,
+        ..cx.streams.zone.record(change.into(), None)
+    })
+}
+
 /// Makes the record that takes back what a gone holder had.
 pub(crate) fn reclaim(holder: Incarnation, evidence: Evidence) -> ZoneChange {
     Change::Reclaim { holder, evidence }.into()
@@ -445,21 +457,7 @@
 pub(crate) async fn give_all(cx: &Context, limit: Duration) -> usize {
     let mut records = Vec::new();
     for (team, meter) in cx.meters.all().iter() {
-        let placeholder = Change::Return {
-            team: team.clone(),
-            from: cx.incarnation,
-            at: 0,
-            amount: 0,
-        };
-        let mut record = cx.streams.zone.record(placeholder.into(), None);
-        if let Some(gift) = meter.give(record.id, u64::MAX) {
-            let change = Change::Return {
-                team: team.clone(),
-                from: cx.incarnation,
-                at: gift.at,
-                amount: gift.amount,
-            };
-            record.change = change.into();
+        if let Some(record) = gift(cx, team, meter, u64::MAX, None) {
             records.push(cx.streams.zone.propose_record(record, limit));
         }
     }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -126,6 +126,12 @@
     }
 }
 
+/// Returns the refusal when no entry of a team's home zone can be reached.
+pub(crate) fn home_unreachable() -> Refusal {
+    let detail = "the team's home zone can't be reached";
+    Refusal::new(RefusalKind::LogUnavailable, detail).retry_after(RETRY_AFTER)
+}
+
 /// Asks an entry of the team's home zone about a durable job.
 ///
 /// # Errors
@@ -148,8 +154,7 @@
             return reply;
         }
     }
-    let detail = "the team's home zone can't be reached";
-    Err(Refusal::new(RefusalKind::LogUnavailable, detail).retry_after(RETRY_AFTER))
+    Err(home_unreachable())
 }
 
 async fn ask_job(
--- a/crates/entry/src/jobs/attempt.rs
+++ b/crates/entry/src/jobs/attempt.rs
@@ -18,8 +18,6 @@
 use lavenderhollow_core::permit::SendError;
 use lavenderhollow_core::queue::Class;
 use lavenderhollow_core::record::RECORD_WINDOW;
-use lavenderhollow_core::record::Record;
-use lavenderhollow_core::zone::ZoneChange;
 use lavenderhollow_platform::TaskStatus;
 use lavenderhollow_types::AttemptId;
 use lavenderhollow_types::Doubt;
@@ -146,7 +144,7 @@
     let (lease, wall) = (grant.lease(), cx.clock.wall());
     let worker = grant.vm().clone();
     let pending = PendingStart::new(permit, job, worker, lease, cx.incarnation, wall);
-    let record = zone_record(pending.record());
+    let record = pending.record().clone().convert();
     let outcome = cx.streams.zone.propose_record(record, START_LIMIT).await;
     match outcome {
         Ok(Outcome::Accepted(version)) => pending.resolve(&Outcome::Accepted(version)),
@@ -159,16 +157,6 @@
     }
 }
 
-fn zone_record(record: &Record<JobChange>) -> Record<ZoneChange> {
-    Record {
-        id: record.id,
-        created: record.created,
-        actor: record.actor,
-        expected: record.expected,
-        change: record.change.clone().into(),
-    }
-}
-
 /// Records how an attempt ended, until the log has it.
 async fn record_end(
     cx: &Arc<Context>,
--- a/crates/entry/src/serve/durable.rs
+++ b/crates/entry/src/serve/durable.rs
@@ -16,7 +16,6 @@
 
 use super::Arrival;
 use crate::context::Context;
-use crate::context::RETRY_AFTER;
 use crate::forward;
 use crate::jobs;
 use crate::message::ForwardFor;
@@ -56,11 +55,7 @@
             Ok(_) | Err(_) => {}
         }
     }
-    let refusal = Refusal::new(
-        RefusalKind::LogUnavailable,
-        "the team's home zone can't be reached",
-    );
-    Err(refusal.retry_after(RETRY_AFTER))
+    Err(forward::home_unreachable())
 }
 
 fn job_of(text: &str, wall: SystemTime) -> Result<JobId, Refusal> {
--- a/crates/entry/src/serve/once.rs
+++ b/crates/entry/src/serve/once.rs
@@ -116,13 +116,8 @@
         return Verdict::NotRun(Refusal::new(RefusalKind::Unauthorized, detail));
     };
     if member.settings.home == cx.settings.zone {
-        let verdict = claim(cx, &arrival, text, span).await;
-        return verdict;
+        return claim(cx, &arrival, text, span).await;
     }
-    let unreachable = |detail: &str| {
-        let refusal = Refusal::new(RefusalKind::LogUnavailable, detail);
-        Verdict::NotRun(refusal.retry_after(RETRY_AFTER))
-    };
     for peer in cx.peers.in_zone(&member.settings.home, cx.clock.now()) {
         let purpose = ForwardFor::Claim(text.to_owned());
         match forward::send(cx, &peer, &arrival, purpose, 0, span).await {
@@ -132,7 +127,7 @@
             Err(_) => {}
         }
     }
-    unreachable("the team's home zone can't be reached")
+    Verdict::NotRun(forward::home_unreachable())
 }
 
 /// Claims an idempotency key in this zone's stream and runs the request if the claim wins.
@@ -174,14 +169,7 @@
     cx: &Arc<Context>,
     pending: PendingClaim<Arc<Request>>,
 ) -> Result<Permit<Arc<Request>>, Verdict<Stored>> {
-    let record = pending.record();
-    let record = lavenderhollow_core::record::Record {
-        id: record.id,
-        created: record.created,
-        actor: record.actor,
-        expected: record.expected,
-        change: record.change.clone().into(),
-    };
+    let record = pending.record().clone().convert();
     match cx.streams.zone.propose_record(record, CLAIM_LIMIT).await {
         Ok(outcome) => {
             let outcome = claim_outcome(&outcome);
