--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -5,6 +5,7 @@
 mod diff;
 mod entry;
 mod key;
+mod node;
 mod publish;
 mod questionnaire;
 mod status;
@@ -32,6 +33,7 @@
   automatic       turn automatic actions on and off
   key             add and withdraw keys of teams
   entry           run an entry process
+  node            run the process of a VM on the prepared platform
 
 'lavenderhollow COMMAND --help' describes a command.
 
@@ -65,6 +67,7 @@
         "automatic" => automatic::run(parser),
         "key" => key::run(parser),
         "entry" => entry::run(parser),
+        "node" => node::run(parser),
         other => {
             let message = format!("no command is called {other:?}; see 'lavenderhollow --help'");
             Err(Failure::new(Code::Usage, message).into())
--- /dev/null
+++ b/crates/cli/src/command/node.rs
@@ -0,0 +1,186 @@
+//! `node`: runs the process of a VM on the prepared platform.
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use lavenderhollow_adapter::Endpoint;
+use lavenderhollow_adapter::HttpMachines;
+use lavenderhollow_adapter::HttpStore;
+use lavenderhollow_adapter::HttpWorkers;
+use lavenderhollow_adapter::Ingress;
+use lavenderhollow_adapter::SETTINGS_VARIABLE;
+use lavenderhollow_adapter::Settings;
+use lavenderhollow_adapter::WireCodec;
+use lavenderhollow_node::BootClock;
+use lavenderhollow_node::Node;
+use lavenderhollow_node::backend::Machines;
+use lavenderhollow_node::backend::Platform;
+use lavenderhollow_platform::HttpClient;
+use lexopt::Arg;
+use lexopt::Parser;
+use logforth::filter::rustlog::RustLogFilterBuilder;
+use logforth::record::Level;
+use logforth::record::LevelFilter;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::time::Instant;
+
+use super::help;
+use super::required;
+use crate::exit::Code;
+use crate::exit::Failure;
+use crate::input::read_text;
+use crate::logs::BoundedStdout;
+
+const HELP: &str = "\
+Runs the process of a VM until SIGTERM or SIGINT, then hands its work over and stops without cutting
+a request.
+
+Usage: lavenderhollow node [--settings FILE]
+
+Without --settings the file is named by LAVENDERHOLLOW_SETTINGS. SIGHUP reads it again; a change is
+also noticed without a signal. Logs go to standard output as lines of JSON.
+";
+
+/// The time for opening a connection within the platform's network.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// How many unused connections are kept to each server; a burst of starts on one worker uses
+/// several at once.
+const IDLE_CONNECTIONS: usize = 16;
+
+/// How often the settings file is read to notice a change.
+const SETTINGS_EVERY: Duration = Duration::from_secs(2);
+
+/// How long callers are still taken after SIGTERM: the balancer needs two checks, one a second, to
+/// stop sending them here.
+const TURN_AWAY: Duration = Duration::from_millis(2_600);
+
+/// The time kept for the end of the process before SIGKILL.
+const END_MARGIN: Duration = Duration::from_millis(700);
+
+pub(super) fn run(mut parser: Parser) -> eyre::Result<Code> {
+    let mut file: Option<PathBuf> = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Short('h') | Arg::Long("help") => return help(HELP),
+            Arg::Long("settings") => file = Some(parser.value()?.into()),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let file = required(file, "--settings")?;
+    let settings = Settings::from_text(&read_text(&file)?)
+        .map_err(|error| Failure::new(Code::Refused, format!("{}: {error}", file.display())))?;
+    start_logs()?;
+    // One thread: the VMs have a part of one core, and threads would only take turns on it.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("can't start the runtime")?;
+    runtime.block_on(serve(&file, settings))?;
+    Ok(Code::Done)
+}
+
+fn start_logs() -> eyre::Result<()> {
+    let filter = RustLogFilterBuilder::from_spec("info")
+        .filter_module("tarpc", LevelFilter::MoreSevereEqual(Level::Error))
+        .build();
+    let stdout = BoundedStdout::start().wrap_err("can't start the logs")?;
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.filter(filter).append(stdout))
+        .apply();
+    Ok(())
+}
+
+/// The addresses that a changed settings file may move.
+struct Endpoints {
+    store: Endpoint,
+    machines: Option<Endpoint>,
+}
+
+async fn serve(file: &Path, settings: Settings) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let hangup = signal(SignalKind::hangup())?;
+    let metrics = lavenderhollow_exposition::install()?;
+    let client = HttpClient::new(CONNECT_LIMIT, IDLE_CONNECTIONS);
+    let endpoints = Endpoints {
+        store: Endpoint::new(&settings.store),
+        machines: settings.machines.as_deref().map(Endpoint::new),
+    };
+    let machines = endpoints.machines.clone().map(|address| {
+        let machines = HttpMachines::new(client.clone(), address);
+        Arc::new(machines) as Arc<dyn Machines>
+    });
+    let platform = Platform {
+        store: Arc::new(HttpStore::new(client.clone(), endpoints.store.clone())),
+        workers: Arc::new(HttpWorkers::new(client)),
+        machines,
+        codec: Arc::new(WireCodec),
+    };
+    let clock = Arc::new(BootClock::new());
+    let node = Node::start(settings.node.clone(), platform, clock, Some(metrics)).await?;
+    let node = Arc::new(node);
+    let ingress = Ingress::start(
+        settings.callers,
+        settings.readiness,
+        &node,
+        settings.descriptors,
+    )
+    .await
+    .wrap_err("can't listen for callers")?;
+    log::info!(
+        vm = &*settings.node.vm, callers:display = settings.callers,
+        version = env!("CARGO_PKG_VERSION"); "started"
+    );
+    tokio::spawn(watch_settings(file.to_owned(), endpoints, hangup));
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let begun = Instant::now();
+    log::info!(vm = &*settings.node.vm; "stopping");
+    node.hand_over().await;
+    tokio::time::sleep_until(begun + TURN_AWAY.min(settings.grace / 2)).await;
+    let left = settings.grace.saturating_sub(END_MARGIN);
+    ingress.close(left.saturating_sub(begun.elapsed())).await;
+    log::info!(vm = &*settings.node.vm, taken_ms = begun.elapsed().as_millis() as u64; "stopped");
+    Ok(())
+}
+
+/// Reads the settings file again after a signal, and now and then. A file that can't be used is
+/// reported and changes nothing.
+async fn watch_settings(file: PathBuf, endpoints: Endpoints, mut hangup: Signal) {
+    let mut last = read_text(&file).ok();
+    loop {
+        let signalled = tokio::select! {
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(SETTINGS_EVERY) => false,
+        };
+        let text = match read_text(&file) {
+            Ok(text) => text,
+            Err(error) => {
+                log::warn!(error:display; "settings_unread");
+                continue;
+            }
+        };
+        if !signalled && last.as_ref() == Some(&text) {
+            continue;
+        }
+        match Settings::from_text(&text) {
+            Ok(settings) => {
+                endpoints.store.set(&settings.store);
+                if let (Some(known), Some(address)) = (&endpoints.machines, &settings.machines) {
+                    known.set(address);
+                }
+                log::info!(signalled; "settings_reloaded");
+            }
+            Err(error) => log::error!(error:display; "settings_refused"),
+        }
+        last = Some(text);
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod command;
 mod exit;
 mod input;
+mod logs;
 
 use std::process::ExitCode;
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,7 +5,6 @@
 mod context;
 mod dispatch;
 mod drive;
-mod exposition;
 mod forward;
 mod jobs;
 mod message;
@@ -26,7 +25,7 @@
 mod targets;
 mod trace;
 
-pub use exposition::install as install_metrics;
+pub use lavenderhollow_exposition::install as install_metrics;
 pub use process::Entry;
 pub use process::EntryBuilder;
 pub use settings::Listen;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -39,7 +39,6 @@
 use crate::context::RequestGate;
 use crate::context::Streams;
 use crate::drive;
-use crate::exposition;
 use crate::jobs;
 use crate::jobs::DurableJobs;
 use crate::meters::Meters;
@@ -59,6 +58,7 @@
 use crate::stream::StreamParts;
 use crate::targets;
 use crate::targets::Targets;
+use lavenderhollow_exposition as exposition;
 
 /// The streams that each entry appends to, for the split of the append budget.
 const STREAMS: usize = 3;
--- a/crates/entry/src/exposition.rs
+++ b/crates/exposition/src/lib.rs
@@ -32,10 +32,11 @@
 }
 
 /// Serves the metrics and returns the address. The server ends with the process.
-pub(crate) async fn serve(
-    handle: PrometheusHandle,
-    address: SocketAddr,
-) -> eyre::Result<SocketAddr> {
+///
+/// # Errors
+///
+/// Fails when the address is not free.
+pub async fn serve(handle: PrometheusHandle, address: SocketAddr) -> eyre::Result<SocketAddr> {
     let mut api = ApiDescription::new();
     api.register(show).map_err(|e| eyre!("metrics: {e}"))?;
     let config = ConfigDropshot {
--- /dev/null
+++ b/crates/node/src/backend.rs
@@ -0,0 +1,291 @@
+//! What the process needs of the platform, as interfaces.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use derive_more::Display;
+use derive_more::Error;
+use lavenderhollow_shard::Listing;
+use lavenderhollow_shard::Look;
+use lavenderhollow_shard::LookOrder;
+use lavenderhollow_shard::Name;
+use lavenderhollow_shard::Record;
+use lavenderhollow_shard::RunId;
+use lavenderhollow_shard::StartAnswer;
+use lavenderhollow_shard::StartOrder;
+
+use crate::catalog::Catalog;
+use crate::catalog::Wave;
+use crate::shard_id::ShardId;
+
+/// A keyed topic of the platform's store: the newest record of each key is retained.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Topic {
+    /// What operators publish.
+    #[display("operator")]
+    Operator,
+    /// The workers' own entries.
+    #[display("workers")]
+    Workers,
+    /// What operators read of the system.
+    #[display("status")]
+    Status,
+    /// Which member owns which shard.
+    #[display("owners")]
+    Owners,
+    /// The records of one shard.
+    #[display("shard/{_0}")]
+    Shard(ShardId),
+}
+
+/// Why a call of the store has no usable answer.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum StoreError {
+    /// The topic does not end where the append wanted it to; nothing was done.
+    #[display("the topic ends at {end}")]
+    Moved {
+        /// The offset after the last record.
+        end: u64,
+    },
+    /// The records are no longer there.
+    #[display("records before {first} are gone")]
+    Trimmed {
+        /// The first offset that is retained.
+        first: u64,
+    },
+    /// The store refused; nothing was done.
+    #[display("refused: {detail}")]
+    Refused {
+        /// What it answered.
+        detail: String,
+    },
+    /// There is no answer; the call may have been carried out, or may be later.
+    #[display("no answer: {detail}")]
+    Unknown {
+        /// What happened.
+        detail: String,
+    },
+}
+
+/// A record with its place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// The offset of the record.
+    pub offset: u64,
+    /// The key.
+    pub key: String,
+    /// The value; nothing when the key was removed.
+    pub value: Option<Vec<u8>>,
+}
+
+/// Records, and where the topic ends.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    /// The records, in the order of their offsets or keys.
+    pub entries: Vec<Entry>,
+    /// The offset after the last record of the topic.
+    pub end: u64,
+    /// Whether more records follow.
+    pub more: bool,
+}
+
+/// The platform's store.
+#[async_trait]
+pub trait Store: Send + Sync {
+    /// Appends records all or nothing and returns the offset of the first. With `at`, only if the
+    /// topic ends there.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`StoreError`] tells.
+    async fn append(
+        &self,
+        topic: Topic,
+        at: Option<u64>,
+        records: &[Record],
+    ) -> Result<u64, StoreError>;
+
+    /// Reads records from an offset on, and waits for one for up to `wait`.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`StoreError`] tells.
+    async fn read(&self, topic: Topic, from: u64, wait: Duration) -> Result<Page, StoreError>;
+
+    /// Reads the newest records of the keys after `after`.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`StoreError`] tells.
+    async fn newest(&self, topic: Topic, after: Option<&str>) -> Result<Page, StoreError>;
+
+    /// Keeps a member among the live ones for `ttl`. Returns a number that changes with the set of
+    /// members.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`StoreError`] tells.
+    async fn join(&self, member: &str, ttl: Duration) -> Result<u64, StoreError>;
+
+    /// Removes a member from the live ones.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`StoreError`] tells.
+    async fn leave(&self, member: &str) -> Result<(), StoreError>;
+
+    /// Returns the live members.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`StoreError`] tells.
+    async fn members(&self) -> Result<Vec<Name>, StoreError>;
+}
+
+/// The worker that a call is meant for, and the token that it carries.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The id of the worker.
+    pub id: Name,
+    /// Where it is reached.
+    pub address: Name,
+    /// The token of the shard's owner.
+    pub token: u64,
+}
+
+/// Why a look at a worker has no lists.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum LookError {
+    /// The worker has seen a higher token.
+    #[display("a higher token was seen")]
+    Deposed,
+    /// Another worker answers at the address.
+    #[display("another worker answers")]
+    OtherWorker,
+    /// There is no usable answer.
+    #[display("no answer")]
+    NoAnswer,
+}
+
+/// The workers.
+#[async_trait]
+pub trait Workers: Send + Sync {
+    /// Orders the start of a task.
+    async fn start(&self, target: &Target, order: &StartOrder) -> StartAnswer;
+
+    /// Orders the stop of a run; tells whether the worker confirmed it.
+    async fn stop(&self, target: &Target, run: RunId) -> bool;
+
+    /// Looks at a worker and renews its lease.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`LookError`] tells.
+    async fn look(&self, target: &Target, order: LookOrder) -> Result<Look, LookError>;
+
+    /// Sets the share at which a filling task works, in percent; tells whether it was confirmed.
+    async fn pace(&self, target: &Target, run: RunId, percent: u32) -> bool;
+}
+
+/// What a machine does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MachineState {
+    /// It serves its pool.
+    Up,
+    /// It moves, is in upkeep or is down.
+    Away,
+}
+
+/// A machine as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Machine {
+    /// The name of the machine.
+    pub name: Name,
+    /// The pool that it belongs to.
+    pub pool: Name,
+    /// What it does.
+    pub state: MachineState,
+    /// The worker that runs on it.
+    pub worker: Option<Name>,
+}
+
+/// What came of an order for a machine.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum MachineAnswer {
+    /// It was carried out, now or before.
+    #[display("done")]
+    Done,
+    /// A higher token was seen.
+    #[display("deposed")]
+    Deposed,
+    /// The machine is not up, or leaves.
+    #[display("busy")]
+    Busy,
+    /// The machine does not belong to the wave, or there is no such machine.
+    #[display("not_in_wave")]
+    NotInWave,
+    /// The platform refused for now; nothing was done.
+    #[display("refused")]
+    Refused,
+    /// There is no answer; it may have been carried out.
+    #[display("unknown")]
+    Unknown,
+}
+
+/// Who orders something of a machine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// The name of the VM.
+    pub name: Name,
+    /// The token of the fleet shard's owner.
+    pub token: u64,
+}
+
+/// The machines.
+#[async_trait]
+pub trait Machines: Send + Sync {
+    /// Lists the machines; nothing when there is no usable answer.
+    async fn list(&self) -> Option<Vec<Machine>>;
+
+    /// Orders the upkeep of a machine for a wave.
+    async fn upkeep(&self, holder: &Holder, machine: &str, wave: u64) -> MachineAnswer;
+}
+
+/// Decodes what others write into the store, and encodes what operators read.
+pub trait Codec: Send + Sync {
+    /// Decodes a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails with what is wrong with it.
+    fn catalog(&self, value: &[u8]) -> Result<Catalog, String>;
+
+    /// Decodes a worker's entry; nothing when it names no usable worker.
+    fn listing(&self, id: &str, value: &[u8]) -> Option<Listing>;
+
+    /// Decodes a wave; nothing when the key is of something else.
+    fn wave(&self, key: &str, value: &[u8]) -> Option<Wave>;
+
+    /// Returns the key of the configuration.
+    fn catalog_key(&self) -> &'static str;
+
+    /// Encodes the state of a wave.
+    fn wave_status(&self, wave: u64, completed: bool) -> Record;
+
+    /// Tells whether a status record says that a wave is completed.
+    fn completed_wave(&self, key: &str, value: &[u8]) -> Option<u64>;
+}
+
+/// All of the platform.
+#[derive(Clone)]
+pub struct Platform {
+    /// The store.
+    pub store: Arc<dyn Store>,
+    /// The workers.
+    pub workers: Arc<dyn Workers>,
+    /// The machines; nothing where the platform has no interface for them.
+    pub machines: Option<Arc<dyn Machines>>,
+    /// The formats of the others' records.
+    pub codec: Arc<dyn Codec>,
+}
--- /dev/null
+++ b/crates/node/src/claim.rs
@@ -0,0 +1,90 @@
+//! Winning a shard: a conditional append of a claim, whose offset gives the token.
+
+use lavenderhollow_shard::Record;
+
+use crate::appender::Appender;
+use crate::appender::Lost;
+use crate::backend::Entry;
+use crate::backend::Platform;
+use crate::backend::StoreError;
+use crate::backend::Topic;
+use crate::election::Member;
+use crate::election::Ownership;
+use crate::shard_id::ShardId;
+
+/// The key of claims.
+const CLAIM_KEY: &str = "owner";
+
+/// A shard that was won.
+pub(crate) struct Claimed {
+    pub(crate) appender: Appender,
+    pub(crate) token: u64,
+    /// The newest records of the shard.
+    pub(crate) entries: Vec<Entry>,
+}
+
+/// Claims a shard and reads what its earlier owners stored. After the claim nobody else can append
+/// to the shard's partition, so that the pages are a snapshot.
+///
+/// # Errors
+///
+/// Fails when the store has no usable answer, or another process claimed the shard.
+pub(crate) async fn claim(
+    platform: &Platform,
+    shard: ShardId,
+    me: &Member,
+) -> Result<Claimed, StoreError> {
+    let topic = Topic::Shard(shard);
+    let end = platform.store.newest(topic, None).await?.end;
+    let mut appender = Appender::new(platform.store.clone(), topic, end);
+    let record = Record {
+        key: CLAIM_KEY.to_owned(),
+        value: Some(me.to_string().into_bytes()),
+    };
+    if let Err(Lost) = appender.append(&[record]).await {
+        return Err(StoreError::Moved { end });
+    }
+    // An offset may be zero, and a worker takes a missing token for zero.
+    let token = end + 1;
+    let mut entries = Vec::new();
+    let mut after: Option<String> = None;
+    loop {
+        let page = platform.store.newest(topic, after.as_deref()).await?;
+        after = page.entries.last().map(|e| e.key.clone());
+        entries.extend(page.entries);
+        if !page.more || after.is_none() {
+            break;
+        }
+    }
+    Ok(Claimed {
+        appender,
+        token,
+        entries,
+    })
+}
+
+/// Announces the owner of a shard. Announcements only speed up finding it.
+pub(crate) async fn announce(platform: &Platform, shard: ShardId, owner: &Ownership) {
+    let value = match postcard::to_allocvec(owner) {
+        Ok(value) => value,
+        Err(error) => {
+            log::error!(shard:display, error:display; "announcement_not_encoded");
+            return;
+        }
+    };
+    let record = Record {
+        key: shard.to_string(),
+        value: Some(value),
+    };
+    let appended = platform.store.append(Topic::Owners, None, &[record]).await;
+    if let Err(error) = appended {
+        log::warn!(shard:display, error:display; "announcement_failed");
+    }
+}
+
+/// Decodes an announcement.
+pub(crate) fn announced(key: &str, value: &[u8]) -> Option<(ShardId, Ownership)> {
+    let shard = ShardId(key.parse().ok()?);
+    let owner = postcard::from_bytes(value).ok()?;
+    Some((shard, owner))
+}
--- /dev/null
+++ b/crates/node/src/current.rs
@@ -0,0 +1,56 @@
+//! The configuration in force and how long ago it was known to be the newest.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+
+use crate::catalog::Catalog;
+
+/// The configuration in force.
+#[derive(Debug, Default)]
+pub struct Current {
+    catalog: ArcSwap<Catalog>,
+    confirmed: Mutex<Option<Instant>>,
+}
+
+impl Current {
+    /// Returns the configuration in force.
+    pub fn load(&self) -> Arc<Catalog> {
+        self.catalog.load_full()
+    }
+
+    /// Installs a configuration unless it is older than the one in force; tells whether it did.
+    pub fn install(&self, catalog: Catalog) -> bool {
+        let newer = catalog.version > self.catalog.load().version;
+        if newer {
+            self.catalog.store(Arc::new(catalog));
+        }
+        newer
+    }
+
+    /// Notes that everything published before `at` has been taken in.
+    pub fn confirm(&self, at: Instant) {
+        let mut confirmed = self.lock();
+        *confirmed = (*confirmed).max(Some(at));
+    }
+
+    /// Tells whether everything published up to `bound` ago has been taken in.
+    pub fn is_fresh(&self, now: Instant, bound: Duration) -> bool {
+        self.age(now).is_some_and(|age| age <= bound)
+    }
+
+    /// Returns how long ago the configuration was known to be the newest.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.lock().map(|at| now.saturating_duration_since(at))
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Option<Instant>> {
+        self.confirmed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/node/src/election.rs
@@ -0,0 +1,173 @@
+//! Who owns which shard, and who should.
+//!
+//! The store's conditional append decides; what stands here only keeps two processes from trying
+//! at once and spreads the shards over the VMs.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use derive_more::Display;
+use derive_more::Error;
+use lavenderhollow_shard::Name;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::shard_id::ShardId;
+use crate::shard_id::fnv1a;
+
+/// By how many shards an owner has to exceed the least loaded member before it gives one away.
+const IMBALANCE: usize = 2;
+
+/// One run of a process of the system.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Member {
+    /// The name of the VM.
+    pub vm: Name,
+    /// The start of the process, in milliseconds since 1970.
+    pub started: u64,
+    /// Where other processes reach it.
+    pub address: Name,
+}
+
+impl fmt::Display for Member {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{}", self.vm, self.started, self.address)
+    }
+}
+
+/// A text that names no member.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("a member has the form VM/STARTED/ADDRESS")]
+pub struct InvalidMember;
+
+impl FromStr for Member {
+    type Err = InvalidMember;
+
+    fn from_str(text: &str) -> Result<Self, InvalidMember> {
+        let mut parts = text.splitn(3, '/');
+        let mut next = || parts.next().filter(|p| !p.is_empty()).ok_or(InvalidMember);
+        Ok(Self {
+            vm: next()?.into(),
+            started: next()?.parse().map_err(|_| InvalidMember)?,
+            address: next()?.into(),
+        })
+    }
+}
+
+/// The owner of a shard, as announced.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ownership {
+    /// The owner.
+    pub member: Member,
+    /// The owner's token.
+    pub token: u64,
+    /// Whether the owner gave the shard up.
+    pub released: bool,
+}
+
+/// What is known of members and owners.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    members: BTreeSet<Member>,
+    owners: BTreeMap<ShardId, Ownership>,
+}
+
+impl Roster {
+    /// Takes the live members. Of two runs on one VM only the later counts.
+    pub fn set_members(&mut self, members: impl IntoIterator<Item = Member>) {
+        let mut latest: BTreeMap<Name, Member> = BTreeMap::new();
+        for member in members {
+            let known = latest.get(&member.vm);
+            if known.is_none_or(|m| m.started < member.started) {
+                latest.insert(Arc::clone(&member.vm), member);
+            }
+        }
+        self.members = latest.into_values().collect();
+    }
+
+    /// Takes an announcement unless a later owner is known.
+    pub fn announce(&mut self, shard: ShardId, owner: Ownership) {
+        let known = self.owners.get(&shard);
+        let newer = known.is_none_or(|k| (owner.token, owner.released) >= (k.token, k.released));
+        if newer {
+            self.owners.insert(shard, owner);
+        }
+    }
+
+    /// Returns the announced owner of a shard, live or not.
+    pub fn owner(&self, shard: ShardId) -> Option<&Ownership> {
+        self.owners.get(&shard)
+    }
+
+    /// Returns all announcements.
+    pub fn owners(&self) -> impl Iterator<Item = (ShardId, &Ownership)> {
+        self.owners.iter().map(|(&shard, owner)| (shard, owner))
+    }
+
+    /// Returns the live members.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.iter()
+    }
+
+    fn is_owned(&self, shard: ShardId) -> bool {
+        let owner = self.owners.get(&shard);
+        owner.is_some_and(|o| !o.released && self.members.contains(&o.member))
+    }
+
+    fn loads(&self, shards: &BTreeSet<ShardId>) -> BTreeMap<&Member, usize> {
+        let mut loads: BTreeMap<&Member, usize> = self.members.iter().map(|m| (m, 0)).collect();
+        for shard in shards {
+            if let Some(owner) = self.owners.get(shard)
+                && !owner.released
+                && let Some(load) = loads.get_mut(&owner.member)
+            {
+                *load += 1;
+            }
+        }
+        loads
+    }
+
+    /// Returns the shards without a live owner that `me` should claim.
+    pub fn to_claim(&self, me: &Member, shards: &BTreeSet<ShardId>) -> Vec<ShardId> {
+        let mut loads = self.loads(shards);
+        let mut mine = Vec::new();
+        for &shard in shards.iter().filter(|s| !self.is_owned(**s)) {
+            let rank = |member: &Member| fnv1a(format!("{shard}/{}", member.vm).as_bytes());
+            let best = loads
+                .iter()
+                .min_by_key(|(member, load)| (**load, rank(member)))
+                .map(|(&member, _)| member);
+            let Some(best) = best else {
+                break;
+            };
+            if let Some(load) = loads.get_mut(best) {
+                *load += 1;
+            }
+            if best == me {
+                mine.push(shard);
+            }
+        }
+        mine
+    }
+
+    /// Returns a shard that `me` should give away, because another member has fewer.
+    pub fn to_release(&self, me: &Member, shards: &BTreeSet<ShardId>) -> Option<ShardId> {
+        let loads = self.loads(shards);
+        let mine = *loads.get(me)?;
+        let least = loads.values().copied().min()?;
+        if mine < least + IMBALANCE || shards.iter().any(|s| !self.is_owned(*s)) {
+            return None;
+        }
+        // Only one of several overloaded members moves at a time.
+        let heaviest = loads.iter().min_by_key(|(m, load)| (Reverse(**load), *m));
+        if heaviest.is_none_or(|(m, _)| *m != me) {
+            return None;
+        }
+        let owned = |s: &&ShardId| self.owners.get(s).is_some_and(|o| o.member == *me);
+        shards.iter().rfind(owned).copied()
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet.rs
@@ -0,0 +1,347 @@
+//! The owner of the fleet shard as a task: the teams' allotments, and maintenance waves.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use lavenderhollow_shard::Name;
+use lavenderhollow_shard::Record;
+use lavenderhollow_shard::Resources;
+use lavenderhollow_types::Clock;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::allotment::Allotments;
+use crate::appender::Appender;
+use crate::appender::Lost;
+use crate::backend::Holder;
+use crate::backend::Machine;
+use crate::backend::MachineAnswer;
+use crate::backend::Machines;
+use crate::backend::Platform;
+use crate::backend::StoreError;
+use crate::backend::Topic;
+use crate::catalog::Wave;
+use crate::claim::Claimed;
+use crate::current::Current;
+use crate::message::Question;
+use crate::message::Reply;
+use crate::message::ShardUse;
+use crate::router::LocalRequest;
+use crate::router::Router;
+use crate::shard_id::ShardId;
+use crate::wave::WaveRun;
+
+/// How often waves are looked after.
+const WAVE_EVERY: Duration = Duration::from_millis(300);
+
+/// After what time without an append the owner checks that the shard is still its own.
+const CONFIRM_EVERY: Duration = Duration::from_millis(1_500);
+
+/// The time for a question to the owner of a machine's pool.
+const VACATE_LIMIT: Duration = Duration::from_millis(500);
+
+/// The longest list of team allotments or of machines in one record is far below the store's
+/// bound on records; keys begin with one of these letters.
+const ALLOTMENT_KEY: &str = "a";
+const WAVE_KEY: &str = "w";
+
+/// What the owner of the fleet shard works with.
+pub(crate) struct FleetParts {
+    pub(crate) platform: Platform,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) router: Arc<Router>,
+    pub(crate) current: Arc<Current>,
+    /// For how long an earlier owner may still give orders.
+    pub(crate) quiet: Duration,
+    /// How long an upkeep takes.
+    pub(crate) upkeep: Duration,
+}
+
+struct Fleet {
+    parts: FleetParts,
+    token: u64,
+    appender: Appender,
+    allotments: Allotments,
+    begun: BTreeMap<u64, BTreeSet<Name>>,
+    runs: BTreeMap<u64, WaveRun>,
+    completed: BTreeSet<u64>,
+    since: Instant,
+    confirmed: Instant,
+}
+
+/// Runs the owner of the fleet shard until it is released or loses the shard.
+pub(crate) async fn run(
+    parts: FleetParts,
+    claimed: Claimed,
+    mut requests: mpsc::Receiver<LocalRequest>,
+    mut waves: mpsc::Receiver<Vec<Wave>>,
+) {
+    let now = parts.clock.now();
+    let mut fleet = Fleet {
+        parts,
+        token: claimed.token,
+        appender: claimed.appender,
+        allotments: Allotments::default(),
+        begun: BTreeMap::new(),
+        runs: BTreeMap::new(),
+        completed: BTreeSet::new(),
+        since: now,
+        confirmed: now,
+    };
+    for entry in &claimed.entries {
+        if let Some(value) = &entry.value {
+            fleet.restore(&entry.key, value);
+        }
+    }
+    log::info!(token = fleet.token; "fleet_owned");
+    let mut next_wave = now;
+    let released = loop {
+        let pause = next_wave.saturating_duration_since(fleet.parts.clock.now());
+        let result = tokio::select! {
+            Some(request) = requests.recv() => match request {
+                LocalRequest::Release(done) => break Some(done),
+                LocalRequest::Ask(question, answer) => fleet.answer(question, answer).await,
+            },
+            Some(list) = waves.recv() => {
+                fleet.take_waves(list);
+                Ok(())
+            }
+            () = tokio::time::sleep(pause) => {
+                next_wave = fleet.parts.clock.now() + WAVE_EVERY;
+                fleet.work().await
+            }
+        };
+        if result.is_err() {
+            break None;
+        }
+    };
+    log::info!(token = fleet.token, released = released.is_some(); "fleet_left");
+    if let Some(done) = released {
+        // The receiver is gone only when the process ends.
+        let _ = done.send(());
+    }
+}
+
+impl Fleet {
+    fn restore(&mut self, key: &str, value: &[u8]) {
+        if let Some(shard) = key.strip_prefix(ALLOTMENT_KEY).and_then(|s| s.parse().ok()) {
+            match postcard::from_bytes::<Vec<(Name, Resources)>>(value) {
+                Ok(rows) => self.allotments.restore(ShardId(shard), rows),
+                Err(error) => log::error!(key, error:display; "record_unreadable"),
+            }
+        } else if let Some(wave) = key.strip_prefix(WAVE_KEY).and_then(|s| s.parse().ok()) {
+            match postcard::from_bytes::<BTreeSet<Name>>(value) {
+                Ok(begun) => {
+                    self.begun.insert(wave, begun);
+                }
+                Err(error) => log::error!(key, error:display; "record_unreadable"),
+            }
+        }
+    }
+
+    async fn answer(
+        &mut self,
+        question: Question,
+        answer: oneshot::Sender<Reply>,
+    ) -> Result<(), Lost> {
+        let reply = match question {
+            Question::Allot(report) => self.allot(&report).await?,
+            _ => Reply::NotOwner,
+        };
+        // The asker may have given up; it asks again.
+        let _ = answer.send(reply);
+        Ok(())
+    }
+
+    async fn allot(&mut self, report: &ShardUse) -> Result<Reply, Lost> {
+        let catalog = self.parts.current.load();
+        let shards = catalog.shards().len().saturating_sub(1);
+        let limits = catalog.team_limits();
+        let allotted = self.allotments.report(&limits, shards, report);
+        if allotted.grew {
+            let key = format!("{ALLOTMENT_KEY}{}", report.shard);
+            self.store(key, &allotted.rows).await?;
+        }
+        Ok(Reply::Allotted(allotted.rows))
+    }
+
+    async fn store<T: serde::Serialize>(&mut self, key: String, value: &T) -> Result<(), Lost> {
+        let value = match postcard::to_allocvec(value) {
+            Ok(value) => value,
+            Err(error) => {
+                log::error!(key:display, error:display; "record_not_encoded");
+                return Err(Lost);
+            }
+        };
+        let record = Record {
+            key,
+            value: Some(value),
+        };
+        let sent = self.parts.clock.now();
+        self.appender.append(&[record]).await?;
+        self.confirmed = sent;
+        Ok(())
+    }
+
+    fn take_waves(&mut self, waves: Vec<Wave>) {
+        for wave in waves {
+            let number = wave.number;
+            if self.completed.contains(&number) {
+                continue;
+            }
+            if let Some(run) = self.runs.get_mut(&number) {
+                run.update(wave);
+                continue;
+            }
+            log::info!(
+                wave = number, machines = wave.machines.len(), at_once = wave.at_once;
+                "wave_taken"
+            );
+            let begun = self.begun.get(&number).cloned().unwrap_or_default();
+            let run = WaveRun::new(wave, begun, self.parts.upkeep);
+            self.runs.insert(number, run);
+        }
+    }
+
+    /// Confirms the ownership and moves the waves on.
+    async fn work(&mut self) -> Result<(), Lost> {
+        let now = self.parts.clock.now();
+        if now.saturating_duration_since(self.confirmed) > CONFIRM_EVERY {
+            match self.appender.confirm().await {
+                Ok(()) => self.confirmed = now,
+                Err(StoreError::Moved { .. }) => return Err(Lost),
+                Err(error) => {
+                    log::warn!(error:display; "fleet_confirm_failed");
+                    return Ok(());
+                }
+            }
+        }
+        let Some(machines) = self.parts.platform.machines.clone() else {
+            return Ok(());
+        };
+        if self.runs.is_empty() || now.saturating_duration_since(self.since) < self.parts.quiet {
+            return Ok(());
+        }
+        let Some(list) = machines.list().await else {
+            log::warn!("machines_unlisted");
+            return Ok(());
+        };
+        let numbers: Vec<u64> = self.runs.keys().copied().collect();
+        for number in numbers {
+            self.advance(number, &*machines, &list).await?;
+        }
+        Ok(())
+    }
+
+    async fn advance(
+        &mut self,
+        number: u64,
+        machines: &dyn Machines,
+        list: &[Machine],
+    ) -> Result<(), Lost> {
+        let now = self.parts.clock.now();
+        let Some(run) = self.runs.get_mut(&number) else {
+            return Ok(());
+        };
+        if run.take_list(now, list) {
+            return self.complete(number).await;
+        }
+        let by_name: BTreeMap<&Name, &Machine> = list.iter().map(|m| (&m.name, m)).collect();
+        for name in run.unconfirmed() {
+            self.order(number, machines, &name, None).await?;
+        }
+        let chosen = self.runs.get(&number).map(WaveRun::chosen);
+        let chosen = chosen.unwrap_or_default();
+        let vacant = self.vacate(&chosen, &by_name).await;
+        for name in vacant {
+            if !self.runs.get(&number).is_some_and(WaveRun::has_room) {
+                break;
+            }
+            let worker = by_name.get(&name).and_then(|m| m.worker.clone());
+            self.order(number, machines, &name, worker).await?;
+        }
+        Ok(())
+    }
+
+    /// Asks the owners of the machines' pools to keep them free; returns those that may go down.
+    async fn vacate(&self, chosen: &[Name], machines: &BTreeMap<&Name, &Machine>) -> Vec<Name> {
+        let deadline = self.parts.clock.now() + VACATE_LIMIT;
+        let asks = chosen.iter().filter_map(|name| {
+            let machine = machines.get(name)?;
+            let router = Arc::clone(&self.parts.router);
+            Some(async move {
+                let Some(worker) = machine.worker.clone() else {
+                    return Some(Arc::clone(name));
+                };
+                let shard = ShardId::of_pool(&machine.pool);
+                let question = Question::Vacate(worker);
+                match router.ask(shard, &question, deadline).await {
+                    Ok(Reply::Vacant) => Some(Arc::clone(name)),
+                    Ok(Reply::Busy) => None,
+                    // An owner that does not know the worker yet can't tell what runs there.
+                    Ok(reply) => {
+                        log::debug!(machine = &**name, reply:? = reply; "vacate_answer");
+                        None
+                    }
+                    Err(error) => {
+                        log::info!(machine = &**name, error:display; "vacate_unanswered");
+                        None
+                    }
+                }
+            })
+        });
+        let answers = futures::future::join_all(asks).await;
+        answers.into_iter().flatten().collect()
+    }
+
+    async fn order(
+        &mut self,
+        number: u64,
+        machines: &dyn Machines,
+        name: &Name,
+        worker: Option<Name>,
+    ) -> Result<(), Lost> {
+        let holder = Holder {
+            name: Arc::clone(&self.parts.router.me.vm),
+            token: self.token,
+        };
+        let now = self.parts.clock.now();
+        if let Some(run) = self.runs.get_mut(&number) {
+            run.order(now, name, worker);
+        }
+        let answer = machines.upkeep(&holder, name, number).await;
+        log::info!(wave = number, machine = &**name, token = self.token, answer:display; "upkeep_ordered");
+        let Some(run) = self.runs.get_mut(&number) else {
+            return Ok(());
+        };
+        match answer {
+            MachineAnswer::Done => run.confirm(name),
+            MachineAnswer::Deposed => return Err(Lost),
+            MachineAnswer::Busy | MachineAnswer::Refused => run.refuse(now, name),
+            MachineAnswer::NotInWave => run.skip(name),
+            MachineAnswer::Unknown => return Ok(()),
+        }
+        let begun = run.begun().clone();
+        if matches!(answer, MachineAnswer::Done | MachineAnswer::NotInWave) {
+            self.store(format!("{WAVE_KEY}{number}"), &begun).await?;
+        }
+        Ok(())
+    }
+
+    async fn complete(&mut self, number: u64) -> Result<(), Lost> {
+        let record = self.parts.platform.codec.wave_status(number, true);
+        let store = &self.parts.platform.store;
+        match store.append(Topic::Status, None, &[record]).await {
+            Ok(_) => {
+                log::info!(wave = number; "wave_completed");
+                self.runs.remove(&number);
+                self.completed.insert(number);
+            }
+            Err(error) => log::warn!(wave = number, error:display; "wave_status_not_written"),
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,54 @@
+//! The process of a VM: it follows the platform's store, owns shards, and takes callers' requests
+//! to the owners. The platform is reached through the interfaces of [`backend`].
+
+mod allotment;
+mod appender;
+pub mod backend;
+mod catalog;
+mod claim;
+mod clock;
+mod current;
+mod election;
+mod fleet;
+mod follower;
+mod front;
+mod message;
+mod node;
+mod owner;
+mod ownership;
+mod peers;
+mod router;
+mod shard_id;
+mod wave;
+
+pub use allotment::Allotments;
+pub use allotment::Allotted;
+pub use appender::Appender;
+pub use appender::Lost;
+pub use catalog::CallerLimits;
+pub use catalog::Catalog;
+pub use catalog::Pool;
+pub use catalog::Route;
+pub use catalog::Team;
+pub use catalog::Wave;
+pub use clock::BootClock;
+pub use current::Current;
+pub use election::Member;
+pub use election::Ownership;
+pub use election::Roster;
+pub use follower::Changes;
+pub use follower::Follower;
+pub use front::Admitted;
+pub use front::Front;
+pub use front::Outcome;
+pub use front::Submission;
+pub use message::Question;
+pub use message::Reply;
+pub use message::ShardUse;
+pub use message::TeamRow;
+pub use node::Node;
+pub use node::NodeSettings;
+pub use router::AskFailure;
+pub use router::Router;
+pub use shard_id::ShardId;
+pub use wave::WaveRun;
--- /dev/null
+++ b/crates/node/src/message.rs
@@ -0,0 +1,119 @@
+//! Messages between processes.
+
+use lavenderhollow_shard::Answer;
+use lavenderhollow_shard::Job;
+use lavenderhollow_shard::JobId;
+use lavenderhollow_shard::JobState;
+use lavenderhollow_shard::Name;
+use lavenderhollow_shard::Resources;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::election::Ownership;
+use crate::shard_id::ShardId;
+
+/// What is asked of the owner of a shard.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Question {
+    /// Take a job in.
+    Submit(Box<Job>),
+    /// Cancel a job.
+    Cancel(JobId),
+    /// Tell the state of a job.
+    State(JobId),
+    /// Count the jobs of a queue that have not begun.
+    Pending(Name),
+    /// Keep a worker free for the upkeep of its machine.
+    Vacate(Name),
+    /// Take a shard's use of the teams' limits, and tell its allotments. Only the owner of the
+    /// fleet shard answers.
+    Allot(ShardUse),
+}
+
+impl Question {
+    /// Returns a short name for logs and metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Submit(_) => "submit",
+            Self::Cancel(_) => "cancel",
+            Self::State(_) => "state",
+            Self::Pending(_) => "pending",
+            Self::Vacate(_) => "vacate",
+            Self::Allot(_) => "allot",
+        }
+    }
+}
+
+/// What one shard uses of the teams' limits.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardUse {
+    /// The shard.
+    pub shard: ShardId,
+    /// The token of its owner.
+    pub token: u64,
+    /// A row for each team.
+    pub teams: Vec<TeamRow>,
+}
+
+/// What a shard uses of one team's limit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamRow {
+    /// The team.
+    pub team: Name,
+    /// What runs.
+    pub used: Resources,
+    /// What waits for a higher allotment.
+    pub wanted: Resources,
+    /// The allotment in force; nothing before the first.
+    pub allotted: Option<Resources>,
+}
+
+/// The answer of the owner of a shard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// The job is stored, or its cancellation is.
+    Accepted,
+    /// The job was not accepted and never runs.
+    Refused {
+        /// When it may be submitted again, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// There is no such job.
+    Unknown,
+    /// The state of a job.
+    State(JobState),
+    /// A number of jobs.
+    Pending(u64),
+    /// The worker's machine may go down.
+    Vacant,
+    /// The worker's machine may not go down yet.
+    Busy,
+    /// The allotments of a shard, for each team.
+    Allotted(Vec<(Name, Resources)>),
+    /// This process does not own the shard; nothing was done.
+    NotOwner,
+    /// The owner lost the shard before the answer was certain.
+    Uncertain,
+}
+
+impl From<Answer> for Reply {
+    fn from(answer: Answer) -> Self {
+        match answer {
+            Answer::Accepted => Self::Accepted,
+            Answer::Refused { retry_after } => Self::Refused {
+                retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
+            },
+            Answer::Unknown => Self::Unknown,
+        }
+    }
+}
+
+/// The calls between processes.
+#[tarpc::service]
+pub(crate) trait Peer {
+    /// Asks the owner of a shard.
+    async fn ask(shard: ShardId, question: Question) -> Reply;
+
+    /// Returns the owners of shards as far as they are known.
+    async fn owners() -> Vec<(ShardId, Ownership)>;
+}
--- /dev/null
+++ b/crates/node/src/owner.rs
@@ -0,0 +1,484 @@
+//! The owner of a shard as a task: it drives the decisions of [`Shard`] with what the store, the
+//! workers and the callers say.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use lavenderhollow_shard::Effect;
+use lavenderhollow_shard::Listing;
+use lavenderhollow_shard::Look;
+use lavenderhollow_shard::LookFailure;
+use lavenderhollow_shard::Name;
+use lavenderhollow_shard::Resources;
+use lavenderhollow_shard::RunId;
+use lavenderhollow_shard::Shard;
+use lavenderhollow_shard::StartAnswer;
+use lavenderhollow_shard::Ticket;
+use lavenderhollow_shard::Tuning;
+use lavenderhollow_shard::Vacancy;
+use lavenderhollow_shard::decode;
+use lavenderhollow_types::Clock;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+
+use crate::appender::Appender;
+use crate::appender::Lost;
+use crate::backend::LookError;
+use crate::backend::Platform;
+use crate::backend::StoreError;
+use crate::backend::Target;
+use crate::claim::Claimed;
+use crate::clock::moment;
+use crate::current::Current;
+use crate::message::Question;
+use crate::message::Reply;
+use crate::message::ShardUse;
+use crate::message::TeamRow;
+use crate::router::LocalRequest;
+use crate::router::Router;
+use crate::shard_id::ShardId;
+
+/// How many events are taken in before decisions are made.
+const EVENTS_AT_ONCE: usize = 64;
+
+/// How many answers of the store and of workers may wait.
+const EVENT_QUEUE: usize = 4_096;
+
+/// After what time without an append the owner checks that the shard is still its own.
+const CONFIRM_EVERY: Duration = Duration::from_millis(1_500);
+
+/// How often the owner reports its use of the teams' limits.
+const ALLOT_EVERY: Duration = Duration::from_millis(300);
+
+/// The time for a report of the use of the limits.
+const ALLOT_LIMIT: Duration = Duration::from_millis(800);
+
+/// What the owner of a shard works with.
+pub(crate) struct OwnerParts {
+    pub(crate) id: ShardId,
+    pub(crate) platform: Platform,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) router: Arc<Router>,
+    pub(crate) current: Arc<Current>,
+    pub(crate) tuning: Tuning,
+}
+
+enum Event {
+    Started(Name, RunId, StartAnswer),
+    Stopped(Name, RunId, bool),
+    Looked(Name, Instant, Result<Look, LookError>),
+    Paced(Name, RunId, bool),
+    Stored(Instant, Result<Appender, Lost>),
+    Confirmed(Instant, Result<(), StoreError>),
+    Allotted(Option<Vec<(Name, Resources)>>),
+}
+
+/// The owner of a shard.
+struct Owner {
+    parts: OwnerParts,
+    shard: Shard,
+    token: u64,
+    appender: Option<Appender>,
+    events: mpsc::Sender<Event>,
+    calls: JoinSet<()>,
+    answers: HashMap<Ticket, oneshot::Sender<Reply>>,
+    next_ticket: u64,
+    confirmed: Instant,
+    confirming: bool,
+    next_allot: Instant,
+    allotting: bool,
+    suspended: bool,
+    releasing: Option<oneshot::Sender<()>>,
+}
+
+/// Runs the owner of a shard until it is released or loses the shard.
+pub(crate) async fn run(
+    parts: OwnerParts,
+    claimed: Claimed,
+    mut requests: mpsc::Receiver<LocalRequest>,
+    mut listings: mpsc::Receiver<Vec<Listing>>,
+) {
+    let (events, mut incoming) = mpsc::channel(EVENT_QUEUE);
+    let at = moment(&*parts.clock);
+    let mut shard = Shard::new(parts.tuning, at.now);
+    let mut records = Vec::new();
+    for entry in &claimed.entries {
+        let Some(value) = &entry.value else {
+            continue;
+        };
+        match decode(&entry.key, value) {
+            Ok(Some(stored)) => records.push(stored),
+            Ok(None) => {}
+            Err(error) => log::error!(shard:display = parts.id, error:display; "record_unreadable"),
+        }
+    }
+    let restored = records.len();
+    shard.restore(at, records);
+    log::info!(
+        shard:display = parts.id, token = claimed.token, records = restored,
+        open_jobs = shard.open_jobs(); "shard_owned"
+    );
+    let mut owner = Owner {
+        parts,
+        shard,
+        token: claimed.token,
+        appender: Some(claimed.appender),
+        events,
+        calls: JoinSet::new(),
+        answers: HashMap::new(),
+        next_ticket: 0,
+        confirmed: at.now,
+        confirming: false,
+        next_allot: at.now,
+        allotting: false,
+        suspended: false,
+        releasing: None,
+    };
+    loop {
+        let pause = owner.pause();
+        tokio::select! {
+            Some(request) = requests.recv() => owner.take_request(request),
+            Some(event) = incoming.recv() => {
+                if owner.take_event(event).is_err() {
+                    break;
+                }
+            }
+            Some(list) = listings.recv() => {
+                let at = moment(&*owner.parts.clock);
+                owner.shard.list_workers(at, list);
+            }
+            () = tokio::time::sleep(pause) => {}
+        }
+        let mut lost = false;
+        for _ in 0..EVENTS_AT_ONCE {
+            if let Ok(request) = requests.try_recv() {
+                owner.take_request(request);
+            } else if let Ok(event) = incoming.try_recv() {
+                lost |= owner.take_event(event).is_err();
+            } else {
+                break;
+            }
+        }
+        if lost || owner.decide().is_err() {
+            break;
+        }
+        if owner.releasing.is_some() && owner.appender.is_some() {
+            break;
+        }
+    }
+    log::info!(
+        shard:display = owner.parts.id, token = owner.token,
+        released = owner.releasing.is_some(), open_jobs = owner.shard.open_jobs(); "shard_left"
+    );
+    if let Some(done) = owner.releasing.take() {
+        // The receiver is gone only when the process ends.
+        let _ = done.send(());
+    }
+}
+
+impl Owner {
+    fn pause(&self) -> Duration {
+        let now = self.parts.clock.now();
+        self.shard.next_tick(now).saturating_duration_since(now)
+    }
+
+    fn take_request(&mut self, request: LocalRequest) {
+        match request {
+            LocalRequest::Release(done) => self.releasing = Some(done),
+            LocalRequest::Ask(question, answer) => self.take_question(question, answer),
+        }
+    }
+
+    fn take_question(&mut self, question: Question, answer: oneshot::Sender<Reply>) {
+        let at = moment(&*self.parts.clock);
+        if self.releasing.is_some() {
+            // The asker is gone when nobody receives this.
+            let _ = answer.send(Reply::NotOwner);
+            return;
+        }
+        let reply = match question {
+            Question::Submit(job) => {
+                let ticket = self.ticket(answer);
+                self.shard.submit(at, ticket, *job);
+                return;
+            }
+            Question::Cancel(id) => {
+                let ticket = self.ticket(answer);
+                self.shard.cancel(at, ticket, id);
+                return;
+            }
+            Question::State(id) => self.shard.state(id).map_or(Reply::Unknown, Reply::State),
+            Question::Pending(queue) => Reply::Pending(self.shard.pending(&queue) as u64),
+            Question::Vacate(worker) => match self.shard.vacate(at, &worker) {
+                Vacancy::Free => Reply::Vacant,
+                Vacancy::Busy => Reply::Busy,
+                Vacancy::NoWorker => Reply::Unknown,
+            },
+            Question::Allot(_) => Reply::NotOwner,
+        };
+        let _ = answer.send(reply);
+    }
+
+    fn ticket(&mut self, answer: oneshot::Sender<Reply>) -> Ticket {
+        self.next_ticket += 1;
+        let ticket = Ticket(self.next_ticket);
+        self.answers.insert(ticket, answer);
+        ticket
+    }
+
+    fn take_event(&mut self, event: Event) -> Result<(), Lost> {
+        let at = moment(&*self.parts.clock);
+        match event {
+            Event::Started(worker, run, answer) => {
+                self.shard.start_answered(at, &worker, run, answer);
+            }
+            Event::Stopped(worker, run, done) => self.shard.stop_answered(at, &worker, run, done),
+            Event::Looked(worker, sent, Ok(look)) => self.shard.looked(at, &worker, sent, &look),
+            Event::Looked(worker, _, Err(error)) => {
+                let failure = match error {
+                    LookError::Deposed => LookFailure::Deposed,
+                    LookError::OtherWorker => LookFailure::OtherWorker,
+                    LookError::NoAnswer => LookFailure::NoAnswer,
+                };
+                self.shard.look_failed(at, &worker, failure);
+            }
+            Event::Paced(worker, run, done) => {
+                if !done {
+                    self.shard.pace_failed(&worker, run);
+                }
+            }
+            Event::Stored(sent, result) => {
+                self.appender = Some(result?);
+                self.confirm(sent);
+                self.shard.batch_stored(at);
+            }
+            Event::Confirmed(sent, result) => {
+                self.confirming = false;
+                match result {
+                    Ok(()) => self.confirm(sent),
+                    // An append of this owner may have been under way.
+                    Err(StoreError::Moved { .. }) if self.appender.is_none() => {}
+                    Err(StoreError::Moved { .. }) => return Err(Lost),
+                    Err(error) => {
+                        log::warn!(shard:display = self.parts.id, error:display; "confirm_failed");
+                    }
+                }
+            }
+            Event::Allotted(rows) => {
+                self.allotting = false;
+                if let Some(rows) = rows {
+                    self.shard.set_limits(&rows.into_iter().collect());
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn confirm(&mut self, sent: Instant) {
+        self.confirmed = self.confirmed.max(sent);
+    }
+
+    /// Makes the decisions that are due and carries out their effects.
+    fn decide(&mut self) -> Result<(), Lost> {
+        let at = moment(&*self.parts.clock);
+        // A successor waits this long before it takes unreachable workers' runs for over.
+        let unconfirmed = at.now.saturating_duration_since(self.confirmed);
+        let suspended = unconfirmed > self.parts.tuning.predecessor;
+        if suspended != self.suspended {
+            self.suspended = suspended;
+            log::warn!(
+                shard:display = self.parts.id, suspended,
+                unconfirmed_ms = unconfirmed.as_millis() as u64; "ownership_confirmation"
+            );
+        }
+        if !suspended && self.releasing.is_none() {
+            self.shard.tick(at);
+        }
+        if self.shard.is_deposed() {
+            return Err(Lost);
+        }
+        self.store_batch();
+        self.check_ownership(at.now, unconfirmed);
+        self.report_use(at.now);
+        for effect in self.shard.take_effects() {
+            self.carry_out(effect);
+        }
+        for note in self.shard.take_notes() {
+            log::info!(
+                shard:display = self.parts.id, subject = note.subject.as_str(),
+                detail = note.detail.as_str(); "{}", note.event
+            );
+        }
+        while self.calls.try_join_next().is_some() {}
+        Ok(())
+    }
+
+    fn store_batch(&mut self) {
+        while self.appender.is_some() {
+            let Some(records) = self.shard.next_batch() else {
+                return;
+            };
+            let at = moment(&*self.parts.clock);
+            if records.is_empty() {
+                self.shard.batch_stored(at);
+                continue;
+            }
+            metrics::counter!("shard_records_total").increment(records.len() as u64);
+            let Some(mut appender) = self.appender.take() else {
+                return;
+            };
+            let events = self.events.clone();
+            self.calls.spawn(async move {
+                let result = appender.append(&records).await;
+                let event = Event::Stored(at.now, result.map(|()| appender));
+                send(&events, event).await;
+            });
+        }
+    }
+
+    fn check_ownership(&mut self, now: Instant, unconfirmed: Duration) {
+        if unconfirmed < CONFIRM_EVERY || self.confirming {
+            return;
+        }
+        let Some(appender) = self.appender.clone() else {
+            return;
+        };
+        self.confirming = true;
+        let events = self.events.clone();
+        self.calls.spawn(async move {
+            let result = appender.confirm().await;
+            if result.is_err() {
+                // Keeps a store that refuses from being asked without a pause.
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+            send(&events, Event::Confirmed(now, result)).await;
+        });
+    }
+
+    fn report_use(&mut self, now: Instant) {
+        if now < self.next_allot || self.allotting {
+            return;
+        }
+        self.next_allot = now + ALLOT_EVERY;
+        self.allotting = true;
+        let limits: BTreeMap<Name, Resources> = self.parts.current.load().team_limits();
+        let mut teams: Vec<TeamRow> = self
+            .shard
+            .team_use()
+            .into_iter()
+            .filter(|row| limits.contains_key(&row.name))
+            .map(|row| TeamRow {
+                team: row.name,
+                used: row.used,
+                wanted: row.wanted,
+                allotted: row.limit,
+            })
+            .collect();
+        for team in limits.into_keys() {
+            if !teams.iter().any(|row| row.team == team) {
+                teams.push(TeamRow {
+                    team,
+                    used: Resources::default(),
+                    wanted: Resources::default(),
+                    allotted: None,
+                });
+            }
+        }
+        let question = Question::Allot(ShardUse {
+            shard: self.parts.id,
+            token: self.token,
+            teams,
+        });
+        let (router, events) = (Arc::clone(&self.parts.router), self.events.clone());
+        self.calls.spawn(async move {
+            let reply = router
+                .ask(ShardId::FLEET, &question, now + ALLOT_LIMIT)
+                .await;
+            let rows = match reply {
+                Ok(Reply::Allotted(rows)) => Some(rows),
+                Ok(other) => {
+                    log::warn!(reply:? = other; "allotment_refused");
+                    None
+                }
+                Err(error) => {
+                    log::info!(error:display; "allotment_unanswered");
+                    None
+                }
+            };
+            send(&events, Event::Allotted(rows)).await;
+        });
+    }
+
+    fn target(&self, worker: &Name) -> Option<Target> {
+        let address = self.shard.address(worker)?;
+        Some(Target {
+            id: Arc::clone(worker),
+            address,
+            token: self.token,
+        })
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        let events = self.events.clone();
+        let workers = Arc::clone(&self.parts.platform.workers);
+        match effect {
+            Effect::Answer(ticket, answer) => {
+                if let Some(sender) = self.answers.remove(&ticket) {
+                    // The asker may have gone; the outcome is stored all the same.
+                    let _ = sender.send(answer.into());
+                }
+            }
+            Effect::Start(worker, order) => {
+                let Some(target) = self.target(&worker) else {
+                    return;
+                };
+                metrics::counter!("starts_total").increment(1);
+                self.calls.spawn(async move {
+                    let answer = workers.start(&target, &order).await;
+                    send(&events, Event::Started(worker, order.run, answer)).await;
+                });
+            }
+            Effect::Stop(worker, run) => {
+                let Some(target) = self.target(&worker) else {
+                    return;
+                };
+                metrics::counter!("stops_total").increment(1);
+                self.calls.spawn(async move {
+                    let done = workers.stop(&target, run).await;
+                    send(&events, Event::Stopped(worker, run, done)).await;
+                });
+            }
+            Effect::Look(worker, order) => {
+                let Some(target) = self.target(&worker) else {
+                    return;
+                };
+                metrics::counter!("looks_total").increment(1);
+                let sent = self.parts.clock.now();
+                self.calls.spawn(async move {
+                    let result = workers.look(&target, order).await;
+                    send(&events, Event::Looked(worker, sent, result)).await;
+                });
+            }
+            Effect::Pace(worker, run, percent) => {
+                let Some(target) = self.target(&worker) else {
+                    return;
+                };
+                self.calls.spawn(async move {
+                    let done = workers.pace(&target, run, percent).await;
+                    send(&events, Event::Paced(worker, run, done)).await;
+                });
+            }
+        }
+    }
+}
+
+/// Reports the outcome of a call; an owner that has ended does not need it.
+async fn send(events: &mpsc::Sender<Event>, event: Event) {
+    if events.send(event).await.is_err() {
+        log::debug!("outcome of a call after the end of its owner");
+    }
+}
--- /dev/null
+++ b/crates/node/src/ownership.rs
@@ -0,0 +1,382 @@
+//! Keeping this process among the live members, and claiming and releasing shards.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use lavenderhollow_shard::Listing;
+use lavenderhollow_shard::Tuning;
+use lavenderhollow_types::Clock;
+use rand::seq::IteratorRandom;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::backend::Platform;
+use crate::backend::Store;
+use crate::backend::Topic;
+use crate::catalog::Wave;
+use crate::claim;
+use crate::claim::Claimed;
+use crate::current::Current;
+use crate::election::Ownership;
+use crate::fleet;
+use crate::follower::Follower;
+use crate::owner;
+use crate::router::LocalRequest;
+use crate::router::QUEUE_LENGTH;
+use crate::router::Router;
+use crate::shard_id::ShardId;
+
+/// How often the process tells the store that it lives; several times in [`MEMBER_TTL`].
+const JOIN_EVERY: Duration = Duration::from_millis(400);
+
+/// After what silence a member counts as gone. A pause of this length moves its shards.
+const MEMBER_TTL: Duration = Duration::from_millis(1_500);
+
+/// How long a process waits after its first contact before it claims shards, so that processes
+/// that start together see each other first.
+const SETTLE: Duration = Duration::from_millis(1_200);
+
+/// How often it is checked whether shards need an owner.
+const CLAIM_EVERY: Duration = Duration::from_millis(100);
+
+/// How long the members have to be unchanged before shards are spread anew.
+const STABLE_FOR: Duration = Duration::from_secs(3);
+
+/// The wait of one read of the owners' topic.
+const OWNERS_WAIT: Duration = Duration::from_secs(1);
+
+/// The pause between reads of the workers' entries: a worker that leaves announces it some seconds
+/// before.
+const WORKERS_EVERY: Duration = Duration::from_millis(300);
+
+/// The pause after a failed call of the store.
+const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+
+/// The time for a question to a peer about owners.
+const PEER_LIMIT: Duration = Duration::from_millis(500);
+
+/// The longest wait for a shard's last records at a release.
+const RELEASE_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// What ownership works with.
+#[derive(Clone)]
+pub(crate) struct OwnershipParts {
+    pub(crate) platform: Platform,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) router: Arc<Router>,
+    pub(crate) current: Arc<Current>,
+    pub(crate) tuning: Tuning,
+    pub(crate) upkeep: Duration,
+    /// For how long an earlier owner of the fleet shard may still give orders.
+    pub(crate) quiet: Duration,
+    pub(crate) waves: watch::Receiver<Vec<Wave>>,
+}
+
+/// Claims and releases shards.
+pub(crate) struct Manager {
+    parts: OwnershipParts,
+    claiming: Mutex<BTreeSet<ShardId>>,
+    stopping: watch::Sender<bool>,
+    joined: Mutex<Option<Instant>>,
+    changed: Mutex<Instant>,
+}
+
+impl Manager {
+    pub(crate) fn new(parts: OwnershipParts) -> Arc<Self> {
+        let now = parts.clock.now();
+        Arc::new(Self {
+            parts,
+            claiming: Mutex::default(),
+            stopping: watch::Sender::new(false),
+            joined: Mutex::new(None),
+            changed: Mutex::new(now),
+        })
+    }
+
+    /// Starts the tasks that keep members and owners up to date.
+    pub(crate) fn start(self: &Arc<Self>) {
+        tokio::spawn(Arc::clone(self).keep_joined());
+        tokio::spawn(Arc::clone(self).follow_owners());
+        tokio::spawn(Arc::clone(self).keep_claiming());
+    }
+
+    fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    async fn keep_joined(self: Arc<Self>) {
+        let me = self.parts.router.me.to_string();
+        let mut generation = None;
+        while !self.is_stopping() {
+            let store = &self.parts.platform.store;
+            match store.join(&me, MEMBER_TTL).await {
+                Ok(current) => {
+                    let now = self.parts.clock.now();
+                    lock(&self.joined).get_or_insert(now);
+                    if generation != Some(current) && self.refresh_members().await {
+                        generation = Some(current);
+                    }
+                }
+                Err(error) => {
+                    log::warn!(error:display; "join_failed");
+                    generation = None;
+                }
+            }
+            tokio::time::sleep(JOIN_EVERY).await;
+        }
+    }
+
+    async fn refresh_members(&self) -> bool {
+        let members = match self.parts.platform.store.members().await {
+            Ok(members) => members,
+            Err(error) => {
+                log::warn!(error:display; "members_unread");
+                return false;
+            }
+        };
+        let members = members.iter().filter_map(|m| m.parse().ok());
+        let count = {
+            let mut roster = self.parts.router.roster();
+            roster.set_members(members);
+            roster.members().count()
+        };
+        *lock(&self.changed) = self.parts.clock.now();
+        log::info!(members = count; "members_changed");
+        true
+    }
+
+    async fn follow_owners(self: Arc<Self>) {
+        let mut follower = Follower::new(Topic::Owners);
+        let mut failing = false;
+        while !self.is_stopping() {
+            match follower
+                .step(&*self.parts.platform.store, OWNERS_WAIT)
+                .await
+            {
+                Ok(changes) => {
+                    failing = false;
+                    let mut roster = self.parts.router.roster();
+                    for (key, value) in &changes.changed {
+                        let value = value.as_deref();
+                        if let Some((shard, owner)) = value.and_then(|v| claim::announced(key, v)) {
+                            roster.announce(shard, owner);
+                        }
+                    }
+                }
+                Err(error) => {
+                    if !failing {
+                        log::warn!(error:display; "owners_unread");
+                    }
+                    failing = true;
+                    self.ask_peer_for_owners().await;
+                    tokio::time::sleep(FAILURE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Learns the owners from another process while the store does not answer this one.
+    async fn ask_peer_for_owners(&self) {
+        let me = &self.parts.router.me;
+        let peer = {
+            let roster = self.parts.router.roster();
+            let others = roster.members().filter(|m| *m != me);
+            others.choose(&mut rand::rng()).cloned()
+        };
+        let Some(peer) = peer else {
+            return;
+        };
+        let owners = self.parts.router.peers.owners(&peer.address, PEER_LIMIT);
+        match owners.await {
+            Ok(owners) => {
+                let mut roster = self.parts.router.roster();
+                for (shard, owner) in owners {
+                    roster.announce(shard, owner);
+                }
+            }
+            Err(error) => log::debug!(peer = &*peer.vm, error:display; "owners_unanswered"),
+        }
+    }
+
+    async fn keep_claiming(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(CLAIM_EVERY).await;
+            if self.is_stopping() {
+                return;
+            }
+            let now = self.parts.clock.now();
+            let settled = lock(&self.joined).is_some_and(|at| now >= at + SETTLE);
+            if !settled {
+                continue;
+            }
+            let shards = self.parts.current.load().shards();
+            let me = &self.parts.router.me;
+            let wanted = self.parts.router.roster().to_claim(me, &shards);
+            for shard in wanted {
+                let owned = self.parts.router.local().contains_key(&shard);
+                if !owned && lock(&self.claiming).insert(shard) {
+                    tokio::spawn(Arc::clone(&self).claim(shard));
+                }
+            }
+            let stable = now.saturating_duration_since(*lock(&self.changed)) > STABLE_FOR;
+            if stable {
+                let extra = self.parts.router.roster().to_release(me, &shards);
+                if let Some(shard) = extra {
+                    log::info!(shard:display; "shard_given_away");
+                    *lock(&self.changed) = now;
+                    self.release(shard).await;
+                }
+            }
+        }
+    }
+
+    async fn claim(self: Arc<Self>, shard: ShardId) {
+        let result = claim::claim(&self.parts.platform, shard, &self.parts.router.me).await;
+        match result {
+            Ok(claimed) if !self.is_stopping() => self.own(shard, claimed).await,
+            Ok(_) => {}
+            Err(error) => {
+                log::info!(shard:display, error:display; "claim_failed");
+                tokio::time::sleep(FAILURE_PAUSE).await;
+            }
+        }
+        lock(&self.claiming).remove(&shard);
+    }
+
+    /// Runs the owner of a claimed shard in the background and announces it.
+    async fn own(self: &Arc<Self>, shard: ShardId, claimed: Claimed) {
+        let ownership = Ownership {
+            member: self.parts.router.me.clone(),
+            token: claimed.token,
+            released: false,
+        };
+        let (requests, incoming) = mpsc::channel(QUEUE_LENGTH);
+        self.parts
+            .router
+            .roster()
+            .announce(shard, ownership.clone());
+        self.parts.router.local().insert(shard, requests.clone());
+        let manager = Arc::clone(self);
+        tokio::spawn(async move {
+            manager.run(shard, claimed, incoming).await;
+            let mut local = manager.parts.router.local();
+            if local.get(&shard).is_some_and(|o| o.same_channel(&requests)) {
+                local.remove(&shard);
+            }
+        });
+        claim::announce(&self.parts.platform, shard, &ownership).await;
+    }
+
+    async fn run(&self, shard: ShardId, claimed: Claimed, incoming: mpsc::Receiver<LocalRequest>) {
+        let parts = &self.parts;
+        if shard == ShardId::FLEET {
+            let (waves, taken) = mpsc::channel(4);
+            let mut changes = parts.waves.clone();
+            let follower = tokio::spawn(async move {
+                loop {
+                    let list = changes.borrow_and_update().clone();
+                    if waves.send(list).await.is_err() || changes.changed().await.is_err() {
+                        return;
+                    }
+                }
+            });
+            let fleet_parts = fleet::FleetParts {
+                platform: parts.platform.clone(),
+                clock: Arc::clone(&parts.clock),
+                router: Arc::clone(&parts.router),
+                current: Arc::clone(&parts.current),
+                quiet: parts.quiet,
+                upkeep: parts.upkeep,
+            };
+            fleet::run(fleet_parts, claimed, incoming, taken).await;
+            follower.abort();
+            return;
+        }
+        let (listings, listed) = mpsc::channel(4);
+        let follower = tokio::spawn(follow_workers(parts.platform.clone(), shard, listings));
+        let owner_parts = owner::OwnerParts {
+            id: shard,
+            platform: parts.platform.clone(),
+            clock: Arc::clone(&parts.clock),
+            router: Arc::clone(&parts.router),
+            current: Arc::clone(&parts.current),
+            tuning: parts.tuning,
+        };
+        owner::run(owner_parts, claimed, incoming, listed).await;
+        follower.abort();
+    }
+
+    async fn release(&self, shard: ShardId) {
+        let owner = self.parts.router.local().remove(&shard);
+        let Some(owner) = owner else {
+            return;
+        };
+        let (done, finished) = oneshot::channel();
+        if owner.send(LocalRequest::Release(done)).await.is_err() {
+            return;
+        }
+        if tokio::time::timeout(RELEASE_LIMIT, finished).await.is_err() {
+            log::warn!(shard:display; "release_timed_out");
+        }
+        let ownership = self.parts.router.roster().owner(shard).cloned();
+        let Some(mut ownership) = ownership.filter(|o| o.member == self.parts.router.me) else {
+            return;
+        };
+        ownership.released = true;
+        self.parts
+            .router
+            .roster()
+            .announce(shard, ownership.clone());
+        claim::announce(&self.parts.platform, shard, &ownership).await;
+    }
+
+    /// Gives up every shard and leaves the members.
+    pub(crate) async fn stop(&self) {
+        self.stopping.send_replace(true);
+        let shards: Vec<ShardId> = self.parts.router.local().keys().copied().collect();
+        let releases = shards.into_iter().map(|shard| self.release(shard));
+        futures::future::join_all(releases).await;
+        let me = self.parts.router.me.to_string();
+        if let Err(error) = self.parts.platform.store.leave(&me).await {
+            log::warn!(error:display; "leave_failed");
+        }
+    }
+}
+
+/// Sends the list of a shard's workers whenever it changes.
+async fn follow_workers(platform: Platform, shard: ShardId, listings: mpsc::Sender<Vec<Listing>>) {
+    let store: &dyn Store = &*platform.store;
+    let mut follower = Follower::new(Topic::Workers);
+    let mut last: Option<Vec<Listing>> = None;
+    loop {
+        match follower.step(store, Duration::ZERO).await {
+            Ok(_) => {
+                let all = follower.records();
+                let listed = all.filter_map(|(id, value)| platform.codec.listing(id, value));
+                let listed: Vec<Listing> = listed
+                    .filter(|l| ShardId::of_pool(&l.pool) == shard)
+                    .collect();
+                if last.as_ref() != Some(&listed) {
+                    last = Some(listed.clone());
+                    if listings.send(listed).await.is_err() {
+                        return;
+                    }
+                }
+                tokio::time::sleep(WORKERS_EVERY).await;
+            }
+            Err(error) => {
+                log::warn!(shard:display, error:display; "workers_unread");
+                tokio::time::sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/node/src/wave.rs
@@ -0,0 +1,165 @@
+//! The order of the upkeeps of a wave.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use lavenderhollow_shard::Name;
+
+use crate::backend::Machine;
+use crate::backend::MachineState;
+use crate::catalog::Wave;
+
+/// How many machines beyond the wave's bound are kept free ahead of their turn.
+const AHEAD: usize = 1;
+
+/// After what time a machine that can't go down yet lets others go first.
+const TURN: Duration = Duration::from_secs(3);
+
+/// A machine whose upkeep was ordered.
+#[derive(Clone, Debug)]
+struct Down {
+    since: Instant,
+    worker: Option<Name>,
+    confirmed: bool,
+}
+
+/// A wave under way.
+#[derive(Clone, Debug)]
+pub struct WaveRun {
+    wave: Wave,
+    begun: BTreeSet<Name>,
+    down: BTreeMap<Name, Down>,
+    /// Machines that are being kept free, since when.
+    chosen: BTreeMap<Name, Instant>,
+    /// Machines that had their turn and were not free, with the time of it.
+    passed: BTreeMap<Name, Instant>,
+    upkeep: Duration,
+}
+
+impl WaveRun {
+    /// Creates a wave of which `begun` machines have had their upkeep ordered.
+    pub fn new(wave: Wave, begun: BTreeSet<Name>, upkeep: Duration) -> Self {
+        Self {
+            wave,
+            begun,
+            down: BTreeMap::new(),
+            chosen: BTreeMap::new(),
+            passed: BTreeMap::new(),
+            upkeep,
+        }
+    }
+
+    /// Returns the wave.
+    pub fn wave(&self) -> &Wave {
+        &self.wave
+    }
+
+    /// Takes a changed announcement of the wave.
+    pub fn update(&mut self, wave: Wave) {
+        self.wave = wave;
+    }
+
+    /// Returns the machines whose upkeep was ordered.
+    pub fn begun(&self) -> &BTreeSet<Name> {
+        &self.begun
+    }
+
+    /// Takes the list of machines; tells whether the wave is completed.
+    pub fn take_list(&mut self, now: Instant, machines: &[Machine]) -> bool {
+        let by_name: BTreeMap<&Name, &Machine> = machines.iter().map(|m| (&m.name, m)).collect();
+        let upkeep = self.upkeep;
+        self.down.retain(|name, down| {
+            let Some(machine) = by_name.get(name) else {
+                return false;
+            };
+            let back = machine.state == MachineState::Up
+                && (machine.worker != down.worker
+                    || now.saturating_duration_since(down.since) > upkeep * 2);
+            !(down.confirmed && back)
+        });
+        let open = |name: &&Name| by_name.contains_key(name) && !self.begun.contains(*name);
+        let open: Vec<Name> = self.wave.machines.iter().filter(open).cloned().collect();
+        self.chosen.retain(|name, _| open.contains(name));
+        self.rotate(now, open.len());
+        let room = (self.wave.at_once + AHEAD)
+            .saturating_sub(self.down.len())
+            .saturating_sub(self.chosen.len());
+        let mut waiting: Vec<&Name> = open
+            .iter()
+            .filter(|n| !self.chosen.contains_key(*n))
+            .filter(|n| by_name.get(n).is_some_and(|m| m.state == MachineState::Up))
+            .collect();
+        waiting.sort_by_key(|n| self.passed.get(*n).copied());
+        let next: Vec<Name> = waiting.into_iter().take(room).cloned().collect();
+        for name in next {
+            self.chosen.insert(name, now);
+        }
+        open.is_empty() && self.down.is_empty()
+    }
+
+    /// Lets others go first where a machine could not go down in its turn.
+    fn rotate(&mut self, now: Instant, open: usize) {
+        if open <= self.chosen.len() {
+            return;
+        }
+        let over = |at: &Instant| now.saturating_duration_since(*at) > TURN;
+        let passed = self.chosen.iter().filter(|(_, at)| over(at));
+        let passed: Vec<Name> = passed.map(|(name, _)| Arc::clone(name)).collect();
+        for name in passed {
+            self.chosen.remove(&name);
+            self.passed.insert(name, now);
+        }
+    }
+
+    /// Returns the machines that are to be kept free, and whether one may go down now.
+    pub fn chosen(&self) -> Vec<Name> {
+        self.chosen.keys().cloned().collect()
+    }
+
+    /// Returns machines whose order had no answer, to be ordered again.
+    pub fn unconfirmed(&self) -> Vec<Name> {
+        let open = self.down.iter().filter(|(_, d)| !d.confirmed);
+        open.map(|(name, _)| Arc::clone(name)).collect()
+    }
+
+    /// Tells whether another machine may go down.
+    pub fn has_room(&self) -> bool {
+        self.down.len() < self.wave.at_once
+    }
+
+    /// Notes that the upkeep of a machine is being ordered.
+    pub fn order(&mut self, now: Instant, machine: &Name, worker: Option<Name>) {
+        let down = Down {
+            since: now,
+            worker,
+            confirmed: false,
+        };
+        self.down.entry(Arc::clone(machine)).or_insert(down);
+    }
+
+    /// Notes that the upkeep was carried out.
+    pub fn confirm(&mut self, machine: &Name) {
+        self.begun.insert(Arc::clone(machine));
+        self.chosen.remove(machine);
+        if let Some(down) = self.down.get_mut(machine) {
+            down.confirmed = true;
+        }
+    }
+
+    /// Notes that the order was refused and nothing was done.
+    pub fn refuse(&mut self, now: Instant, machine: &Name) {
+        self.down.remove(machine);
+        self.chosen.remove(machine);
+        self.passed.insert(Arc::clone(machine), now);
+    }
+
+    /// Notes that the machine has no upkeep in this wave.
+    pub fn skip(&mut self, machine: &Name) {
+        self.begun.insert(Arc::clone(machine));
+        self.down.remove(machine);
+        self.chosen.remove(machine);
+    }
+}
--- /dev/null
+++ b/crates/shard/src/active.rs
@@ -0,0 +1,257 @@
+//! Jobs under way: which tasks run, which are done, and what may start next.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::job::Job;
+use crate::job::JobState;
+use crate::job::Name;
+use crate::job::TaskId;
+use crate::stored::Progress;
+use crate::stored::StoredRun;
+use crate::stored::StoredTask;
+
+/// A job is late after its objective and worth nothing after this many times its objective.
+const WORTHLESS_AFTER: u32 = 3;
+
+/// How far a run is known to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// It is being stored; no order was sent.
+    Recorded,
+    /// The order was sent and has no answer yet.
+    Ordered,
+    /// The order has no answer and may still be carried out. `barred` is when the worker
+    /// confirmed a stop, after which it can't start any more.
+    Unresolved {
+        /// When the worker confirmed a stop.
+        barred: Option<Instant>,
+    },
+    /// The worker confirmed or listed it.
+    Running {
+        /// When that was.
+        confirmed: Instant,
+    },
+    /// An earlier owner recorded it; whether it runs is not known.
+    Inherited,
+}
+
+/// One run of a task that may be under way.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) number: u32,
+    pub(crate) worker: Name,
+    pub(crate) born: u64,
+    pub(crate) phase: Phase,
+    pub(crate) since: Instant,
+    pub(crate) percent: u32,
+    pub(crate) usage: u64,
+    /// The share at which a filling task works, in percent.
+    pub(crate) pace: u32,
+    /// Whether the owner wants it stopped.
+    pub(crate) unwanted: bool,
+}
+
+/// One task of a step.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Task {
+    pub(crate) done: bool,
+    pub(crate) failures: u32,
+    pub(crate) last_run: u32,
+    pub(crate) checkpoint: Option<Name>,
+    pub(crate) failed_on: Option<Name>,
+    pub(crate) runs: Vec<Run>,
+    /// Since when nothing of a lasting task is at work.
+    pub(crate) away: Option<Instant>,
+}
+
+impl Task {
+    pub(crate) fn run_mut(&mut self, number: u32) -> Option<&mut Run> {
+        self.runs.iter_mut().find(|r| r.number == number)
+    }
+}
+
+/// The tasks of one step of one occurrence.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StepTasks {
+    pub(crate) tasks: Vec<Task>,
+}
+
+impl StepTasks {
+    pub(crate) fn is_done(&self) -> bool {
+        self.tasks.iter().all(|t| t.done)
+    }
+}
+
+/// A job that the shard knows.
+#[derive(Clone, Debug)]
+pub(crate) struct ActiveJob {
+    pub(crate) job: Arc<Job>,
+    pub(crate) state: JobState,
+    /// The newest state that is stored, which is what callers are told.
+    pub(crate) shown: JobState,
+    pub(crate) accepted: Instant,
+    pub(crate) accepted_unix: Duration,
+    pub(crate) finished: Option<(Instant, Duration)>,
+    pub(crate) occurrences: BTreeMap<u32, Vec<StepTasks>>,
+    pub(crate) objective: Duration,
+    pub(crate) dirty: bool,
+    /// Whether the submission itself is stored or in a batch that is being stored.
+    pub(crate) recorded: bool,
+}
+
+impl ActiveJob {
+    pub(crate) fn new(job: Arc<Job>, now: Instant, unix: Duration) -> Self {
+        Self {
+            objective: job.objective(),
+            job,
+            state: JobState::Queued,
+            shown: JobState::Queued,
+            accepted: now,
+            accepted_unix: unix,
+            finished: None,
+            occurrences: BTreeMap::new(),
+            dirty: true,
+            recorded: false,
+        }
+    }
+
+    /// Returns the number of occurrences.
+    pub(crate) fn occurrence_count(&self) -> u32 {
+        self.job.repeat.map_or(1, |r| r.count.max(1))
+    }
+
+    /// Returns when an occurrence is due, as time since 1970.
+    pub(crate) fn due_unix(&self, occurrence: u32) -> Duration {
+        match self.job.repeat {
+            Some(r) => Duration::from_millis(
+                r.start_ms
+                    .saturating_add(r.interval_ms.saturating_mul(occurrence.into())),
+            ),
+            None => Duration::ZERO,
+        }
+    }
+
+    /// Creates the tasks of the occurrences that are due.
+    pub(crate) fn open_due(&mut self, unix: Duration) {
+        if self.state.is_final() {
+            return;
+        }
+        for k in 0..self.occurrence_count() {
+            if self.due_unix(k) > unix {
+                break;
+            }
+            self.tasks_of(k);
+        }
+    }
+
+    /// Returns the tasks of an occurrence, created when they are missing.
+    pub(crate) fn tasks_of(&mut self, occurrence: u32) -> &mut Vec<StepTasks> {
+        let job = &self.job;
+        self.occurrences.entry(occurrence).or_insert_with(|| {
+            let tasks = |count: u32| vec![Task::default(); count as usize];
+            let steps = job.steps.iter().map(|s| StepTasks {
+                tasks: tasks(s.count),
+            });
+            steps.collect()
+        })
+    }
+
+    pub(crate) fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        let steps = self.occurrences.get_mut(&id.occurrence)?;
+        let step = steps.get_mut(usize::from(id.step))?;
+        step.tasks.get_mut(usize::try_from(id.index).ok()?)
+    }
+
+    pub(crate) fn task(&self, id: TaskId) -> Option<&Task> {
+        let steps = self.occurrences.get(&id.occurrence)?;
+        let step = steps.get(usize::from(id.step))?;
+        step.tasks.get(usize::try_from(id.index).ok()?)
+    }
+
+    /// Tells whether every task of every occurrence is done.
+    pub(crate) fn is_done(&self) -> bool {
+        self.occurrences.len() == self.occurrence_count() as usize
+            && self
+                .occurrences
+                .values()
+                .all(|steps| steps.iter().all(StepTasks::is_done))
+    }
+
+    /// Returns the processor time of the tasks that are not done, in core-milliseconds.
+    pub(crate) fn work_left(&self) -> u64 {
+        if self.state.is_final() || self.job.is_lasting() {
+            return 0;
+        }
+        let mut left = 0u64;
+        for steps in self.occurrences.values() {
+            for (step, tasks) in self.job.steps.iter().zip(steps) {
+                let open = tasks.tasks.iter().filter(|t| !t.done).count() as u64;
+                let estimate = u64::try_from(step.estimate.as_millis()).unwrap_or(u64::MAX);
+                let each = step.need.cpu.saturating_mul(estimate) / 1_000;
+                left = left.saturating_add(each.saturating_mul(open));
+            }
+        }
+        left
+    }
+
+    /// Returns the time until which the job earns its full worth.
+    pub(crate) fn due(&self) -> Instant {
+        self.accepted + self.objective
+    }
+
+    /// Returns the urgency: jobs of a lower class go first.
+    pub(crate) fn class(&self, now: Instant) -> u8 {
+        let age = now.saturating_duration_since(self.accepted);
+        if self.job.is_lasting() {
+            0
+        } else if self.job.repeat.is_some() || age <= self.objective {
+            1
+        } else if age <= self.objective * WORTHLESS_AFTER {
+            2
+        } else {
+            3
+        }
+    }
+
+    /// Returns what is stored of the progress.
+    pub(crate) fn progress(&self) -> Progress {
+        // Of a final job only the runs that may be under way matter: they have to be stopped and
+        // count against the team's limit.
+        let matters = |t: &Task| match self.state.is_final() {
+            true => !t.runs.is_empty(),
+            false => t.last_run > 0,
+        };
+        let mut stored = Vec::new();
+        for (&occurrence, steps) in &self.occurrences {
+            for (step, tasks) in (0u16..).zip(steps) {
+                let tasks = (0u32..).zip(&tasks.tasks).filter(|(_, t)| matters(t));
+                stored.extend(tasks.map(|(index, t)| StoredTask {
+                    occurrence,
+                    step,
+                    index,
+                    done: t.done,
+                    failures: t.failures,
+                    last_run: t.last_run,
+                    runs: t.runs.iter().map(stored_run).collect(),
+                }));
+            }
+        }
+        Progress {
+            state: self.state,
+            accepted: self.accepted_unix,
+            finished: self.finished.map(|(_, unix)| unix),
+            tasks: stored,
+        }
+    }
+}
+
+fn stored_run(run: &Run) -> StoredRun {
+    StoredRun {
+        number: run.number,
+        worker: Arc::clone(&run.worker),
+        born: run.born,
+    }
+}
--- /dev/null
+++ b/crates/shard/src/dispatch.rs
@@ -0,0 +1,369 @@
+//! Which tasks start next, and where.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::active::Phase;
+use crate::active::Run;
+use crate::job::JobId;
+use crate::job::Name;
+use crate::job::Resources;
+use crate::job::Step;
+use crate::job::TaskId;
+use crate::shard::Effect;
+use crate::shard::Moment;
+use crate::shard::Shard;
+use crate::shard::StartOrder;
+use crate::worker::RunId;
+use crate::worker::Worker;
+
+/// A step of an occurrence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct StepId {
+    job: JobId,
+    occurrence: u32,
+    step: u16,
+}
+
+impl StepId {
+    fn task(self, index: u32) -> TaskId {
+        TaskId {
+            job: self.job,
+            occurrence: self.occurrence,
+            step: self.step,
+            index,
+        }
+    }
+}
+
+/// What a placement pass has found so far.
+#[derive(Debug, Default)]
+struct Pass {
+    /// Workers kept free for a lasting task that fits nowhere yet.
+    kept: BTreeSet<Name>,
+    /// Needs that found no room in a pool, so that larger ones are not tried.
+    full: BTreeMap<Name, Resources>,
+}
+
+impl Shard {
+    /// Does what is due: places tasks, looks at workers, sends stops, ends lapsed runs.
+    pub fn tick(&mut self, at: Moment) {
+        if self.deposed {
+            return;
+        }
+        self.end_lapsed(at);
+        self.end_vacating(at.now);
+        self.dispatch(at);
+        self.send_stops(at.now);
+        self.send_looks(at.now);
+        self.forget_finished(at.now);
+    }
+
+    /// Returns when something is due next.
+    pub fn next_tick(&self, now: Instant) -> Instant {
+        /// Bounds the time until leases, repeated stops and due occurrences are looked at.
+        const LONGEST_PAUSE: Duration = Duration::from_millis(100);
+        let looks = self.workers.values().filter(|w| !w.looking);
+        let next = looks.map(|w| w.next_look).min();
+        next.unwrap_or(now + LONGEST_PAUSE)
+            .clamp(now, now + LONGEST_PAUSE)
+    }
+
+    fn dispatch(&mut self, at: Moment) {
+        for team in self.teams.values_mut() {
+            team.wanted = Resources::default();
+        }
+        let mut order = Vec::with_capacity(self.open.len());
+        for &id in &self.open {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.open_due(at.unix);
+                order.push((job.class(at.now), job.job.queue.priority, job.due(), id));
+            }
+        }
+        order.sort_unstable();
+        let mut pass = Pass::default();
+        for (_, _, _, id) in order {
+            self.dispatch_job(at, id, &mut pass);
+        }
+    }
+
+    fn dispatch_job(&mut self, at: Moment, id: JobId, pass: &mut Pass) {
+        let Some(active) = self.jobs.get(&id) else {
+            return;
+        };
+        let job = Arc::clone(&active.job);
+        let mut ready = Vec::new();
+        for (&occurrence, steps) in &active.occurrences {
+            for (i, step) in (0u16..).zip(&job.steps) {
+                let is_done = |a: &u16| steps.get(usize::from(*a)).is_some_and(|s| s.is_done());
+                let Some(tasks) = steps.get(usize::from(i)) else {
+                    continue;
+                };
+                if !step.after.iter().all(is_done) {
+                    continue;
+                }
+                let idle = |(_, t): &(u32, &crate::active::Task)| !t.done && t.runs.is_empty();
+                let idle = (0u32..).zip(&tasks.tasks).filter(idle);
+                let idle: Vec<u32> = idle.map(|(index, _)| index).collect();
+                let step_id = StepId {
+                    job: id,
+                    occurrence,
+                    step: i,
+                };
+                if !idle.is_empty() {
+                    ready.push((step_id, idle));
+                }
+            }
+        }
+        for (step_id, idle) in ready {
+            let Some(step) = job.steps.get(usize::from(step_id.step)) else {
+                continue;
+            };
+            let pool = &job.queue.pool;
+            match step.gang {
+                true => self.place_gang(at, step_id, step, pool, &idle, pass),
+                false => {
+                    for index in idle {
+                        if !self.place_task(at, step_id.task(index), step, pool, pass) {
+                            break;
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Places one task; false when no further task of the step fits either.
+    fn place_task(
+        &mut self,
+        at: Moment,
+        id: TaskId,
+        step: &Step,
+        pool: &Name,
+        pass: &mut Pass,
+    ) -> bool {
+        if !self.within_limit(id.job, step.need) {
+            return false;
+        }
+        let Some(worker) = self.choose(at.now, id, step, pool, pass) else {
+            if step.lasting {
+                self.keep_worker(at.now, id, step, pool, pass);
+            } else if step.label.is_none() && step.spread.is_none() {
+                pass.full.insert(Arc::clone(pool), step.charge());
+            }
+            return false;
+        };
+        let task = self.jobs.get(&id.job).and_then(|j| j.task(id));
+        let number = task.map_or(1, |t| t.last_run + 1);
+        self.order_start(at, id, step, worker, number);
+        true
+    }
+
+    /// Places all tasks of a gang at once, or none.
+    fn place_gang(
+        &mut self,
+        at: Moment,
+        id: StepId,
+        step: &Step,
+        pool: &Name,
+        idle: &[u32],
+        pass: &mut Pass,
+    ) {
+        if idle.len() < step.count as usize {
+            return;
+        }
+        let tasks: Vec<TaskId> = idle.iter().map(|&i| id.task(i)).collect();
+        let known = |t: &TaskId| self.jobs.get(&id.job).and_then(|j| j.task(*t));
+        let runs = tasks.iter().filter_map(known).map(|t| t.last_run);
+        let number = runs.max().unwrap_or(0) + 1;
+        let checkpoint = tasks
+            .iter()
+            .filter_map(known)
+            .filter_map(|t| t.checkpoint.clone())
+            .max();
+        let mut placed: Vec<RunId> = Vec::new();
+        let held_back = self.hold_starts();
+        for &task in &tasks {
+            let fits = self.within_limit(id.job, step.need);
+            let worker = fits
+                .then(|| self.choose(at.now, task, step, pool, pass))
+                .flatten();
+            let Some(worker) = worker else {
+                for run in placed {
+                    self.undo_start(at.now, run);
+                }
+                self.release_starts(held_back, false);
+                return;
+            };
+            if let Some(t) = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(task)) {
+                t.checkpoint.clone_from(&checkpoint);
+            }
+            self.order_start(at, task, step, worker, number);
+            placed.push(RunId { task, number });
+        }
+        self.release_starts(held_back, true);
+    }
+
+    /// Takes back a run that was placed in this pass and not recorded.
+    fn undo_start(&mut self, now: Instant, id: RunId) {
+        self.end_run(now, id);
+        let job = self.jobs.get_mut(&id.task.job);
+        if let Some(task) = job.and_then(|j| j.task_mut(id.task)) {
+            task.last_run = id.number - 1;
+        }
+    }
+
+    fn order_start(&mut self, at: Moment, id: TaskId, step: &Step, worker: Name, number: u32) {
+        let Some(born) = self.workers.get(&worker).map(|w| w.listing.born) else {
+            return;
+        };
+        let Some(job) = self.jobs.get(&id.job) else {
+            return;
+        };
+        let text = Arc::clone(&job.job.text);
+        let checkpoint = job.task(id).and_then(|t| t.checkpoint.clone());
+        let run = Run {
+            number,
+            worker: Arc::clone(&worker),
+            born,
+            phase: Phase::Recorded,
+            since: at.now,
+            percent: 0,
+            usage: 0,
+            pace: 100,
+            unwanted: false,
+        };
+        self.add_run(id, run);
+        self.mark(id.job);
+        if step.lasting {
+            self.note("start_lasting", id, || {
+                format!("run={number} worker={worker}")
+            });
+        }
+        self.after_batch(Effect::Start(
+            worker,
+            StartOrder {
+                run: RunId { task: id, number },
+                text,
+                deadline: 0,
+                checkpoint,
+            },
+        ));
+    }
+
+    /// Tells whether a team may have `need` more running, and notes what it lacks if not.
+    fn within_limit(&mut self, id: JobId, need: Resources) -> bool {
+        let team = self.jobs.get(&id).and_then(|j| j.job.team.clone());
+        let Some(team) = team else {
+            return true;
+        };
+        let team = self.teams.entry(team).or_default();
+        let mut then = team.used;
+        then.add(need);
+        let within = team.limit.is_some_and(|limit| then.within_limit(limit));
+        if !within {
+            team.wanted.add(need);
+        }
+        within
+    }
+
+    /// Chooses the worker for a task: near the data, not where the task failed, with most room.
+    fn choose(
+        &self,
+        now: Instant,
+        id: TaskId,
+        step: &Step,
+        pool: &Name,
+        pass: &Pass,
+    ) -> Option<Name> {
+        let charge = step.charge();
+        let hopeless = pass.full.get(pool).is_some_and(|full| {
+            charge.cpu >= full.cpu && charge.memory >= full.memory && charge.gpu >= full.gpu
+        });
+        if hopeless {
+            return None;
+        }
+        let siblings = self.siblings(id);
+        let failed_on = self
+            .jobs
+            .get(&id.job)
+            .and_then(|j| j.task(id))
+            .and_then(|t| t.failed_on.clone());
+        let candidates = self.workers.iter().filter(|(name, w)| {
+            self.may_run(now, w, step, pool, &siblings)
+                && !pass.kept.contains(*name)
+                && w.listing.capacity.fits(w.used, charge)
+        });
+        let best = candidates.max_by_key(|(name, w)| {
+            let near = step.data_rack.is_none() || w.rack() == step.data_rack.as_ref();
+            let together = !step.same_rack
+                || siblings.is_empty()
+                || siblings
+                    .keys()
+                    .filter_map(|n| self.workers.get(n))
+                    .any(|s| s.rack() == w.rack());
+            let fresh = failed_on.as_ref() != Some(*name);
+            let free = w.listing.capacity.cpu.saturating_sub(w.used.cpu);
+            (near, together, fresh, free)
+        });
+        best.map(|(name, _)| Arc::clone(name))
+    }
+
+    fn may_run(
+        &self,
+        now: Instant,
+        worker: &Worker,
+        step: &Step,
+        pool: &Name,
+        siblings: &BTreeMap<Name, u32>,
+    ) -> bool {
+        let labelled = |label: &Name| worker.listing.labels.contains(label);
+        let placed = siblings.get(&worker.listing.id).copied().unwrap_or(0);
+        worker.is_open(now)
+            && worker.listing.pool == *pool
+            && step.label.as_ref().is_none_or(labelled)
+            && step.spread.is_none_or(|most| placed < most)
+    }
+
+    /// Returns how many tasks of the same step of the same occurrence run on each worker.
+    fn siblings(&self, id: TaskId) -> BTreeMap<Name, u32> {
+        let mut counts = BTreeMap::new();
+        let steps = self
+            .jobs
+            .get(&id.job)
+            .and_then(|j| j.occurrences.get(&id.occurrence));
+        let Some(step) = steps.and_then(|s| s.get(usize::from(id.step))) else {
+            return counts;
+        };
+        for run in step.tasks.iter().flat_map(|t| &t.runs) {
+            *counts.entry(Arc::clone(&run.worker)).or_insert(0) += 1;
+        }
+        counts
+    }
+
+    /// Keeps the emptiest suitable worker free for a lasting task, so that it isn't overtaken by
+    /// short ones for ever.
+    fn keep_worker(&mut self, now: Instant, id: TaskId, step: &Step, pool: &Name, pass: &mut Pass) {
+        let siblings = self.siblings(id);
+        let suitable = self.workers.iter().filter(|(name, w)| {
+            self.may_run(now, w, step, pool, &siblings) && !pass.kept.contains(*name)
+        });
+        let best = suitable.max_by_key(|(_, w)| {
+            let free_memory = w.listing.capacity.memory.saturating_sub(w.used.memory);
+            let free_cpu = w.listing.capacity.cpu.saturating_sub(w.used.cpu);
+            (free_cpu, free_memory)
+        });
+        if let Some((name, _)) = best {
+            pass.kept.insert(Arc::clone(name));
+        }
+    }
+
+    pub(crate) fn charge_of(&self, id: TaskId) -> Resources {
+        let job = self.jobs.get(&id.job);
+        let step = job.and_then(|j| j.job.steps.get(usize::from(id.step)));
+        step.map(Step::charge).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/shard/src/orders.rs
@@ -0,0 +1,263 @@
+//! Starting and stopping runs, and what their answers mean.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::active::Phase;
+use crate::active::Run;
+use crate::job::JobState;
+use crate::job::Name;
+use crate::job::Resources;
+use crate::job::TaskId;
+use crate::shard::Effect;
+use crate::shard::Moment;
+use crate::shard::Shard;
+use crate::shard::StartOrder;
+use crate::worker::RunId;
+
+/// After what time a stop without an answer is sent again.
+const STOP_RETRY: Duration = Duration::from_millis(500);
+
+/// For how long a worker that refused a task for want of room gets no tasks; its next look tells
+/// what runs on it.
+const ROOM_PAUSE: Duration = Duration::from_millis(300);
+
+/// For how long a worker that answered that it is unhealthy gets no tasks.
+const UNHEALTHY_PAUSE: Duration = Duration::from_millis(800);
+
+/// What came of an order to start a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartAnswer {
+    /// The run is there; the worker's clock, in milliseconds.
+    Started(u64),
+    /// The worker has seen a higher token.
+    Deposed,
+    /// A run with this number or a higher one was stopped or ended there.
+    Old,
+    /// The order's deadline has passed.
+    Late,
+    /// There is not enough room.
+    NoRoom,
+    /// The ticket is not valid.
+    NoTicket,
+    /// The worker is unhealthy and did nothing.
+    Unhealthy,
+    /// The order is malformed.
+    Invalid,
+    /// Another worker answers at the address.
+    OtherWorker,
+    /// Nothing was sent.
+    NotSent,
+    /// There was no answer; the order may have been carried out, or will be.
+    Unknown,
+}
+
+impl Shard {
+    /// Sends an order whose run is stored, unless the run is not wanted any more.
+    pub(crate) fn send_start(&mut self, now: Instant, worker: Name, mut order: StartOrder) {
+        let id = order.run;
+        let Some(run) = self.run_mut(id) else {
+            return;
+        };
+        if run.unwanted {
+            self.end_run(now, id);
+            return;
+        }
+        run.phase = Phase::Ordered;
+        run.since = now;
+        let lease = self.tuning.lease;
+        let deadline = self
+            .workers
+            .get_mut(&worker)
+            .and_then(|w| w.lease.grant(now, lease));
+        let Some(deadline) = deadline else {
+            // The worker began a new life since the placement.
+            self.end_run(now, id);
+            return;
+        };
+        order.deadline = deadline;
+        self.effects.push(Effect::Start(worker, order));
+    }
+
+    /// Takes in what came of an order to start a task.
+    pub fn start_answered(&mut self, at: Moment, worker: &Name, id: RunId, answer: StartAnswer) {
+        let now = at.now;
+        if let StartAnswer::Started(clock) = answer
+            && let Some(w) = self.workers.get_mut(worker)
+        {
+            w.lease.observe(now, clock);
+        }
+        if answer == StartAnswer::Deposed {
+            self.deposed = true;
+            return;
+        }
+        let Some(run) = self.run_mut(id).filter(|r| r.worker == *worker) else {
+            return;
+        };
+        if run.phase != Phase::Ordered {
+            return;
+        }
+        match answer {
+            StartAnswer::Started(_) => {
+                run.phase = Phase::Running { confirmed: now };
+                self.note_started(id.task);
+                return;
+            }
+            StartAnswer::Unknown => {
+                run.phase = Phase::Unresolved { barred: None };
+                self.stops.entry((Arc::clone(worker), id)).or_default();
+                self.look_soon(now, worker);
+                self.note("start_unanswered", id.task, || {
+                    format!("run={} worker={worker}", id.number)
+                });
+                return;
+            }
+            _ => self.end_run(now, id),
+        }
+        self.note("start_refused", id.task, || {
+            format!("run={} worker={worker} reason={answer:?}", id.number)
+        });
+        let Some(w) = self.workers.get_mut(worker) else {
+            return;
+        };
+        match answer {
+            StartAnswer::NoRoom => w.rests_until = Some(now + ROOM_PAUSE),
+            StartAnswer::Unhealthy => {
+                w.rests_until = Some(now + UNHEALTHY_PAUSE);
+                w.note_failure(now, id.task.job);
+            }
+            StartAnswer::OtherWorker | StartAnswer::NotSent => w.reachable = false,
+            _ => {}
+        }
+        self.look_soon(now, worker);
+    }
+
+    /// Takes in the answer to a stop; `confirmed` tells whether the worker carried it out.
+    pub fn stop_answered(&mut self, at: Moment, worker: &Name, id: RunId, confirmed: bool) {
+        if !confirmed {
+            return;
+        }
+        self.stops.remove(&(Arc::clone(worker), id));
+        let Some(run) = self.run_mut(id).filter(|r| r.worker == *worker) else {
+            return;
+        };
+        match run.phase {
+            Phase::Unresolved { .. } | Phase::Ordered => {
+                run.phase = Phase::Unresolved {
+                    barred: Some(at.now),
+                };
+            }
+            Phase::Running { .. } => run.phase = Phase::Running { confirmed: at.now },
+            Phase::Recorded | Phase::Inherited => {}
+        }
+        self.look_soon(at.now, worker);
+    }
+
+    /// Sends the stops that are due.
+    pub(crate) fn send_stops(&mut self, now: Instant) {
+        let workers = &self.workers;
+        let mut due = Vec::new();
+        self.stops.retain(|(name, id), stop| {
+            let Some(worker) = workers.get(name) else {
+                return false;
+            };
+            let waits = stop
+                .sent
+                .is_some_and(|at| now.saturating_duration_since(at) < STOP_RETRY);
+            if !waits && worker.reachable && worker.fenced {
+                stop.sent = Some(now);
+                due.push((Arc::clone(name), *id));
+            }
+            true
+        });
+        for (name, id) in due {
+            self.effects.push(Effect::Stop(name, id));
+        }
+    }
+
+    pub(crate) fn run_mut(&mut self, id: RunId) -> Option<&mut Run> {
+        let job = self.jobs.get_mut(&id.task.job)?;
+        job.task_mut(id.task)?.run_mut(id.number)
+    }
+
+    pub(crate) fn run(&self, id: RunId) -> Option<&Run> {
+        let task = self.jobs.get(&id.task.job)?.task(id.task)?;
+        task.runs.iter().find(|r| r.number == id.number)
+    }
+
+    /// Adds a run to its task, its worker and its team.
+    pub(crate) fn add_run(&mut self, task_id: TaskId, run: Run) {
+        let id = RunId {
+            task: task_id,
+            number: run.number,
+        };
+        let Some(job) = self.jobs.get_mut(&task_id.job) else {
+            return;
+        };
+        let Some(step) = job.job.steps.get(usize::from(task_id.step)) else {
+            return;
+        };
+        let (charge, need) = (step.charge(), step.need);
+        let team = job.job.team.clone();
+        let worker = Arc::clone(&run.worker);
+        if let Some(task) = job.task_mut(task_id) {
+            task.last_run = task.last_run.max(run.number);
+            task.runs.push(run);
+        }
+        if let Some(worker) = self.workers.get_mut(&worker) {
+            worker.used.add(charge);
+            worker.runs.insert(id);
+        }
+        if let Some(team) = team {
+            self.teams.entry(team).or_default().used.add(need);
+        }
+    }
+
+    /// Removes a run that is over, and gives back what it used.
+    pub(crate) fn end_run(&mut self, now: Instant, id: RunId) {
+        let Some(job) = self.jobs.get_mut(&id.task.job) else {
+            return;
+        };
+        let Some(step) = job.job.steps.get(usize::from(id.task.step)) else {
+            return;
+        };
+        let (charge, need, lasting): (Resources, Resources, bool) =
+            (step.charge(), step.need, step.lasting);
+        let team = job.job.team.clone();
+        let Some(task) = job.task_mut(id.task) else {
+            return;
+        };
+        let Some(place) = task.runs.iter().position(|r| r.number == id.number) else {
+            return;
+        };
+        let run = task.runs.remove(place);
+        if lasting && task.away.is_none() {
+            task.away = Some(now);
+        }
+        if let Some(worker) = self.workers.get_mut(&run.worker) {
+            worker.used.sub(charge);
+            worker.runs.remove(&id);
+        }
+        if let Some(team) = team.and_then(|t| self.teams.get_mut(&t)) {
+            team.used.sub(need);
+        }
+        self.stops.remove(&(run.worker, id));
+        self.mark(id.task.job);
+        self.drop_tasks(id.task.job);
+    }
+
+    pub(crate) fn note_started(&mut self, task: TaskId) {
+        if let Some(job) = self.jobs.get_mut(&task.job)
+            && job.state == JobState::Queued
+        {
+            job.state = JobState::Running;
+        }
+    }
+
+    pub(crate) fn look_soon(&mut self, now: Instant, worker: &Name) {
+        if let Some(w) = self.workers.get_mut(worker) {
+            w.next_look = w.next_look.min(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/shard/src/recovery.rs
@@ -0,0 +1,107 @@
+//! Taking a shard over from what its earlier owners stored.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::active::ActiveJob;
+use crate::active::Phase;
+use crate::active::Run;
+use crate::job::Job;
+use crate::job::JobId;
+use crate::job::TaskId;
+use crate::shard::Moment;
+use crate::shard::Shard;
+use crate::stored::Progress;
+use crate::stored::Stored;
+use crate::stored::StoredTask;
+
+impl Shard {
+    /// Rebuilds the jobs from the stored records.
+    pub fn restore(&mut self, at: Moment, records: Vec<Stored>) {
+        let mut jobs: HashMap<JobId, (Option<Job>, Option<Progress>)> = HashMap::new();
+        for record in records {
+            match record {
+                Stored::Job(job) => {
+                    let id = job.id;
+                    jobs.entry(id).or_default().0 = Some(*job);
+                }
+                Stored::Progress(id, progress) => jobs.entry(id).or_default().1 = Some(progress),
+            }
+        }
+        for (id, (job, progress)) in jobs {
+            let (Some(job), Some(progress)) = (job, progress) else {
+                // A job and its progress are always stored together.
+                self.note("incomplete_job", id, || "cause=missing_record".to_owned());
+                continue;
+            };
+            self.restore_job(at, job, &progress);
+        }
+    }
+
+    fn restore_job(&mut self, at: Moment, job: Job, progress: &Progress) {
+        let id = job.id;
+        let age = at.unix.saturating_sub(progress.accepted);
+        let accepted = at.now.checked_sub(age).unwrap_or(at.now);
+        let mut active = ActiveJob::new(Arc::new(job), accepted, progress.accepted);
+        active.state = progress.state;
+        active.shown = progress.state;
+        active.recorded = true;
+        active.dirty = false;
+        active.finished = progress.finished.map(|unix| {
+            let since: Duration = at.unix.saturating_sub(unix);
+            (at.now.checked_sub(since).unwrap_or(at.now), unix)
+        });
+        let is_final = progress.state.is_final();
+        if !is_final {
+            self.open.insert(id);
+        }
+        self.jobs.insert(id, active);
+        for task in &progress.tasks {
+            self.restore_task(at, id, task);
+        }
+        if let Some(active) = self.jobs.get_mut(&id) {
+            active.open_due(at.unix);
+        }
+        if is_final {
+            for run in self.runs_of(id) {
+                self.unwanted(run);
+            }
+        }
+    }
+
+    fn restore_task(&mut self, at: Moment, id: JobId, stored: &StoredTask) {
+        let task_id = TaskId {
+            job: id,
+            occurrence: stored.occurrence,
+            step: stored.step,
+            index: stored.index,
+        };
+        let Some(active) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        active.tasks_of(stored.occurrence);
+        let Some(task) = active.task_mut(task_id) else {
+            return;
+        };
+        task.done = stored.done;
+        task.failures = stored.failures;
+        task.last_run = stored.last_run;
+        for run in &stored.runs {
+            self.add_run(
+                task_id,
+                Run {
+                    number: run.number,
+                    worker: Arc::clone(&run.worker),
+                    born: run.born,
+                    phase: Phase::Inherited,
+                    since: at.now,
+                    percent: 0,
+                    usage: 0,
+                    pace: 100,
+                    unwanted: false,
+                },
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/shard/src/shard.rs
@@ -0,0 +1,481 @@
+//! The state of a shard's owner, and what it decides.
+//!
+//! Every effect that must survive the owner waits until the records it depends on are stored: the
+//! caller of [`Shard`] appends the batch that [`Shard::next_batch`] gives and reports it with
+//! [`Shard::batch_stored`], which releases the effects.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::fmt::Display;
+use std::mem;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::active::ActiveJob;
+use crate::active::Phase;
+use crate::job::Job;
+use crate::job::JobId;
+use crate::job::JobState;
+use crate::job::Name;
+use crate::job::Resources;
+use crate::job::TaskId;
+use crate::stored::Record;
+use crate::stored::job_record;
+use crate::stored::progress_record;
+use crate::stored::removal;
+use crate::tuning::Tuning;
+use crate::worker::RunId;
+use crate::worker::Worker;
+
+/// The two times that decisions depend on.
+#[derive(Clone, Copy, Debug)]
+pub struct Moment {
+    /// The monotonic time, suspension included.
+    pub now: Instant,
+    /// The time since 1970, which may jump.
+    pub unix: Duration,
+}
+
+/// Names the caller's open question, so that the answer reaches it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// An order to start a task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StartOrder {
+    /// The run.
+    pub run: RunId,
+    /// The text of the job.
+    pub text: Name,
+    /// The end of the lease, in milliseconds on the worker's clock.
+    pub deadline: u64,
+    /// The checkpoint to resume from.
+    pub checkpoint: Option<Name>,
+}
+
+/// A look at a worker, which renews its lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LookOrder {
+    /// The end of the lease, in milliseconds on the worker's clock; nothing leaves it as it is.
+    pub deadline: Option<u64>,
+    /// Ends up to this number may be forgotten.
+    pub acked: u64,
+    /// How long the worker may wait for an end.
+    pub wait: Duration,
+}
+
+/// How an owner answers a submission or a cancellation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The job is stored, or the cancellation is.
+    Accepted,
+    /// The job was not accepted and never runs.
+    Refused {
+        /// When it may be submitted again.
+        retry_after: Duration,
+    },
+    /// There is no such job.
+    Unknown,
+}
+
+/// What the caller of the shard has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Answer a caller.
+    Answer(Ticket, Answer),
+    /// Start a task on a worker and report it with `start_answered`.
+    Start(Name, StartOrder),
+    /// Stop a run on a worker and report it with `stop_answered`.
+    Stop(Name, RunId),
+    /// Look at a worker and report it with `looked` or `look_failed`.
+    Look(Name, LookOrder),
+    /// Set the share at which a filling task works, in percent.
+    Pace(Name, RunId, u32),
+}
+
+/// A decision for the logs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Note {
+    /// What was decided.
+    pub event: &'static str,
+    /// The job, the worker or the team.
+    pub subject: String,
+    /// The inputs and the outcome.
+    pub detail: String,
+}
+
+/// What a team has running, and may have.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TeamUse {
+    /// The team.
+    pub name: Name,
+    /// What runs.
+    pub used: Resources,
+    /// What it may have running; nothing before that is known.
+    pub limit: Option<Resources>,
+    /// What waited for the limit at the last placement.
+    pub wanted: Resources,
+}
+
+/// What is stored together.
+#[derive(Debug, Default)]
+struct Batch {
+    effects: Vec<Effect>,
+    acks: BTreeMap<Name, (u64, u64)>,
+    shown: Vec<(JobId, JobState)>,
+}
+
+/// A stop that the worker has not confirmed yet.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PendingStop {
+    pub(crate) sent: Option<Instant>,
+}
+
+/// The state of a shard's owner.
+#[derive(Debug)]
+pub struct Shard {
+    pub(crate) tuning: Tuning,
+    /// When this owner won the shard.
+    pub(crate) since: Instant,
+    pub(crate) jobs: HashMap<JobId, ActiveJob>,
+    /// The jobs that are not final.
+    pub(crate) open: BTreeSet<JobId>,
+    pub(crate) workers: BTreeMap<Name, Worker>,
+    pub(crate) teams: BTreeMap<Name, TeamUse>,
+    pub(crate) stops: BTreeMap<(Name, RunId), PendingStop>,
+    pub(crate) deposed: bool,
+    /// Whether the runs that an earlier owner left on unknown workers are dealt with.
+    pub(crate) adopted: bool,
+    pub(crate) effects: Vec<Effect>,
+    pub(crate) notes: Vec<Note>,
+    /// Jobs with changes that are in no batch yet.
+    dirty: BTreeSet<JobId>,
+    next: Batch,
+    in_flight: Option<Batch>,
+    removals: Vec<Record>,
+}
+
+impl Shard {
+    /// Creates an owner without jobs.
+    pub fn new(tuning: Tuning, now: Instant) -> Self {
+        Self {
+            tuning,
+            since: now,
+            jobs: HashMap::new(),
+            open: BTreeSet::new(),
+            workers: BTreeMap::new(),
+            teams: BTreeMap::new(),
+            stops: BTreeMap::new(),
+            deposed: false,
+            adopted: false,
+            effects: Vec::new(),
+            notes: Vec::new(),
+            dirty: BTreeSet::new(),
+            next: Batch::default(),
+            in_flight: None,
+            removals: Vec::new(),
+        }
+    }
+
+    /// Takes a job in, or refuses it. The answer follows as an effect.
+    pub fn submit(&mut self, at: Moment, ticket: Ticket, job: Job) {
+        let id = job.id;
+        if let Some(known) = self.jobs.get(&id) {
+            // A repeated submission waits for the batch that stores the first one.
+            let answer = Effect::Answer(ticket, Answer::Accepted);
+            match known.recorded && !self.dirty.contains(&id) && self.in_flight.is_none() {
+                true => self.effects.push(answer),
+                false => self.next.effects.push(answer),
+            }
+            return;
+        }
+        if let Some(retry_after) = self.refuses(at.now, &job) {
+            let answer = Answer::Refused { retry_after };
+            self.effects.push(Effect::Answer(ticket, answer));
+            return;
+        }
+        let mut active = ActiveJob::new(Arc::new(job), at.now, at.unix);
+        active.open_due(at.unix);
+        self.note("job_accepted", id, || {
+            format!(
+                "queue={} steps={} objective_ms={}",
+                active.job.queue.name,
+                active.job.steps.len(),
+                active.objective.as_millis()
+            )
+        });
+        self.jobs.insert(id, active);
+        self.open.insert(id);
+        self.mark(id);
+        self.next
+            .effects
+            .push(Effect::Answer(ticket, Answer::Accepted));
+    }
+
+    /// Cancels a job. The answer follows as an effect.
+    pub fn cancel(&mut self, at: Moment, ticket: Ticket, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            self.effects.push(Effect::Answer(ticket, Answer::Unknown));
+            return;
+        };
+        if !job.state.is_final() {
+            self.finish(at, id, JobState::Cancelled);
+        }
+        self.next
+            .effects
+            .push(Effect::Answer(ticket, Answer::Accepted));
+    }
+
+    /// Returns what callers are told of a job.
+    pub fn state(&self, id: JobId) -> Option<JobState> {
+        let job = self.jobs.get(&id)?;
+        Some(match (job.shown, job.state) {
+            (JobState::Queued, JobState::Running) => JobState::Running,
+            (shown, _) => shown,
+        })
+    }
+
+    /// Returns the number of a queue's accepted jobs for which no task has started.
+    pub fn pending(&self, queue: &str) -> usize {
+        let waiting = self.open.iter().filter_map(|id| self.jobs.get(id));
+        waiting
+            .filter(|j| &*j.job.queue.name == queue && j.state == JobState::Queued)
+            .count()
+    }
+
+    /// Returns the records to be stored next, unless a batch is under way or nothing changed.
+    pub fn next_batch(&mut self) -> Option<Vec<Record>> {
+        if self.in_flight.is_some() {
+            return None;
+        }
+        let mut batch = mem::take(&mut self.next);
+        let mut records = mem::take(&mut self.removals);
+        for id in mem::take(&mut self.dirty) {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            if !mem::replace(&mut job.recorded, true) {
+                records.push(job_record(&job.job));
+            }
+            job.dirty = false;
+            records.push(progress_record(id, &job.progress()));
+            if job.shown != job.state {
+                batch.shown.push((id, job.state));
+            }
+        }
+        if records.is_empty() && batch.effects.is_empty() && batch.acks.is_empty() {
+            return None;
+        }
+        self.in_flight = Some(batch);
+        Some(records)
+    }
+
+    /// Takes in that the last batch is stored, which releases what waited for it.
+    pub fn batch_stored(&mut self, at: Moment) {
+        let Some(batch) = self.in_flight.take() else {
+            return;
+        };
+        for (id, state) in batch.shown {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.shown = state;
+            }
+        }
+        for (name, (born, number)) in batch.acks {
+            if let Some(worker) = self.workers.get_mut(&name)
+                && worker.listing.born == born
+            {
+                worker.stored = worker.stored.max(number);
+                worker.next_look = at.now;
+            }
+        }
+        for effect in batch.effects {
+            match effect {
+                Effect::Start(worker, order) => self.send_start(at.now, worker, order),
+                other => self.effects.push(other),
+            }
+        }
+    }
+
+    /// Returns what is to be done now.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        mem::take(&mut self.effects)
+    }
+
+    /// Returns the decisions since the last call, for the logs.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        mem::take(&mut self.notes)
+    }
+
+    /// Tells whether a worker has seen a higher token, so that another owner has won the shard.
+    pub fn is_deposed(&self) -> bool {
+        self.deposed
+    }
+
+    /// Returns the number of jobs that are not final.
+    pub fn open_jobs(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Sets what each team may have running on this shard's workers.
+    pub fn set_limits(&mut self, limits: &BTreeMap<Name, Resources>) {
+        for (name, team) in &mut self.teams {
+            team.limit = limits.get(name).copied();
+        }
+        for (name, limit) in limits {
+            self.teams.entry(Arc::clone(name)).or_default().limit = Some(*limit);
+        }
+    }
+
+    /// Returns what each team has running here, and what waits beyond its limit.
+    pub fn team_use(&self) -> Vec<TeamUse> {
+        let all = self.teams.iter();
+        all.map(|(name, team)| TeamUse {
+            name: Arc::clone(name),
+            ..team.clone()
+        })
+        .collect()
+    }
+
+    /// Returns the address of a worker.
+    pub fn address(&self, worker: &str) -> Option<Name> {
+        let worker = self.workers.get(worker)?;
+        Some(Arc::clone(&worker.listing.address))
+    }
+
+    /// Forgets jobs that finished long ago.
+    pub(crate) fn forget_finished(&mut self, now: Instant) {
+        let remember = self.tuning.remember;
+        let old = self.jobs.iter().filter(|(_, job)| {
+            job.occurrences.is_empty()
+                && job
+                    .finished
+                    .is_some_and(|(at, _)| now.saturating_duration_since(at) > remember)
+        });
+        let old: Vec<JobId> = old.map(|(&id, _)| id).collect();
+        for id in old {
+            self.jobs.remove(&id);
+            self.dirty.remove(&id);
+            self.removals.extend(removal(id));
+        }
+    }
+
+    pub(crate) fn note(
+        &mut self,
+        event: &'static str,
+        subject: impl Display,
+        detail: impl FnOnce() -> String,
+    ) {
+        self.notes.push(Note {
+            event,
+            subject: subject.to_string(),
+            detail: detail(),
+        });
+    }
+
+    /// Marks a job as changed, so that the next batch holds it.
+    pub(crate) fn mark(&mut self, id: JobId) {
+        self.dirty.insert(id);
+    }
+
+    /// Adds an effect that waits for the next batch.
+    pub(crate) fn after_batch(&mut self, effect: Effect) {
+        self.next.effects.push(effect);
+    }
+
+    /// Returns a mark for [`Shard::release_starts`].
+    pub(crate) fn hold_starts(&self) -> usize {
+        self.next.effects.len()
+    }
+
+    /// Keeps the effects that were added since the mark for the next batch, or drops them.
+    pub(crate) fn release_starts(&mut self, mark: usize, keep: bool) {
+        if !keep {
+            self.next.effects.truncate(mark);
+        }
+    }
+
+    /// Has the ends up to `number` acknowledged once the next batch is stored.
+    pub(crate) fn ack_after_batch(&mut self, worker: &Name, born: u64, number: u64) {
+        let ack = self.next.acks.entry(Arc::clone(worker)).or_default();
+        *ack = (born, number);
+    }
+
+    /// Brings a job into a final state and stops what still runs of it.
+    pub(crate) fn finish(&mut self, at: Moment, id: JobId, state: JobState) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.state = state;
+        job.finished = Some((at.now, at.unix));
+        let age = at.now.saturating_duration_since(job.accepted);
+        let objective = job.objective;
+        self.open.remove(&id);
+        let runs = self.runs_of(id);
+        for run in runs {
+            self.unwanted(run);
+        }
+        self.drop_tasks(id);
+        self.mark(id);
+        self.note("job_finished", id, || {
+            format!(
+                "state={state} age_ms={} objective_ms={}",
+                age.as_millis(),
+                objective.as_millis()
+            )
+        });
+    }
+
+    /// Drops the tasks of a final job once none of its runs may be under way.
+    pub(crate) fn drop_tasks(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id)
+            && job.state.is_final()
+        {
+            let is_over = |t: &crate::active::Task| t.runs.is_empty();
+            let mut steps = job.occurrences.values().flatten();
+            if steps.all(|s| s.tasks.iter().all(is_over)) {
+                job.occurrences.clear();
+            }
+        }
+    }
+
+    pub(crate) fn runs_of(&self, id: JobId) -> Vec<RunId> {
+        let Some(job) = self.jobs.get(&id) else {
+            return Vec::new();
+        };
+        let mut runs = Vec::new();
+        for (&occurrence, steps) in &job.occurrences {
+            for (step, tasks) in (0u16..).zip(steps) {
+                for (index, task) in (0u32..).zip(&tasks.tasks) {
+                    let task_id = TaskId {
+                        job: id,
+                        occurrence,
+                        step,
+                        index,
+                    };
+                    runs.extend(task.runs.iter().map(|r| RunId {
+                        task: task_id,
+                        number: r.number,
+                    }));
+                }
+            }
+        }
+        runs
+    }
+
+    /// Has a run stopped. One that was not ordered yet is dropped when its order is due.
+    pub(crate) fn unwanted(&mut self, id: RunId) {
+        let Some(job) = self.jobs.get_mut(&id.task.job) else {
+            return;
+        };
+        let Some(run) = job.task_mut(id.task).and_then(|t| t.run_mut(id.number)) else {
+            return;
+        };
+        run.unwanted = true;
+        if run.phase != Phase::Recorded {
+            let key = (Arc::clone(&run.worker), id);
+            self.stops.entry(key).or_default();
+        }
+    }
+}
--- /dev/null
+++ b/crates/shard/src/tuning.rs
@@ -0,0 +1,45 @@
+//! Times that the owner of a shard works with.
+
+use std::time::Duration;
+
+/// Times that the owner of a shard works with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tuning {
+    /// How long a lease lasts from each look. A worker that is lost gives its tasks back after
+    /// this time, and a change of owner has to fit into it.
+    pub lease: Duration,
+    /// How long a worker may hold a look open until a run ends.
+    pub look_wait: Duration,
+    /// How often a worker without runs is looked at.
+    pub idle_look: Duration,
+    /// After what time a look that failed is repeated.
+    pub look_retry: Duration,
+    /// For how long an earlier owner may have gone on granting leases.
+    pub predecessor: Duration,
+    /// How long a finished job is remembered.
+    pub remember: Duration,
+    /// How long a worker that is being vacated waits for its short tasks.
+    pub vacate_wait: Duration,
+    /// After what time without a request the vacating of a worker ends.
+    pub vacate_hold: Duration,
+}
+
+impl Tuning {
+    /// Returns the times for a platform that holds leases no longer than `max_hold` and wants
+    /// jobs to be known for `status` after their end.
+    pub fn new(max_hold: Duration, status: Duration) -> Self {
+        /// Long enough for the death of an owner to be noticed and its successor's first look.
+        const LEASE: Duration = Duration::from_millis(4_500);
+        let lease = LEASE.min(max_hold.mul_f64(0.9));
+        Self {
+            lease,
+            look_wait: (lease / 3).min(Duration::from_millis(1_500)),
+            idle_look: Duration::from_secs(3),
+            look_retry: Duration::from_millis(300),
+            predecessor: Duration::from_secs(6),
+            remember: status + status / 4,
+            vacate_wait: Duration::from_millis(1_500),
+            vacate_hold: Duration::from_secs(4),
+        }
+    }
+}
--- /dev/null
+++ b/crates/shard/src/upkeep.rs
@@ -0,0 +1,117 @@
+//! Keeping a worker free for an upkeep of its machine, within the availability budgets.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::active::Phase;
+use crate::job::Name;
+use crate::shard::Moment;
+use crate::shard::Shard;
+use crate::worker::RunId;
+
+/// Whether a machine may go down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Vacancy {
+    /// Nothing runs there that may not be ended.
+    Free,
+    /// Tasks run there that should end first, or whose step has no budget left.
+    Busy,
+    /// The shard has no such worker.
+    NoWorker,
+}
+
+impl Shard {
+    /// Keeps new tasks off a worker and tells whether its machine may go down. After an answer of
+    /// [`Vacancy::Free`] the lasting tasks there count as away.
+    pub fn vacate(&mut self, at: Moment, name: &Name) -> Vacancy {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return Vacancy::NoWorker;
+        };
+        let since = *worker.vacated.get_or_insert(at.now);
+        worker.vacate_asked = at.now;
+        if worker.released {
+            return Vacancy::Free;
+        }
+        let runs: Vec<RunId> = worker.runs.iter().copied().collect();
+        let waited = at.now.saturating_duration_since(since) >= self.tuning.vacate_wait;
+        let (mut lasting, mut short) = (Vec::new(), false);
+        for id in runs {
+            match self.is_lasting(id) {
+                true => lasting.push(id),
+                false => short = true,
+            }
+        }
+        if short && !waited {
+            return Vacancy::Busy;
+        }
+        if !self.budget_allows(name, &lasting) {
+            return Vacancy::Busy;
+        }
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.released = true;
+        }
+        self.note("worker_released", name, || {
+            format!("lasting={} short={short}", lasting.len())
+        });
+        Vacancy::Free
+    }
+
+    /// Uses workers again that nobody asks to keep free any more.
+    pub(crate) fn end_vacating(&mut self, now: Instant) {
+        let hold: Duration = self.tuning.vacate_hold;
+        for worker in self.workers.values_mut() {
+            let quiet = now.saturating_duration_since(worker.vacate_asked) > hold;
+            if worker.vacated.is_some() && quiet {
+                worker.vacated = None;
+                worker.released = false;
+            }
+        }
+    }
+
+    fn is_lasting(&self, id: RunId) -> bool {
+        let job = self.jobs.get(&id.task.job);
+        let step = job.and_then(|j| j.job.steps.get(usize::from(id.task.step)));
+        step.is_some_and(|s| s.lasting)
+    }
+
+    /// Tells whether the lasting tasks on a worker may be ended by an order: for each of their
+    /// steps, the tasks that are away and those to be ended stay within the budget.
+    fn budget_allows(&self, name: &Name, runs: &[RunId]) -> bool {
+        runs.iter().all(|id| {
+            let Some(job) = self.jobs.get(&id.task.job) else {
+                return true;
+            };
+            let Some(step) = job.job.steps.get(usize::from(id.task.step)) else {
+                return true;
+            };
+            if step.may_miss == 0 {
+                return true;
+            }
+            let steps = job.occurrences.get(&id.task.occurrence);
+            let Some(tasks) = steps.and_then(|s| s.get(usize::from(id.task.step))) else {
+                return true;
+            };
+            let kept = |t: &crate::active::Task| {
+                t.runs
+                    .iter()
+                    .any(|r| self.is_at_work(r) && r.worker != *name)
+            };
+            let missing = tasks.tasks.iter().filter(|t| !kept(t)).count();
+            missing <= step.may_miss as usize
+        })
+    }
+
+    fn is_at_work(&self, run: &crate::active::Run) -> bool {
+        let worker = self.workers.get(&run.worker);
+        matches!(run.phase, Phase::Running { .. })
+            && run.percent >= 100
+            && !run.unwanted
+            && worker.is_some_and(|w| w.reachable && w.listed && !w.released && !w.listing.draining)
+    }
+
+    /// Returns the ids of the workers of this shard.
+    pub fn worker_names(&self) -> Vec<Name> {
+        self.workers.keys().map(Arc::clone).collect()
+    }
+}
--- /dev/null
+++ b/crates/shard/tests/runner.rs
@@ -0,0 +1,1 @@
+//! Tests of the shard.
