trace, exposition: keep cycle counters from being calibrated at the start

Cause: fastrace (fastant) and the Prometheus exporter (quanta) calibrate the processor's cycle counter in a loop before or at the start of the program. On a VM with a quarter of a core the loop took up to 25 s until a process was ready. Ruled out: charged processor time (the same with --no-cpu) and the size of the program (25 MB and 16 MB start alike). Spans and metrics now use the system's clocks alone, in small crates of their own; what they write is unchanged.

node, shard: members take the generation of their last join, so that partitions move to new members; looks at a lost worker carry no deadline, so that its lease lapses; a job that can't meet its objective any more gives way; a job is refused only while its pool has no free room.

--- a/crates/cli/src/command/entry.rs
+++ b/crates/cli/src/command/entry.rs
@@ -44,7 +44,6 @@
     install_traces(&settings.traces).wrap_err("can't open the file for traces")?;
     let runtime = tokio::runtime::Runtime::new().wrap_err("can't start the runtime")?;
     runtime.block_on(serve(settings))?;
-    fastrace::flush();
     Ok(Code::Done)
 }
 
--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -9,13 +9,17 @@
 use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::TrySendError;
 use std::sync::mpsc::sync_channel;
+use std::time::UNIX_EPOCH;
 
 use logforth::Append;
 use logforth::Diagnostic;
 use logforth::Error;
-use logforth::Layout;
-use logforth::layout::JsonLayout;
+use logforth::kv::KeyView;
+use logforth::kv::ValueView;
+use logforth::kv::Visitor;
 use logforth::record::Record;
+use serde_json::Map;
+use serde_json::Value;
 
 /// How many lines may wait for a slow reader; more are dropped and counted.
 const LINES: usize = 8_192;
@@ -24,7 +28,6 @@
 pub(crate) struct BoundedStdout {
     lines: SyncSender<Vec<u8>>,
     dropped: AtomicU64,
-    layout: JsonLayout,
 }
 
 impl fmt::Debug for BoundedStdout {
@@ -47,7 +50,6 @@
         Ok(Self {
             lines,
             dropped: AtomicU64::new(0),
-            layout: JsonLayout::default(),
         })
     }
 }
@@ -66,10 +68,37 @@
     }
 }
 
+/// Puts the fields of a record into a map.
+struct Fields<'a>(&'a mut Map<String, Value>);
+
+impl Visitor for Fields<'_> {
+    fn visit(&mut self, key: KeyView, value: ValueView) -> Result<(), Error> {
+        let value = match (value.to_u64(), value.to_bool()) {
+            (Some(number), _) => Value::from(number),
+            (_, Some(flag)) => Value::from(flag),
+            _ => Value::from(value.to_string()),
+        };
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
+/// Writes a record as a line of JSON: the time, the level, the event, and its fields.
+fn line_of(record: &Record) -> Result<Vec<u8>, Error> {
+    let since = record.time().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let mut map = Map::new();
+    map.insert("unix_ms".to_owned(), (since.as_millis() as u64).into());
+    map.insert("level".to_owned(), record.level().name().into());
+    map.insert("event".to_owned(), record.payload().to_string().into());
+    record.key_values().visit(&mut Fields(&mut map))?;
+    let mut line = serde_json::to_vec(&map).map_err(|e| Error::new(e.to_string()))?;
+    line.push(b'\n');
+    Ok(line)
+}
+
 impl Append for BoundedStdout {
-    fn append(&self, record: &Record, diags: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
-        let mut line = self.layout.format(record, diags)?;
-        line.push(b'\n');
+    fn append(&self, record: &Record, _: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        let line = line_of(record)?;
         match self.lines.try_send(line) {
             Ok(()) => {}
             Err(TrySendError::Full(_)) => {
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -5,8 +5,6 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use fastrace::Span;
-use fastrace::future::FutureExt;
 use lavenderhollow_core::exchange::Answer;
 use lavenderhollow_core::exchange::Digest;
 use lavenderhollow_core::jobs::RecordedStart;
@@ -21,6 +19,8 @@
 use lavenderhollow_platform::TaskAnswer;
 use lavenderhollow_platform::TaskStatus;
 use lavenderhollow_platform::WorkerError;
+use lavenderhollow_trace::FutureExt;
+use lavenderhollow_trace::Span;
 use lavenderhollow_types::Doubt;
 use lavenderhollow_types::RequestId;
 use lavenderhollow_types::TeamName;
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fastrace::Span;
-use fastrace::future::FutureExt;
 use lavenderhollow_core::keyring::Member;
+use lavenderhollow_trace::FutureExt;
+use lavenderhollow_trace::Span;
 use lavenderhollow_types::EntryName;
 use lavenderhollow_types::JobId;
 use lavenderhollow_types::PoolName;
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use fastrace::Span;
 use futures::FutureExt;
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use lavenderhollow_core::keyring::Admission;
+use lavenderhollow_trace::Span;
 use lavenderhollow_types::JobId;
 use lavenderhollow_types::Refusal;
 use lavenderhollow_types::RefusalKind;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -17,6 +17,7 @@
 use lavenderhollow_core::maintenance::ShutdownView;
 use lavenderhollow_core::once::TicketLimits;
 use lavenderhollow_core::once::Tickets;
+use lavenderhollow_exposition::MetricsHandle;
 use lavenderhollow_log::HttpLog;
 use lavenderhollow_log::HttpLogSettings;
 use lavenderhollow_log::LogService;
@@ -30,7 +31,6 @@
 use lavenderhollow_types::Incarnation;
 use lavenderhollow_types::StreamName;
 use lavenderhollow_types::SystemClock;
-use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::task::JoinSet;
 
 use crate::allotments;
@@ -89,7 +89,7 @@
     log: Option<Arc<dyn LogService>>,
     vms: Option<Arc<dyn VmList>>,
     workers: Option<Arc<dyn WorkerService>>,
-    metrics: Option<PrometheusHandle>,
+    metrics: Option<MetricsHandle>,
 }
 
 impl EntryBuilder {
@@ -135,7 +135,7 @@
 
     /// Sets the metrics to be served.
     #[must_use]
-    pub fn metrics(mut self, metrics: PrometheusHandle) -> Self {
+    pub fn metrics(mut self, metrics: MetricsHandle) -> Self {
         self.metrics = Some(metrics);
         self
     }
--- a/crates/entry/src/serve/durable.rs
+++ b/crates/entry/src/serve/durable.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::SystemTime;
 
-use fastrace::Span;
 use lavenderhollow_config::Key;
 use lavenderhollow_core::exchange::Body;
 use lavenderhollow_core::jobs::JobSpec;
 use lavenderhollow_core::jobs::new_job;
 use lavenderhollow_core::keyring::Member;
 use lavenderhollow_core::once::ClaimKey;
+use lavenderhollow_trace::Span;
 use lavenderhollow_types::JobId;
 use lavenderhollow_types::Refusal;
 use lavenderhollow_types::RefusalKind;
--- a/crates/entry/src/serve/mod.rs
+++ b/crates/entry/src/serve/mod.rs
@@ -8,12 +8,12 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use fastrace::Span;
 use lavenderhollow_core::exchange::Body;
 use lavenderhollow_core::exchange::Digest;
 use lavenderhollow_core::keyring::Admission;
 use lavenderhollow_core::once::Stored;
 use lavenderhollow_platform::TaskStatus;
+use lavenderhollow_trace::Span;
 use lavenderhollow_types::Doubt;
 use lavenderhollow_types::Refusal;
 use lavenderhollow_types::RefusalKind;
--- a/crates/entry/src/serve/once.rs
+++ b/crates/entry/src/serve/once.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fastrace::Span;
 use lavenderhollow_core::fold::Outcome;
 use lavenderhollow_core::once::ClaimKey;
 use lavenderhollow_core::once::PendingClaim;
@@ -12,6 +11,7 @@
 use lavenderhollow_core::once::Ticket;
 use lavenderhollow_core::permit::Permit;
 use lavenderhollow_core::zone::ZoneRejection;
+use lavenderhollow_trace::Span;
 use lavenderhollow_types::Doubt;
 use lavenderhollow_types::Refusal;
 use lavenderhollow_types::RefusalKind;
--- a/crates/exposition/src/lib.rs
+++ b/crates/exposition/src/lib.rs
@@ -1,5 +1,7 @@
 //! Metrics over HTTP in the Prometheus text format.
 
+mod recorder;
+
 use std::net::SocketAddr;
 
 use dropshot::ApiDescription;
@@ -14,21 +16,22 @@
 use eyre::eyre;
 use http::Response;
 use http::header::CONTENT_TYPE;
-use metrics_exporter_prometheus::PrometheusBuilder;
-use metrics_exporter_prometheus::PrometheusHandle;
 use slog::Discard;
 use slog::Logger;
 use slog::o;
 
+pub use crate::recorder::MetricsHandle;
+
 /// Installs the recorder of the process.
 ///
 /// # Errors
 ///
 /// Fails when a recorder is installed already.
-pub fn install() -> eyre::Result<PrometheusHandle> {
-    PrometheusBuilder::new()
-        .install_recorder()
-        .wrap_err("can't install the metrics recorder")
+pub fn install() -> eyre::Result<MetricsHandle> {
+    let handle = MetricsHandle::default();
+    metrics::set_global_recorder(handle.clone())
+        .map_err(|_| eyre!("a metrics recorder is installed already"))?;
+    Ok(handle)
 }
 
 /// Serves the metrics and returns the address. The server ends with the process.
@@ -36,14 +39,14 @@
 /// # Errors
 ///
 /// Fails when the address is not free.
-pub async fn serve(handle: PrometheusHandle, address: SocketAddr) -> eyre::Result<SocketAddr> {
+pub async fn serve(handle: MetricsHandle, address: SocketAddr) -> eyre::Result<SocketAddr> {
     let mut api = ApiDescription::new();
     api.register(show).map_err(|e| eyre!("metrics: {e}"))?;
     let config = ConfigDropshot {
         bind_address: address,
         ..ConfigDropshot::default()
     };
-    let server: HttpServer<PrometheusHandle> =
+    let server: HttpServer<MetricsHandle> =
         ServerBuilder::new(api, handle, Logger::root(Discard, o!()))
             .config(config)
             .start()
@@ -55,7 +58,7 @@
 
 /// Shows the metrics.
 #[endpoint { method = GET, path = "/metrics" }]
-async fn show(rqctx: RequestContext<PrometheusHandle>) -> Result<Response<Body>, HttpError> {
+async fn show(rqctx: RequestContext<MetricsHandle>) -> Result<Response<Body>, HttpError> {
     let text = rqctx.context().render();
     Response::builder()
         .header(CONTENT_TYPE, "text/plain; version=0.0.4")
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -120,13 +120,13 @@
     /// Fails as [`StoreError`] tells.
     async fn newest(&self, topic: Topic, after: Option<&str>) -> Result<Page, StoreError>;
 
-    /// Keeps a member among the live ones for `ttl`. Returns a number that changes with the set of
-    /// members.
+    /// Keeps a member among the live ones for `ttl`. Takes the number that the last call returned,
+    /// or zero, and returns one that changes with the set of members.
     ///
     /// # Errors
     ///
     /// Fails as [`StoreError`] tells.
-    async fn join(&self, member: &str, ttl: Duration) -> Result<u64, StoreError>;
+    async fn join(&self, member: &str, ttl: Duration, generation: u64) -> Result<u64, StoreError>;
 
     /// Removes a member from the live ones.
     ///
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -43,6 +43,9 @@
 /// The time for a question to the owner of a machine's pool.
 const VACATE_LIMIT: Duration = Duration::from_millis(500);
 
+/// The time for telling the owner of a pool that a worker's runs are over.
+const ENDED_LIMIT: Duration = Duration::from_secs(2);
+
 /// The longest list of team allotments or of machines in one record is far below the store's
 /// bound on records; keys begin with one of these letters.
 const ALLOTMENT_KEY: &str = "a";
@@ -261,11 +264,28 @@
                 break;
             }
             let worker = by_name.get(&name).and_then(|m| m.worker.clone());
-            self.order(number, machines, &name, worker).await?;
+            let pool = by_name.get(&name).map(|m| Arc::clone(&m.pool));
+            let done = self.order(number, machines, &name, worker.clone()).await?;
+            if let (true, Some(worker), Some(pool)) = (done, worker, pool) {
+                self.tell_ended(&pool, worker);
+            }
         }
         Ok(())
     }
 
+    /// Tells the owner of a pool that a worker's runs are over. Without it they count as running
+    /// until their lease has lapsed.
+    fn tell_ended(&self, pool: &Name, worker: Name) {
+        let (router, shard) = (Arc::clone(&self.parts.router), ShardId::of_pool(pool));
+        let deadline = self.parts.clock.now() + ENDED_LIMIT;
+        tokio::spawn(async move {
+            let question = Question::Ended(worker);
+            if let Err(error) = router.ask(shard, &question, deadline).await {
+                log::info!(shard:display, error:display; "ended_worker_untold");
+            }
+        });
+    }
+
     /// Asks the owners of the machines' pools to keep them free; returns those that may go down.
     async fn vacate(&self, chosen: &[Name], machines: &BTreeMap<&Name, &Machine>) -> Vec<Name> {
         let deadline = self.parts.clock.now() + VACATE_LIMIT;
@@ -303,7 +323,7 @@
         machines: &dyn Machines,
         name: &Name,
         worker: Option<Name>,
-    ) -> Result<(), Lost> {
+    ) -> Result<bool, Lost> {
         let holder = Holder {
             name: Arc::clone(&self.parts.router.me.vm),
             token: self.token,
@@ -315,20 +335,20 @@
         let answer = machines.upkeep(&holder, name, number).await;
         log::info!(wave = number, machine = &**name, token = self.token, answer:display; "upkeep_ordered");
         let Some(run) = self.runs.get_mut(&number) else {
-            return Ok(());
+            return Ok(false);
         };
         match answer {
             MachineAnswer::Done => run.confirm(name),
             MachineAnswer::Deposed => return Err(Lost),
             MachineAnswer::Busy | MachineAnswer::Refused => run.refuse(now, name),
             MachineAnswer::NotInWave => run.skip(name),
-            MachineAnswer::Unknown => return Ok(()),
+            MachineAnswer::Unknown => return Ok(false),
         }
         let begun = run.begun().clone();
         if matches!(answer, MachineAnswer::Done | MachineAnswer::NotInWave) {
             self.store(format!("{WAVE_KEY}{number}"), &begun).await?;
         }
-        Ok(())
+        Ok(answer == MachineAnswer::Done)
     }
 
     async fn complete(&mut self, number: u64) -> Result<(), Lost> {
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -25,7 +25,10 @@
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// The time kept for the answer's way back to the caller.
-const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+const ANSWER_MARGIN: Duration = Duration::from_millis(40);
+
+/// The shortest time in which an owner is asked, however little time the caller gives.
+const SHORTEST_REQUEST: Duration = Duration::from_millis(60);
 
 /// The longest time that a request is worked on without a deadline of its own.
 const LONGEST_REQUEST: Duration = Duration::from_secs(3);
@@ -150,7 +153,7 @@
             route: Arc::clone(route),
             team,
             rest: rest.to_owned(),
-            deadline: now + wait.saturating_sub(ANSWER_MARGIN),
+            deadline: now + wait.saturating_sub(ANSWER_MARGIN).max(SHORTEST_REQUEST),
         })
     }
 
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -25,6 +25,8 @@
     Pending(Name),
     /// Keep a worker free for the upkeep of its machine.
     Vacate(Name),
+    /// Take in that a worker's life was ended by an order to its machine.
+    Ended(Name),
     /// Take a shard's use of the teams' limits, and tell its allotments. Only the owner of the
     /// fleet shard answers.
     Allot(ShardUse),
@@ -39,6 +41,7 @@
             Self::State(_) => "state",
             Self::Pending(_) => "pending",
             Self::Vacate(_) => "vacate",
+            Self::Ended(_) => "ended",
             Self::Allot(_) => "allot",
         }
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,10 +6,10 @@
 use std::time::Instant;
 
 use eyre::WrapErr;
+use lavenderhollow_exposition::MetricsHandle;
 use lavenderhollow_shard::Name;
 use lavenderhollow_shard::Tuning;
 use lavenderhollow_types::Clock;
-use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::sync::watch;
 
 use crate::backend::Platform;
@@ -79,7 +79,7 @@
         settings: NodeSettings,
         platform: Platform,
         clock: Arc<dyn Clock>,
-        metrics: Option<PrometheusHandle>,
+        metrics: Option<MetricsHandle>,
     ) -> eyre::Result<Self> {
         let started = moment(&*clock).unix;
         let me = Member {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -218,6 +218,10 @@
                 Vacancy::Busy => Reply::Busy,
                 Vacancy::NoWorker => Reply::Unknown,
             },
+            Question::Ended(worker) => {
+                self.shard.worker_ended(at, &worker);
+                Reply::Accepted
+            }
             Question::Allot(_) => Reply::NotOwner,
         };
         let _ = answer.send(reply);
--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -22,6 +22,7 @@
 use crate::claim;
 use crate::claim::Claimed;
 use crate::current::Current;
+use crate::election::Member;
 use crate::election::Ownership;
 use crate::fleet;
 use crate::follower::Follower;
@@ -37,9 +38,12 @@
 /// After what silence a member counts as gone. A pause of this length moves its shards.
 const MEMBER_TTL: Duration = Duration::from_millis(1_500);
 
-/// How long a process waits after its first contact before it claims shards, so that processes
-/// that start together see each other first.
-const SETTLE: Duration = Duration::from_millis(1_200);
+/// How long the members have to be unchanged before a process that has just started claims shards,
+/// so that processes that start together see each other first.
+const SETTLE: Duration = Duration::from_millis(900);
+
+/// After what time a process claims shards however the members change.
+const SETTLE_LIMIT: Duration = Duration::from_secs(3);
 
 /// How often it is checked whether shards need an owner.
 const CLAIM_EVERY: Duration = Duration::from_millis(100);
@@ -111,20 +115,23 @@
 
     async fn keep_joined(self: Arc<Self>) {
         let me = self.parts.router.me.to_string();
-        let mut generation = None;
+        // The store moves partitions to new members only once this member has seen the change.
+        let mut generation = 0;
+        let mut refreshed = None;
         while !self.is_stopping() {
             let store = &self.parts.platform.store;
-            match store.join(&me, MEMBER_TTL).await {
+            match store.join(&me, MEMBER_TTL, generation).await {
                 Ok(current) => {
                     let now = self.parts.clock.now();
                     lock(&self.joined).get_or_insert(now);
-                    if generation != Some(current) && self.refresh_members().await {
-                        generation = Some(current);
+                    generation = current;
+                    if refreshed != Some(current) && self.refresh_members().await {
+                        refreshed = Some(current);
                     }
                 }
                 Err(error) => {
                     log::warn!(error:display; "join_failed");
-                    generation = None;
+                    refreshed = None;
                 }
             }
             tokio::time::sleep(JOIN_EVERY).await;
@@ -140,13 +147,23 @@
             }
         };
         let members = members.iter().filter_map(|m| m.parse().ok());
-        let count = {
+        let (before, after): (Vec<Member>, Vec<Member>) = {
             let mut roster = self.parts.router.roster();
+            let before = roster.members().cloned().collect();
             roster.set_members(members);
-            roster.members().count()
+            (before, roster.members().cloned().collect())
         };
-        *lock(&self.changed) = self.parts.clock.now();
-        log::info!(members = count; "members_changed");
+        if before != after {
+            *lock(&self.changed) = self.parts.clock.now();
+            let names = |a: &[Member], b: &[Member]| {
+                let only = a.iter().filter(|m| !b.contains(m));
+                only.map(ToString::to_string).collect::<Vec<_>>().join(",")
+            };
+            let (gone, new) = (names(&before, &after), names(&after, &before));
+            log::info!(
+                members = after.len(), gone = gone.as_str(), new = new.as_str(); "members_changed"
+            );
+        }
         true
     }
 
@@ -210,7 +227,11 @@
                 return;
             }
             let now = self.parts.clock.now();
-            let settled = lock(&self.joined).is_some_and(|at| now >= at + SETTLE);
+            let joined = *lock(&self.joined);
+            let unchanged = now.saturating_duration_since(*lock(&self.changed));
+            let settled = joined.is_some_and(|at| {
+                now >= at + SETTLE_LIMIT || (now >= at + SETTLE && unchanged >= SETTLE)
+            });
             if !settled {
                 continue;
             }
@@ -223,8 +244,7 @@
                     tokio::spawn(Arc::clone(&self).claim(shard));
                 }
             }
-            let stable = now.saturating_duration_since(*lock(&self.changed)) > STABLE_FOR;
-            if stable {
+            if unchanged > STABLE_FOR {
                 let extra = self.parts.router.roster().to_release(me, &shards);
                 if let Some(shard) = extra {
                     log::info!(shard:display; "shard_given_away");
--- a/crates/shard/src/active.rs
+++ b/crates/shard/src/active.rs
@@ -202,12 +202,28 @@
         self.accepted + self.objective
     }
 
-    /// Returns the urgency: jobs of a lower class go first.
+    /// Returns the estimated time of the longest chain of steps that are not done.
+    pub(crate) fn chain_left(&self) -> Duration {
+        let chains = self.occurrences.values().map(|steps| {
+            let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
+            for (step, tasks) in self.job.steps.iter().zip(steps) {
+                let begins = step.after.iter().filter_map(|&a| ends.get(usize::from(a)));
+                let begin = begins.max().copied().unwrap_or_default();
+                let open = !tasks.is_done();
+                ends.push(begin + if open { step.estimate } else { Duration::ZERO });
+            }
+            ends.into_iter().max().unwrap_or_default()
+        });
+        chains.max().unwrap_or_default()
+    }
+
+    /// Returns the urgency: jobs of a lower class go first. A job that can't be completed within
+    /// its objective any more gives way to those that can.
     pub(crate) fn class(&self, now: Instant) -> u8 {
         let age = now.saturating_duration_since(self.accepted);
         if self.job.is_lasting() {
             0
-        } else if self.job.repeat.is_some() || age <= self.objective {
+        } else if self.job.repeat.is_some() || age + self.chain_left() <= self.objective {
             1
         } else if age <= self.objective * WORTHLESS_AFTER {
             2
--- a/crates/shard/src/admission.rs
+++ b/crates/shard/src/admission.rs
@@ -18,45 +18,83 @@
 /// The shortest time after which a refused caller is asked to come back.
 const MIN_RETRY: Duration = Duration::from_secs(1);
 
+/// The share of a pool's processor time that has to be free for it to count as not full.
+const FREE_SHARE: f64 = 0.1;
+
+/// How busy a pool is.
+#[derive(Clone, Copy, Debug, Default)]
+struct PoolLoad {
+    /// The processor time of its workers, in thousandths of a core.
+    capacity: u64,
+    /// What runs.
+    used: u64,
+    /// What lasting tasks hold.
+    lasting: u64,
+    /// The work of the jobs that can still be in time, in core-milliseconds.
+    ahead: u64,
+}
+
+impl PoolLoad {
+    fn is_full(&self) -> bool {
+        let free = self.capacity.saturating_sub(self.used);
+        (free as f64) < self.capacity as f64 * FREE_SHARE
+    }
+
+    /// Returns how long the work ahead keeps the pool busy.
+    fn wait(&self) -> Duration {
+        let free = self.capacity.saturating_sub(self.lasting).max(1);
+        // Core-milliseconds over cores.
+        let millis = self.ahead as f64 / (free as f64 / 1_000.0) / USABLE_SHARE;
+        Duration::from_secs_f64(millis / 1_000.0)
+    }
+}
+
 impl Shard {
     /// Returns when to come back if a job can't be completed within its objective any more.
-    pub(crate) fn refuses(&self, now: Instant, job: &Job) -> Option<Duration> {
+    pub(crate) fn refuses(&mut self, now: Instant, job: &Job) -> Option<Duration> {
         if job.is_lasting() || job.repeat.is_some() {
             return None;
         }
-        let (wait, objective) = (self.expected_wait(now, &job.queue.pool)?, job.objective());
-        let total = wait + job.chain();
+        let load = self.pool_load(now, &job.queue.pool);
+        if load.capacity == 0 || !load.is_full() {
+            return None;
+        }
+        let (wait, chain, objective) = (load.wait(), job.chain(), job.objective());
+        let total = wait + chain;
         if total <= objective {
             return None;
         }
-        Some((total - objective).max(MIN_RETRY))
+        let retry_after = (total - objective).max(MIN_RETRY);
+        self.note("job_refused", job.id, || {
+            format!(
+                "queue={} wait_ms={} chain_ms={} objective_ms={} retry_ms={} load={load:?}",
+                job.queue.name,
+                wait.as_millis(),
+                chain.as_millis(),
+                objective.as_millis(),
+                retry_after.as_millis()
+            )
+        });
+        Some(retry_after)
     }
 
-    /// Returns how long the work that a pool has taken in keeps it busy. Without a usable worker
-    /// there is no telling.
-    fn expected_wait(&self, now: Instant, pool: &Name) -> Option<Duration> {
-        let mut capacity = 0u64;
+    fn pool_load(&self, now: Instant, pool: &Name) -> PoolLoad {
+        let mut load = PoolLoad::default();
         for worker in self.workers.values() {
             if worker.listing.pool == *pool && worker.is_open(now) {
-                capacity += worker.listing.capacity.cpu;
+                load.capacity += worker.listing.capacity.cpu;
+                load.used += worker.used.cpu;
             }
         }
         let jobs = self.open.iter().filter_map(|id| self.jobs.get(id));
-        let (mut ahead, mut held) = (0u64, 0u64);
         for job in jobs.filter(|j| j.job.queue.pool == *pool) {
             if job.job.is_lasting() {
                 let steps = job.job.steps.iter().filter(|s| !s.fills);
-                held += steps.map(|s| s.need.cpu * u64::from(s.count)).sum::<u64>();
+                load.lasting += steps.map(|s| s.need.cpu * u64::from(s.count)).sum::<u64>();
             } else if job.class(now) <= 1 {
-                ahead += job.work_left();
+                load.ahead += job.work_left();
             }
         }
-        let free = capacity.saturating_sub(held);
-        if free == 0 {
-            return None;
-        }
-        // Core-milliseconds over thousandths of a core; running tasks are about half done.
-        let millis = ahead as f64 / (free as f64 / 1_000.0) / USABLE_SHARE;
-        Some(Duration::from_secs_f64(millis / 1_000.0))
+        load
     }
 }
--- a/crates/shard/src/looks.rs
+++ b/crates/shard/src/looks.rs
@@ -39,7 +39,12 @@
     /// Takes the list of the workers in this shard's pools.
     pub fn list_workers(&mut self, at: Moment, listings: Vec<Listing>) {
         let mut listed = BTreeSet::new();
+        self.ended_lives
+            .retain(|id, born| listings.iter().any(|l| l.id == *id && l.born <= *born));
         for listing in listings {
+            if self.ended_lives.contains_key(&listing.id) {
+                continue;
+            }
             listed.insert(Arc::clone(&listing.id));
             let Some(worker) = self.workers.get_mut(&listing.id) else {
                 self.note("worker_listed", &listing.id, || {
@@ -82,7 +87,9 @@
                 continue;
             }
             let busy = !worker.runs.is_empty();
-            let deadline = busy
+            // A deadline that may or may not arrive would put off the time from which the runs of
+            // a lost worker count as over.
+            let deadline = (busy && worker.reachable)
                 .then(|| worker.lease.grant(now, tuning.lease))
                 .flatten();
             // Ends that are taken in but not stored yet would end the wait at once.
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -143,6 +143,8 @@
     /// The jobs that are not final.
     pub(crate) open: BTreeSet<JobId>,
     pub(crate) workers: BTreeMap<Name, Worker>,
+    /// The workers whose lives were ended by orders, with the start of that life.
+    pub(crate) ended_lives: BTreeMap<Name, u64>,
     pub(crate) teams: BTreeMap<Name, TeamUse>,
     pub(crate) stops: BTreeMap<(Name, RunId), PendingStop>,
     pub(crate) deposed: bool,
@@ -166,6 +168,7 @@
             jobs: HashMap::new(),
             open: BTreeSet::new(),
             workers: BTreeMap::new(),
+            ended_lives: BTreeMap::new(),
             teams: BTreeMap::new(),
             stops: BTreeMap::new(),
             deposed: false,
--- a/crates/shard/src/upkeep.rs
+++ b/crates/shard/src/upkeep.rs
@@ -57,6 +57,21 @@
         Vacancy::Free
     }
 
+    /// Takes in that a worker's life was ended by an order to its machine.
+    pub fn worker_ended(&mut self, at: Moment, name: &Name) {
+        let Some(worker) = self.workers.remove(name) else {
+            return;
+        };
+        self.note("worker_ended", name, || {
+            format!("runs={}", worker.runs.len())
+        });
+        for id in worker.runs {
+            self.end_run(at.now, id);
+        }
+        self.ended_lives
+            .insert(Arc::clone(name), worker.listing.born);
+    }
+
     /// Uses workers again that nobody asks to keep free any more.
     pub(crate) fn end_vacating(&mut self, now: Instant) {
         let hold: Duration = self.tuning.vacate_hold;
