fleet, platform, testing: end workers only on what the list shows; stand-ins of the prepared platform

The answer is the same as for an order that is carried out, and the live worker that had come since was taken for ended, so that its tasks started elsewhere. Now a worker counts as ended when the list shows its machine in upkeep.

A start without an answer is looked for before it is barred, so that a run that began runs on. The stand-ins speak the platform's protocol; the adapter's tests run whole processes against them.

--- a/crates/cli/src/command/node.rs
+++ b/crates/cli/src/command/node.rs
@@ -6,19 +6,13 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
-use lavenderhollow_adapter::Endpoint;
-use lavenderhollow_adapter::HttpMachines;
-use lavenderhollow_adapter::HttpStore;
-use lavenderhollow_adapter::HttpWorkers;
+use lavenderhollow_adapter::Endpoints;
 use lavenderhollow_adapter::Ingress;
 use lavenderhollow_adapter::SETTINGS_VARIABLE;
 use lavenderhollow_adapter::Settings;
-use lavenderhollow_adapter::WireCodec;
+use lavenderhollow_adapter::connect;
 use lavenderhollow_node::BootClock;
 use lavenderhollow_node::Node;
-use lavenderhollow_node::backend::Machines;
-use lavenderhollow_node::backend::Platform;
-use lavenderhollow_platform::HttpClient;
 use lexopt::Arg;
 use lexopt::Parser;
 use logforth::filter::rustlog::RustLogFilterBuilder;
@@ -46,13 +40,6 @@
 also noticed without a signal. Logs go to standard output as lines of JSON.
 ";
 
-/// The time for opening a connection within the platform's network.
-const CONNECT_LIMIT: Duration = Duration::from_millis(500);
-
-/// How many unused connections are kept to each server; a burst of starts on one worker uses
-/// several at once.
-const IDLE_CONNECTIONS: usize = 16;
-
 /// How often the settings file is read to notice a change.
 const SETTINGS_EVERY: Duration = Duration::from_secs(2);
 
@@ -96,32 +83,12 @@
     Ok(())
 }
 
-/// The addresses that a changed settings file may move.
-struct Endpoints {
-    store: Endpoint,
-    machines: Option<Endpoint>,
-}
-
 async fn serve(file: &Path, settings: Settings) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let hangup = signal(SignalKind::hangup())?;
     let metrics = lavenderhollow_exposition::install()?;
-    let client = HttpClient::new(CONNECT_LIMIT, IDLE_CONNECTIONS);
-    let endpoints = Endpoints {
-        store: Endpoint::new(&settings.store),
-        machines: settings.machines.as_deref().map(Endpoint::new),
-    };
-    let machines = endpoints.machines.clone().map(|address| {
-        let machines = HttpMachines::new(client.clone(), address);
-        Arc::new(machines) as Arc<dyn Machines>
-    });
-    let platform = Platform {
-        store: Arc::new(HttpStore::new(client.clone(), endpoints.store.clone())),
-        workers: Arc::new(HttpWorkers::new(client)),
-        machines,
-        codec: Arc::new(WireCodec),
-    };
+    let (platform, endpoints) = connect(&settings);
     let clock = Arc::new(BootClock::new());
     let node = Node::start(settings.node.clone(), platform, clock, Some(metrics)).await?;
     let node = Arc::new(node);
@@ -173,10 +140,7 @@
         }
         match Settings::from_text(&text) {
             Ok(settings) => {
-                endpoints.store.set(&settings.store);
-                if let (Some(known), Some(address)) = (&endpoints.machines, &settings.machines) {
-                    known.set(address);
-                }
+                endpoints.update(&settings);
                 log::info!(signalled; "settings_reloaded");
             }
             Err(error) => log::error!(error:display; "settings_refused"),
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -193,7 +193,9 @@
 pub enum MachineState {
     /// It serves its pool.
     Up,
-    /// It moves, is in upkeep or is down.
+    /// It is in upkeep, so that the life of its worker has ended.
+    Upkeep,
+    /// It moves or is down.
     Away,
 }
 
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -252,6 +252,13 @@
         if run.take_list(now, list) {
             return self.complete(number).await;
         }
+        let ended = run.ended_workers(list);
+        for (pool, worker) in ended {
+            self.tell_ended(&pool, worker);
+        }
+        let Some(run) = self.runs.get(&number) else {
+            return Ok(());
+        };
         let by_name: BTreeMap<&Name, &Machine> = list.iter().map(|m| (&m.name, m)).collect();
         for name in run.unconfirmed() {
             self.order(number, machines, &name, None).await?;
@@ -264,11 +271,7 @@
                 break;
             }
             let worker = by_name.get(&name).and_then(|m| m.worker.clone());
-            let pool = by_name.get(&name).map(|m| Arc::clone(&m.pool));
-            let done = self.order(number, machines, &name, worker.clone()).await?;
-            if let (true, Some(worker), Some(pool)) = (done, worker, pool) {
-                self.tell_ended(&pool, worker);
-            }
+            self.order(number, machines, &name, worker).await?;
         }
         Ok(())
     }
@@ -323,7 +326,7 @@
         machines: &dyn Machines,
         name: &Name,
         worker: Option<Name>,
-    ) -> Result<bool, Lost> {
+    ) -> Result<(), Lost> {
         let holder = Holder {
             name: Arc::clone(&self.parts.router.me.vm),
             token: self.token,
@@ -335,20 +338,20 @@
         let answer = machines.upkeep(&holder, name, number).await;
         log::info!(wave = number, machine = &**name, token = self.token, answer:display; "upkeep_ordered");
         let Some(run) = self.runs.get_mut(&number) else {
-            return Ok(false);
+            return Ok(());
         };
         match answer {
             MachineAnswer::Done => run.confirm(name),
             MachineAnswer::Deposed => return Err(Lost),
             MachineAnswer::Busy | MachineAnswer::Refused => run.refuse(now, name),
             MachineAnswer::NotInWave => run.skip(name),
-            MachineAnswer::Unknown => return Ok(false),
+            MachineAnswer::Unknown => return Ok(()),
         }
         let begun = run.begun().clone();
         if matches!(answer, MachineAnswer::Done | MachineAnswer::NotInWave) {
             self.store(format!("{WAVE_KEY}{number}"), &begun).await?;
         }
-        Ok(answer == MachineAnswer::Done)
+        Ok(())
     }
 
     async fn complete(&mut self, number: u64) -> Result<(), Lost> {
--- a/crates/node/src/wave.rs
+++ b/crates/node/src/wave.rs
@@ -24,6 +24,8 @@
     since: Instant,
     worker: Option<Name>,
     confirmed: bool,
+    /// Whether the owner of the worker's pool was told that its life has ended.
+    told: bool,
 }
 
 /// A wave under way.
@@ -114,7 +116,23 @@
         }
     }
 
-    /// Returns the machines that are to be kept free, and whether one may go down now.
+    /// Returns workers whose lives were ended by an upkeep, with their pools, each once. The answer
+    /// to an order does not tell: it is the same when the upkeep was done before, and another
+    /// worker lives on the machine by now.
+    pub fn ended_workers(&mut self, machines: &[Machine]) -> Vec<(Name, Name)> {
+        let mut ended = Vec::new();
+        for machine in machines.iter().filter(|m| m.state == MachineState::Upkeep) {
+            if let Some(down) = self.down.get_mut(&machine.name)
+                && let Some(worker) = &down.worker
+                && !std::mem::replace(&mut down.told, true)
+            {
+                ended.push((Arc::clone(&machine.pool), Arc::clone(worker)));
+            }
+        }
+        ended
+    }
+
+    /// Returns the machines that are to be kept free.
     pub fn chosen(&self) -> Vec<Name> {
         self.chosen.keys().cloned().collect()
     }
@@ -136,6 +154,7 @@
             since: now,
             worker,
             confirmed: false,
+            told: false,
         };
         self.down.entry(Arc::clone(machine)).or_insert(down);
     }
--- /dev/null
+++ b/crates/node/tests/runner.rs
@@ -0,0 +1,5 @@
+//! Tests of the process's decisions.
+
+mod test_allotments;
+mod test_election;
+mod test_wave;
--- /dev/null
+++ b/crates/node/tests/test_election.rs
@@ -0,0 +1,90 @@
+//! Tests of who claims which shard.
+
+use std::collections::BTreeSet;
+
+use lavenderhollow_node::Member;
+use lavenderhollow_node::Ownership;
+use lavenderhollow_node::Roster;
+use lavenderhollow_node::ShardId;
+
+fn member(vm: &str, started: u64) -> Member {
+    Member {
+        vm: vm.into(),
+        started,
+        address: format!("10.0.0.1:{started}").into(),
+    }
+}
+
+fn owned(member: &Member, token: u64) -> Ownership {
+    Ownership {
+        member: member.clone(),
+        token,
+        released: false,
+    }
+}
+
+fn shards(count: u16) -> BTreeSet<ShardId> {
+    (0..count).map(ShardId).collect()
+}
+
+/// Guards against a member name that can't be read back by other processes.
+#[test]
+fn a_member_survives_the_way_there_and_back() {
+    let me = member("edge-a-1", 17);
+    assert_eq!(me.to_string().parse(), Ok(me));
+    for text in ["", "vm", "vm/1", "vm/x/10.0.0.1:1", "/1/10.0.0.1:1"] {
+        assert!(text.parse::<Member>().is_err(), "{text}");
+    }
+}
+
+/// Guards against shards that nobody or several processes claim, and against an uneven spread.
+#[test]
+fn every_shard_is_claimed_by_one_member_and_evenly() {
+    let members: Vec<Member> = (0..4).map(|i| member(&format!("vm-{i}"), 1)).collect();
+    let mut roster = Roster::default();
+    roster.set_members(members.clone());
+    let claims: Vec<Vec<ShardId>> = members
+        .iter()
+        .map(|m| roster.to_claim(m, &shards(8)))
+        .collect();
+    assert!(claims.iter().all(|c| c.len() == 2), "{claims:?}");
+    let all: BTreeSet<ShardId> = claims.into_iter().flatten().collect();
+    assert_eq!(all, shards(8));
+}
+
+/// Guards against a process that waits for the silence of its own earlier run.
+#[test]
+fn a_restarted_process_replaces_its_earlier_run() {
+    let (old, new) = (member("vm-1", 1), member("vm-1", 2));
+    let mut roster = Roster::default();
+    roster.set_members([old.clone(), new.clone()]);
+    roster.announce(ShardId(0), owned(&old, 5));
+    assert_eq!(roster.to_claim(&new, &shards(1)), vec![ShardId(0)]);
+    roster.announce(ShardId(0), owned(&new, 9));
+    assert_eq!(roster.to_claim(&new, &shards(1)), vec![]);
+}
+
+/// Guards against an announcement that arrives late and hides the present owner.
+#[test]
+fn an_older_announcement_changes_nothing() {
+    let (a, b) = (member("vm-a", 1), member("vm-b", 1));
+    let mut roster = Roster::default();
+    roster.announce(ShardId(0), owned(&b, 9));
+    roster.announce(ShardId(0), owned(&a, 5));
+    assert_eq!(roster.owner(ShardId(0)).map(|o| &o.member), Some(&b));
+}
+
+/// Guards against shards that move to and fro between members with nearly equal loads.
+#[test]
+fn only_a_clear_imbalance_moves_a_shard() {
+    let (a, b) = (member("vm-a", 1), member("vm-b", 1));
+    let mut roster = Roster::default();
+    roster.set_members([a.clone(), b.clone()]);
+    for shard in shards(3) {
+        roster.announce(shard, owned(&a, 1));
+    }
+    assert!(roster.to_release(&a, &shards(3)).is_some());
+    roster.announce(ShardId(2), owned(&b, 2));
+    assert_eq!(roster.to_release(&a, &shards(3)), None);
+    assert_eq!(roster.to_release(&b, &shards(3)), None);
+}
--- /dev/null
+++ b/crates/node/tests/test_wave.rs
@@ -0,0 +1,111 @@
+//! Tests of the order of the upkeeps of a wave.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use lavenderhollow_node::Wave;
+use lavenderhollow_node::WaveRun;
+use lavenderhollow_node::backend::Machine;
+use lavenderhollow_node::backend::MachineState;
+use lavenderhollow_shard::Name;
+
+const UPKEEP: Duration = Duration::from_secs(2);
+
+fn machine(name: &str, worker: &str, state: MachineState) -> Machine {
+    Machine {
+        name: name.into(),
+        pool: "pool".into(),
+        state,
+        worker: Some(worker.into()),
+    }
+}
+
+fn wave(machines: &[&str], at_once: usize) -> Wave {
+    Wave {
+        number: 1,
+        machines: machines.iter().map(|m| Name::from(*m)).collect(),
+        within: Duration::from_secs(20),
+        at_once,
+    }
+}
+
+/// Guards against more machines down at once than the wave allows, orders without an answer
+/// included.
+#[test]
+fn a_wave_keeps_its_bound() {
+    let now = Instant::now();
+    let mut run = WaveRun::new(wave(&["m1", "m2"], 1), BTreeSet::new(), UPKEEP);
+    let list = [
+        machine("m1", "w1", MachineState::Up),
+        machine("m2", "w2", MachineState::Up),
+    ];
+    assert!(!run.take_list(now, &list));
+    assert_eq!(run.chosen().len(), 2);
+    assert!(run.has_room());
+    run.order(now, &"m1".into(), Some("w1".into()));
+    assert!(!run.has_room());
+    run.take_list(now + UPKEEP * 3, &list);
+    assert!(
+        !run.has_room(),
+        "an order without an answer may have been carried out"
+    );
+    run.confirm(&"m1".into());
+    run.take_list(
+        now + UPKEEP * 3,
+        &[machine("m1", "w3", MachineState::Up), list[1].clone()],
+    );
+    assert!(run.has_room());
+}
+
+/// Guards against taking a live worker for ended: an order for a machine whose upkeep was done
+/// before is answered like one that is carried out, and ends nothing.
+#[test]
+fn a_repeated_order_ends_no_worker() {
+    let now = Instant::now();
+    let mut run = WaveRun::new(wave(&["m1"], 1), BTreeSet::new(), UPKEEP);
+    let up = [machine("m1", "w2", MachineState::Up)];
+    run.take_list(now, &up);
+    run.order(now, &"m1".into(), Some("w2".into()));
+    run.confirm(&"m1".into());
+    assert_eq!(run.ended_workers(&up), vec![]);
+    let kept_up = [machine("m1", "w2", MachineState::Upkeep)];
+    let ended: Vec<(Name, Name)> = vec![("pool".into(), "w2".into())];
+    assert_eq!(run.ended_workers(&kept_up), ended);
+    assert_eq!(
+        run.ended_workers(&kept_up),
+        vec![],
+        "each worker is told of once"
+    );
+}
+
+/// Guards against a wave that is said to be completed while a machine has not had its upkeep or is
+/// still down.
+#[test]
+fn a_wave_is_completed_when_every_listed_machine_is_back() {
+    let now = Instant::now();
+    let mut run = WaveRun::new(wave(&["m1", "removed"], 1), BTreeSet::new(), UPKEEP);
+    let up = [machine("m1", "w1", MachineState::Up)];
+    assert!(!run.take_list(now, &up));
+    run.order(now, &"m1".into(), Some("w1".into()));
+    run.confirm(&"m1".into());
+    assert!(!run.take_list(now, &[machine("m1", "w1", MachineState::Upkeep)]));
+    assert!(run.take_list(now, &[machine("m1", "w2", MachineState::Up)]));
+}
+
+/// Guards against a machine that can't go down and keeps all others from it.
+#[test]
+fn a_machine_that_stays_busy_lets_others_go_first() {
+    let now = Instant::now();
+    let names = ["m1", "m2", "m3", "m4"];
+    let mut run = WaveRun::new(wave(&names, 1), BTreeSet::new(), UPKEEP);
+    let list: Vec<Machine> = names
+        .iter()
+        .map(|m| machine(m, "w", MachineState::Up))
+        .collect();
+    run.take_list(now, &list);
+    let first: BTreeSet<Name> = run.chosen().into_iter().collect();
+    run.take_list(now + Duration::from_secs(4), &list);
+    let second: BTreeSet<Name> = run.chosen().into_iter().collect();
+    assert!(first.is_disjoint(&second), "{first:?} {second:?}");
+}
--- a/crates/shard/src/looks.rs
+++ b/crates/shard/src/looks.rs
@@ -350,7 +350,13 @@
             };
             let is_over = match run.phase {
                 Phase::Running { confirmed } => confirmed < sent,
-                Phase::Unresolved { barred } => barred.is_some_and(|at| at < sent),
+                Phase::Unresolved { barred: None } => {
+                    if run.since < sent {
+                        self.stops.entry((Arc::clone(name), id)).or_default();
+                    }
+                    false
+                }
+                Phase::Unresolved { barred: Some(at) } => at < sent,
                 // This look carried the new token, so that an earlier owner's order can't follow.
                 Phase::Inherited => true,
                 Phase::Recorded | Phase::Ordered => false,
--- a/crates/shard/src/orders.rs
+++ b/crates/shard/src/orders.rs
@@ -105,8 +105,8 @@
                 return;
             }
             StartAnswer::Unknown => {
+                // The next look shows whether it runs; if not, it is barred.
                 run.phase = Phase::Unresolved { barred: None };
-                self.stops.entry((Arc::clone(worker), id)).or_default();
                 self.look_soon(now, worker);
                 self.note("start_unanswered", id.task, || {
                     format!("run={} worker={worker}", id.number)
--- a/crates/shard/tests/test_shard.rs
+++ b/crates/shard/tests/test_shard.rs
@@ -236,11 +236,12 @@
     bed.tick();
     let (worker, order) = starts(&bed.store()).pop().unwrap();
     bed.started(&worker, order.run, StartAnswer::Unknown);
-    let effects = bed.tick();
-    assert!(effects.contains(&Effect::Stop(worker.clone(), order.run)));
+    bed.advance(Duration::from_millis(10));
+    bed.tick();
     // A look that shows nothing proves nothing yet.
     bed.look(&worker, &look(1_100, vec![], vec![]));
-    bed.tick();
+    let effects = bed.tick();
+    assert!(effects.contains(&Effect::Stop(worker.clone(), order.run)));
     assert!(starts(&bed.store()).is_empty());
     bed.advance(Duration::from_millis(10));
     bed.shard.stop_answered(bed.at, &worker, order.run, true);
@@ -250,6 +251,22 @@
     assert_eq!(starts(&bed.store()).len(), 1);
 }
 
+/// Guards against stopping a run that began although the answer to its order was lost.
+#[test]
+fn an_unanswered_start_that_is_listed_runs_on() {
+    let mut bed = Bed::new(&["w1"]);
+    bed.contact(&["w1"]);
+    bed.submit(job(1, vec![step(1, &[])]));
+    bed.tick();
+    let (worker, order) = starts(&bed.store()).pop().unwrap();
+    bed.started(&worker, order.run, StartAnswer::Unknown);
+    bed.advance(Duration::from_millis(10));
+    bed.tick();
+    bed.look(&worker, &look(1_100, vec![running(order.run, 10)], vec![]));
+    let effects = bed.tick();
+    assert!(!effects.contains(&Effect::Stop(worker, order.run)));
+}
+
 /// Guards against starts beyond a team's limit.
 #[test]
 fn a_team_runs_no_more_than_its_limit() {
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the platform, the scenario runner and builders that tests share.
 
 mod fake_log;
+pub mod prepared;
 pub mod scenario;
 pub mod standin;
 
--- /dev/null
+++ b/crates/testing/src/prepared/deployment.rs
@@ -0,0 +1,217 @@
+//! A small deployment of stand-ins: a store, workers and their machines.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+use tokio::task::JoinHandle;
+
+use super::http::Server;
+use super::http::serve;
+use super::machines::Machine;
+use super::machines::Machines;
+use super::machines::MachinesHandler;
+use super::store::Store;
+use super::store::StoreFaults;
+use super::store::StoreHandler;
+use super::worker::Worker;
+use super::worker::WorkerFaults;
+use super::worker::WorkerHandler;
+
+/// The pool that the workers belong to.
+pub const POOL: &str = "checks-pool";
+
+/// The host of the deployment's queue.
+pub const ROUTE_HOST: &str = "checks.example";
+
+/// The path of the deployment's queue.
+pub const ROUTE_PREFIX: &str = "/checks/";
+
+/// The key of the deployment's team.
+pub const TEAM_KEY: &str = "key-of-the-team";
+
+/// How often a worker writes its entry.
+const HEARTBEAT: Duration = Duration::from_millis(300);
+
+/// What each worker offers: room for this many tasks of one core.
+const WORKER_CORES: usize = 8;
+
+/// A running deployment of stand-ins.
+pub struct Deployment {
+    store: Arc<Store>,
+    store_server: Server,
+    machines: Arc<Machines>,
+    machines_server: Server,
+    workers: Vec<(Arc<Worker>, Server)>,
+    beats: JoinHandle<()>,
+    version: Mutex<u64>,
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        self.beats.abort();
+    }
+}
+
+impl Deployment {
+    /// Starts a store, and workers whose tasks take `work` each, and publishes a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port is free.
+    pub async fn start(workers: usize, work: Duration) -> std::io::Result<Self> {
+        let store = Arc::new(Store::default());
+        let machines = Arc::new(Machines::default());
+        let mut running = Vec::new();
+        for i in 0..workers {
+            let id = format!("worker-{i}");
+            let worker = Arc::new(Worker::new(&id, 1, WORKER_CORES, work));
+            let server = serve(Arc::new(WorkerHandler(Arc::clone(&worker)))).await?;
+            let machine = Machine {
+                pool: POOL.to_owned(),
+                worker: id,
+                fence: 0,
+            };
+            machines.all().insert(format!("machine-{i}"), machine);
+            running.push((worker, server));
+        }
+        let entries: Vec<(String, SocketAddr)> = running
+            .iter()
+            .map(|(worker, server)| (worker.id.clone(), server.address))
+            .collect();
+        let beats = tokio::spawn(beat(Arc::clone(&store), entries));
+        let deployment = Self {
+            store_server: serve(Arc::new(StoreHandler(Arc::clone(&store)))).await?,
+            store,
+            machines_server: serve(Arc::new(MachinesHandler(Arc::clone(&machines)))).await?,
+            machines,
+            workers: running,
+            beats,
+            version: Mutex::new(0),
+        };
+        deployment.publish(&[TEAM_KEY]);
+        Ok(deployment)
+    }
+
+    /// Returns the text of a settings file for a process on this deployment.
+    pub fn settings(&self, vm: &str, ports: [u16; 4]) -> String {
+        let [callers, readiness, first, last] = ports;
+        format!(
+            "node_name = \"{vm}\"\nip = \"127.0.0.1\"\ninternal_ports = [{first}, {last}]\n\
+             unknown_field = 1\n\
+             [listen_addrs]\nclient_addr = \"127.0.0.1:{callers}\"\n\
+             readiness = \"127.0.0.1:{readiness}\"\n\
+             [bounds]\nmax_hold_ms = 10000\ngrace_s = 6\n\
+             [platform]\naddress = \"{}\"\n[cloud]\naddress = \"{}\"\n",
+            self.store_server.address, self.machines_server.address
+        )
+    }
+
+    /// Publishes a configuration in which the team has the given keys.
+    pub fn publish(&self, keys: &[&str]) {
+        let mut version = self.version.lock().unwrap_or_else(PoisonError::into_inner);
+        *version += 3;
+        let config = json!({
+            "version": *version,
+            "routes": [{
+                "name": "checks", "host": ROUTE_HOST, "path_prefix": ROUTE_PREFIX,
+                "service": POOL, "max_attempts": 2, "slack_factor": 4.0,
+                "target_latency_ms": 4_000, "priority": 0, "allow_anonymous": false,
+            }],
+            "services": [{ "name": POOL, "standby": false }],
+            "limits": { "max_body_bytes": 65_536 },
+            "tenants": [{ "name": "team", "api_keys": keys, "weight": 1, "cap": { "cpu": 0 } }],
+        });
+        self.put("keyed.op", "config", &config);
+    }
+
+    /// Announces a maintenance wave of some machines.
+    pub fn announce_wave(&self, wave: u64, machines: &[String], at_once: usize) {
+        let body = json!({
+            "wave": wave, "machines": machines, "duration_s": 20, "cap": at_once,
+        });
+        self.put("keyed.op", &format!("wave/{wave}"), &body);
+    }
+
+    /// Tells whether a wave is said to be completed.
+    pub fn is_completed(&self, wave: u64) -> bool {
+        let (rows, _) = self.store.log().newest("keyed.status", 0, None);
+        let key = format!("wave/{wave}");
+        rows.iter()
+            .any(|(k, v, _)| *k == key && v.windows(9).any(|w| w == b"completed"))
+    }
+
+    /// Returns the machines that had their upkeep in a wave.
+    pub fn kept_up(&self, wave: u64) -> BTreeSet<String> {
+        let all = self.machines.kept_up();
+        let of_wave = all.into_iter().filter(|(w, _)| *w == wave);
+        of_wave.map(|(_, machine)| machine).collect()
+    }
+
+    /// Returns the names of the machines.
+    pub fn machines(&self) -> Vec<String> {
+        self.machines.all().keys().cloned().collect()
+    }
+
+    /// Writes a record that names no worker, as other writers do.
+    pub fn write_foreign_entry(&self, key: &str, value: &Value) {
+        self.put("keyed.servers", key, value);
+    }
+
+    /// Forgets the history of the store.
+    pub fn compact(&self) {
+        self.store.log().compact();
+    }
+
+    /// Changes what goes wrong at the store.
+    pub fn set_store_faults(&self, faults: StoreFaults) {
+        self.store.set_faults(faults);
+    }
+
+    /// Changes what goes wrong at a worker.
+    pub fn set_worker_faults(&self, worker: usize, faults: WorkerFaults) {
+        if let Some((worker, _)) = self.workers.get(worker) {
+            worker.set_faults(faults);
+        }
+    }
+
+    /// Returns how often each task was started, over all workers.
+    pub fn started(&self) -> BTreeMap<String, u32> {
+        let mut all = BTreeMap::new();
+        for (worker, _) in &self.workers {
+            for (task, count) in worker.started() {
+                *all.entry(task).or_insert(0) += count;
+            }
+        }
+        all
+    }
+
+    fn put(&self, topic: &str, key: &str, value: &Value) {
+        self.store
+            .log()
+            .put(topic, key, value.to_string().as_bytes());
+    }
+}
+
+/// Writes the workers' entries again and again.
+async fn beat(store: Arc<Store>, entries: Vec<(String, SocketAddr)>) {
+    for sequence in 0u64.. {
+        for (id, address) in &entries {
+            let entry = json!({
+                "service": POOL, "address": address.to_string(), "zone": "zone", "version": "v1",
+                "slots": 8, "state": "ready", "sequence": sequence, "born": 1,
+                "capacity": { "cpu": WORKER_CORES * 1_000, "mem_mb": 65_536, "gpu": 0 },
+                "labels": ["a", "r1-1"],
+            });
+            let value = entry.to_string();
+            store.log().put("keyed.servers", id, value.as_bytes());
+        }
+        tokio::time::sleep(HEARTBEAT).await;
+    }
+}
--- /dev/null
+++ b/crates/testing/src/prepared/http.rs
@@ -0,0 +1,147 @@
+//! A small HTTP server for the stand-ins.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// A request with its whole body.
+#[derive(Debug)]
+pub(super) struct Call {
+    pub(super) method: Method,
+    pub(super) path: String,
+    pub(super) query: BTreeMap<String, String>,
+    pub(super) headers: http::HeaderMap,
+    pub(super) body: Bytes,
+}
+
+impl Call {
+    /// Returns a parameter of the query as a number.
+    pub(super) fn number(&self, name: &str) -> Option<u64> {
+        self.query.get(name)?.parse().ok()
+    }
+
+    /// Returns the body as JSON, or null.
+    pub(super) fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or(Value::Null)
+    }
+}
+
+/// An answer.
+#[derive(Debug)]
+pub(super) struct Answer(pub(super) StatusCode, pub(super) Bytes);
+
+impl Answer {
+    pub(super) fn json(status: StatusCode, value: &Value) -> Self {
+        Self(status, value.to_string().into())
+    }
+
+    pub(super) fn empty(status: StatusCode) -> Self {
+        Self(status, Bytes::new())
+    }
+}
+
+/// Answers the calls of a stand-in; nothing closes the connection without an answer.
+#[async_trait]
+pub(super) trait Handler: Send + Sync + 'static {
+    async fn answer(&self, call: Call) -> Option<Answer>;
+}
+
+/// A running server; it ends when it is dropped.
+#[derive(Debug)]
+pub(super) struct Server {
+    pub(super) address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Serves a handler on a free port of the loopback interface.
+pub(super) async fn serve(handler: Arc<dyn Handler>) -> std::io::Result<Server> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let task = tokio::spawn(async move {
+        let mut open = tokio::task::JoinSet::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            let handler = Arc::clone(&handler);
+            open.spawn(async move {
+                let service = service_fn(move |request| respond(Arc::clone(&handler), request));
+                // A caller that breaks its connection off concerns that caller alone.
+                let _ = hyper::server::conn::http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+            while open.try_join_next().is_some() {}
+        }
+    });
+    Ok(Server { address, task })
+}
+
+/// Stands for a connection that is closed without an answer.
+#[derive(Debug)]
+struct Silence;
+
+impl std::fmt::Display for Silence {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("no answer")
+    }
+}
+
+impl std::error::Error for Silence {}
+
+async fn respond(
+    handler: Arc<dyn Handler>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Silence> {
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.map_err(|_| Silence)?.to_bytes();
+    let call = Call {
+        method: parts.method,
+        path: parts.uri.path().to_owned(),
+        query: query_of(parts.uri.query().unwrap_or_default()),
+        headers: parts.headers,
+        body,
+    };
+    let Answer(status, body) = handler.answer(call).await.ok_or(Silence)?;
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    Ok(response)
+}
+
+fn query_of(text: &str) -> BTreeMap<String, String> {
+    let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
+    pairs
+        .map(|(key, value)| (key.to_owned(), unescape(value)))
+        .collect()
+}
+
+fn unescape(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.bytes();
+    while let Some(byte) = rest.next() {
+        let escaped = (byte == b'%').then(|| {
+            let digits = [rest.next()?, rest.next()?];
+            u8::from_str_radix(std::str::from_utf8(&digits).ok()?, 16).ok()
+        });
+        bytes.push(escaped.flatten().unwrap_or(byte));
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
