--- a/crates/cli/src/command/node.rs
+++ b/crates/cli/src/command/node.rs
@@ -111,7 +111,8 @@
     }
     let begun = Instant::now();
     log::info!(vm = &*settings.node.vm; "stopping");
-    node.hand_over().await;
+    node.hand_over(settings.grace.saturating_sub(END_MARGIN * 2))
+        .await;
     tokio::time::sleep_until(begun + TURN_AWAY.min(settings.grace / 2)).await;
     let left = settings.grace.saturating_sub(END_MARGIN);
     ingress.close(left.saturating_sub(begun.elapsed())).await;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -1,6 +1,8 @@
 //! Callers' requests: which queue they mean, whether their key allows it, and the way to the owner.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -96,6 +98,8 @@
     clock: Arc<dyn Clock>,
     /// How old the configuration may be for a request with a key.
     fresh: Duration,
+    /// When the process ends, so that every request is answered before.
+    ends: Mutex<Option<Instant>>,
 }
 
 impl Front {
@@ -111,9 +115,15 @@
             router,
             clock,
             fresh,
+            ends: Mutex::default(),
         }
     }
 
+    /// Answers all further requests by `ends`.
+    pub fn end_by(&self, ends: Instant) {
+        *self.ends.lock().unwrap_or_else(PoisonError::into_inner) = Some(ends);
+    }
+
     /// Returns the limits of callers' connections.
     pub fn limits(&self) -> CallerLimits {
         self.current.load().limits
@@ -149,6 +159,9 @@
             }
         }
         let wait = wait.unwrap_or(LONGEST_REQUEST).min(LONGEST_REQUEST);
+        let ends = *self.ends.lock().unwrap_or_else(PoisonError::into_inner);
+        let left = ends.map_or(wait, |at| at.saturating_duration_since(now));
+        let wait = wait.min(left);
         Ok(Admitted {
             route: Arc::clone(route),
             team,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -137,8 +137,9 @@
             && self.current.is_fresh(self.clock.now(), self.fresh)
     }
 
-    /// Gives up the shards of this process; callers are still served.
-    pub async fn hand_over(&self) {
+    /// Gives up the shards of this process. Callers are still served, and answered within `limit`.
+    pub async fn hand_over(&self, limit: Duration) {
+        self.front.end_by(self.clock.now() + limit);
         self.stopping.send_replace(true);
         self.manager.stop().await;
     }
--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -170,7 +170,8 @@
     async fn follow_owners(self: Arc<Self>) {
         let mut follower = Follower::new(Topic::Owners);
         let mut failing = false;
-        while !self.is_stopping() {
+        // A process that stops still takes callers' requests to the owners.
+        loop {
             match follower
                 .step(&*self.parts.platform.store, OWNERS_WAIT)
                 .await
