waves: leave machines to pools under load while there is time

Cause of the weakest windows: a wave took its machines in the first seconds, from the pool in its peak as from the others. Now a pool's owner keeps a machine while its pool uses over 0.6 of its processor time, until 0.45 of the wave's time is over.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -204,7 +204,7 @@
                 "wave_taken"
             );
             let begun = self.begun.get(&number).cloned().unwrap_or_default();
-            let run = WaveRun::new(wave, begun, self.parts.upkeep);
+            let run = WaveRun::new(self.parts.clock.now(), wave, begun, self.parts.upkeep);
             self.runs.insert(number, run);
         }
     }
@@ -260,12 +260,16 @@
             return Ok(());
         };
         let by_name: BTreeMap<&Name, &Machine> = list.iter().map(|m| (&m.name, m)).collect();
+        let (chosen, urgent) = (run.chosen(), run.is_urgent(now));
         for name in run.unconfirmed() {
             self.order(number, machines, &name, None).await?;
         }
-        let chosen = self.runs.get(&number).map(WaveRun::chosen);
-        let chosen = chosen.unwrap_or_default();
-        let vacant = self.vacate(&chosen, &by_name).await;
+        let (vacant, needed) = self.vacate(&chosen, urgent, &by_name).await;
+        if let Some(run) = self.runs.get_mut(&number) {
+            for name in &needed {
+                run.pass(now, name);
+            }
+        }
         for name in vacant {
             if !self.runs.get(&number).is_some_and(WaveRun::has_room) {
                 break;
@@ -289,20 +293,26 @@
         });
     }
 
-    /// Asks the owners of the machines' pools to keep them free; returns those that may go down.
-    async fn vacate(&self, chosen: &[Name], machines: &BTreeMap<&Name, &Machine>) -> Vec<Name> {
+    /// Asks the owners of the machines' pools to keep them free; returns those that may go down, and
+    /// those that their pools need now.
+    async fn vacate(
+        &self,
+        chosen: &[Name],
+        urgent: bool,
+        machines: &BTreeMap<&Name, &Machine>,
+    ) -> (Vec<Name>, Vec<Name>) {
         let deadline = self.parts.clock.now() + VACATE_LIMIT;
         let asks = chosen.iter().filter_map(|name| {
             let machine = machines.get(name)?;
             let router = Arc::clone(&self.parts.router);
             Some(async move {
                 let Some(worker) = machine.worker.clone() else {
-                    return Some(Arc::clone(name));
+                    return Some((Arc::clone(name), Reply::Vacant));
                 };
                 let shard = ShardId::of_pool(&machine.pool);
-                let question = Question::Vacate(worker);
+                let question = Question::Vacate { worker, urgent };
                 match router.ask(shard, &question, deadline).await {
-                    Ok(Reply::Vacant) => Some(Arc::clone(name)),
+                    Ok(reply @ (Reply::Vacant | Reply::Later)) => Some((Arc::clone(name), reply)),
                     Ok(Reply::Busy) => None,
                     // An owner that does not know the worker yet can't tell what runs there.
                     Ok(reply) => {
@@ -317,7 +327,11 @@
             })
         });
         let answers = futures::future::join_all(asks).await;
-        answers.into_iter().flatten().collect()
+        let answers = answers.into_iter().flatten();
+        let (vacant, needed): (Vec<_>, Vec<_>) =
+            answers.partition(|(_, reply)| *reply == Reply::Vacant);
+        let names = |rows: Vec<(Name, Reply)>| rows.into_iter().map(|(name, _)| name).collect();
+        (names(vacant), names(needed))
     }
 
     async fn order(
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -24,7 +24,12 @@
     /// Count the jobs of a queue that have not begun.
     Pending(Name),
     /// Keep a worker free for the upkeep of its machine.
-    Vacate(Name),
+    Vacate {
+        /// The worker.
+        worker: Name,
+        /// Whether a pool under load has to give it as well.
+        urgent: bool,
+    },
     /// Take in that a worker's life was ended by an order to its machine.
     Ended(Name),
     /// Take a shard's use of the teams' limits, and tell its allotments. Only the owner of the
@@ -40,7 +45,7 @@
             Self::Cancel(_) => "cancel",
             Self::State(_) => "state",
             Self::Pending(_) => "pending",
-            Self::Vacate(_) => "vacate",
+            Self::Vacate { .. } => "vacate",
             Self::Ended(_) => "ended",
             Self::Allot(_) => "allot",
         }
@@ -91,6 +96,8 @@
     Vacant,
     /// The worker's machine may not go down yet.
     Busy,
+    /// The pool needs the worker now.
+    Later,
     /// The allotments of a shard, for each team.
     Allotted(Vec<(Name, Resources)>),
     /// This process does not own the shard; nothing was done.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -228,9 +228,10 @@
             }
             Question::State(id) => self.shard.state(id).map_or(Reply::Unknown, Reply::State),
             Question::Pending(queue) => Reply::Pending(self.shard.pending(&queue) as u64),
-            Question::Vacate(worker) => match self.shard.vacate(at, &worker) {
+            Question::Vacate { worker, urgent } => match self.shard.vacate(at, &worker, urgent) {
                 Vacancy::Free => Reply::Vacant,
                 Vacancy::Busy => Reply::Busy,
+                Vacancy::Later => Reply::Later,
                 Vacancy::NoWorker => Reply::Unknown,
             },
             Question::Ended(worker) => {
--- a/crates/node/src/wave.rs
+++ b/crates/node/src/wave.rs
@@ -18,6 +18,10 @@
 /// After what time a machine that can't go down yet lets others go first.
 const TURN: Duration = Duration::from_secs(3);
 
+/// For which part of the time that a wave has, pools under load keep their machines. Pools peak in
+/// turn, so that most have a quiet time in this part, and the rest of it is enough for all machines.
+const PATIENT_SHARE: f64 = 0.45;
+
 /// A machine whose upkeep was ordered.
 #[derive(Clone, Debug)]
 struct Down {
@@ -39,11 +43,12 @@
     /// Machines that had their turn and were not free, with the time of it.
     passed: BTreeMap<Name, Instant>,
     upkeep: Duration,
+    since: Instant,
 }
 
 impl WaveRun {
     /// Creates a wave of which `begun` machines have had their upkeep ordered.
-    pub fn new(wave: Wave, begun: BTreeSet<Name>, upkeep: Duration) -> Self {
+    pub fn new(now: Instant, wave: Wave, begun: BTreeSet<Name>, upkeep: Duration) -> Self {
         Self {
             wave,
             begun,
@@ -51,9 +56,21 @@
             chosen: BTreeMap::new(),
             passed: BTreeMap::new(),
             upkeep,
+            since: now,
         }
     }
 
+    /// Tells whether pools under load have to give their machines as well.
+    pub fn is_urgent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.since) > self.wave.within.mul_f64(PATIENT_SHARE)
+    }
+
+    /// Lets others go before a machine that its pool needs now.
+    pub fn pass(&mut self, now: Instant, machine: &Name) {
+        self.chosen.remove(machine);
+        self.passed.insert(Arc::clone(machine), now);
+    }
+
     /// Returns the wave.
     pub fn wave(&self) -> &Wave {
         &self.wave
@@ -171,8 +188,7 @@
     /// Notes that the order was refused and nothing was done.
     pub fn refuse(&mut self, now: Instant, machine: &Name) {
         self.down.remove(machine);
-        self.chosen.remove(machine);
-        self.passed.insert(Arc::clone(machine), now);
+        self.pass(now, machine);
     }
 
     /// Notes that the machine has no upkeep in this wave.
--- a/crates/node/tests/test_wave.rs
+++ b/crates/node/tests/test_wave.rs
@@ -35,7 +35,7 @@
 #[test]
 fn a_wave_keeps_its_bound() {
     let now = Instant::now();
-    let mut run = WaveRun::new(wave(&["m1", "m2"], 1), BTreeSet::new(), UPKEEP);
+    let mut run = WaveRun::new(now, wave(&["m1", "m2"], 1), BTreeSet::new(), UPKEEP);
     let list = [
         machine("m1", "w1", MachineState::Up),
         machine("m2", "w2", MachineState::Up),
@@ -63,7 +63,7 @@
 #[test]
 fn a_repeated_order_ends_no_worker() {
     let now = Instant::now();
-    let mut run = WaveRun::new(wave(&["m1"], 1), BTreeSet::new(), UPKEEP);
+    let mut run = WaveRun::new(now, wave(&["m1"], 1), BTreeSet::new(), UPKEEP);
     let up = [machine("m1", "w2", MachineState::Up)];
     run.take_list(now, &up);
     run.order(now, &"m1".into(), Some("w2".into()));
@@ -84,7 +84,7 @@
 #[test]
 fn a_wave_is_completed_when_every_listed_machine_is_back() {
     let now = Instant::now();
-    let mut run = WaveRun::new(wave(&["m1", "removed"], 1), BTreeSet::new(), UPKEEP);
+    let mut run = WaveRun::new(now, wave(&["m1", "removed"], 1), BTreeSet::new(), UPKEEP);
     let up = [machine("m1", "w1", MachineState::Up)];
     assert!(!run.take_list(now, &up));
     run.order(now, &"m1".into(), Some("w1".into()));
@@ -98,7 +98,7 @@
 fn a_machine_that_stays_busy_lets_others_go_first() {
     let now = Instant::now();
     let names = ["m1", "m2", "m3", "m4"];
-    let mut run = WaveRun::new(wave(&names, 1), BTreeSet::new(), UPKEEP);
+    let mut run = WaveRun::new(now, wave(&names, 1), BTreeSet::new(), UPKEEP);
     let list: Vec<Machine> = names
         .iter()
         .map(|m| machine(m, "w", MachineState::Up))
@@ -109,3 +109,12 @@
     let second: BTreeSet<Name> = run.chosen().into_iter().collect();
     assert!(first.is_disjoint(&second), "{first:?} {second:?}");
 }
+
+/// Guards against a wave that is late because pools under load keep their machines to the end.
+#[test]
+fn a_wave_becomes_urgent_before_its_time_is_over() {
+    let now = Instant::now();
+    let run = WaveRun::new(now, wave(&["m1"], 1), BTreeSet::new(), UPKEEP);
+    assert!(!run.is_urgent(now + Duration::from_secs(5)));
+    assert!(run.is_urgent(now + Duration::from_secs(10)));
+}
--- a/crates/shard/src/admission.rs
+++ b/crates/shard/src/admission.rs
@@ -28,11 +28,11 @@
 
 /// How busy a pool is.
 #[derive(Clone, Copy, Debug, Default)]
-struct PoolLoad {
+pub(crate) struct PoolLoad {
     /// The processor time of its workers, in thousandths of a core.
-    capacity: u64,
+    pub(crate) capacity: u64,
     /// What runs.
-    used: u64,
+    pub(crate) used: u64,
     /// What lasting tasks hold.
     lasting: u64,
     /// The work of the jobs that are worth completing, in core-milliseconds.
@@ -85,7 +85,7 @@
         Some(retry_after)
     }
 
-    fn pool_load(&self, now: Instant, pool: &Name) -> PoolLoad {
+    pub(crate) fn pool_load(&self, now: Instant, pool: &Name) -> PoolLoad {
         let mut load = PoolLoad::default();
         for worker in self.workers.values() {
             if worker.listing.pool == *pool && worker.is_open(now) {
--- a/crates/shard/src/upkeep.rs
+++ b/crates/shard/src/upkeep.rs
@@ -11,6 +11,10 @@
 use crate::shard::Shard;
 use crate::worker::RunId;
 
+/// The share of a pool's processor time above which it counts as under load. A fifth of the workers
+/// may be away at once in a wave without filling the rest.
+const LOADED_SHARE: f64 = 0.6;
+
 /// Whether a machine may go down.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Vacancy {
@@ -18,14 +22,20 @@
     Free,
     /// Tasks run there that should end first, or whose step has no budget left.
     Busy,
+    /// The pool needs the worker more now than it will later.
+    Later,
     /// The shard has no such worker.
     NoWorker,
 }
 
 impl Shard {
     /// Keeps new tasks off a worker and tells whether its machine may go down. After an answer of
-    /// [`Vacancy::Free`] the lasting tasks there count as away.
-    pub fn vacate(&mut self, at: Moment, name: &Name) -> Vacancy {
+    /// [`Vacancy::Free`] the lasting tasks there count as away. Unless it is urgent, a worker of a
+    /// pool under load is left to it.
+    pub fn vacate(&mut self, at: Moment, name: &Name, urgent: bool) -> Vacancy {
+        if !urgent && self.is_needed(at.now, name) {
+            return Vacancy::Later;
+        }
         let Some(worker) = self.workers.get_mut(name) else {
             return Vacancy::NoWorker;
         };
@@ -79,6 +89,16 @@
             .insert(Arc::clone(name), worker.listing.born);
     }
 
+    /// Tells whether a worker that is not being vacated belongs to a pool under load.
+    fn is_needed(&self, now: Instant, name: &Name) -> bool {
+        let Some(worker) = self.workers.get(name) else {
+            return false;
+        };
+        let load = self.pool_load(now, &worker.listing.pool);
+        let used = load.used as f64;
+        worker.vacated.is_none() && used > load.capacity as f64 * LOADED_SHARE
+    }
+
     /// Uses workers again that nobody asks to keep free any more.
     pub(crate) fn end_vacating(&mut self, now: Instant) {
         let hold: Duration = self.tuning.vacate_hold;
--- a/crates/shard/tests/test_shard.rs
+++ b/crates/shard/tests/test_shard.rs
@@ -136,7 +136,7 @@
     assert_eq!(starts(&bed.store()).len(), 1);
     // The platform's list may still name the worker.
     bed.list(&["w1", "w2"]);
-    assert_eq!(bed.shard.vacate(bed.at, &worker), Vacancy::NoWorker);
+    assert_eq!(bed.shard.vacate(bed.at, &worker, true), Vacancy::NoWorker);
 }
 
 /// Guards against a second run of a task that an earlier owner started.
@@ -307,9 +307,9 @@
         bed.started(worker, order.run, StartAnswer::Started(1_000));
         bed.look(worker, &look(1_100, vec![running(order.run, 100)], vec![]));
     }
-    assert_eq!(bed.shard.vacate(bed.at, &orders[0].0), Vacancy::Free);
-    assert_eq!(bed.shard.vacate(bed.at, &orders[1].0), Vacancy::Busy);
-    assert_eq!(bed.shard.vacate(bed.at, &orders[0].0), Vacancy::Free);
+    assert_eq!(bed.shard.vacate(bed.at, &orders[0].0, true), Vacancy::Free);
+    assert_eq!(bed.shard.vacate(bed.at, &orders[1].0, true), Vacancy::Busy);
+    assert_eq!(bed.shard.vacate(bed.at, &orders[0].0, true), Vacancy::Free);
 }
 
 /// Guards against a task that is started more often than its queue allows.
@@ -337,3 +337,21 @@
     bed.tick();
     assert!(starts(&bed.store()).is_empty());
 }
+
+/// Guards against an upkeep that takes a worker from a pool in its peak although there is time.
+#[test]
+fn a_pool_under_load_keeps_its_workers_unless_it_is_urgent() {
+    let (mut bed, runs) = bed_with_running_job(&["w1"], 4);
+    let worker = runs[0].0.clone();
+    assert_eq!(bed.shard.vacate(bed.at, &worker, false), Vacancy::Later);
+    bed.submit(job(2, vec![step(1, &[])]));
+    // The worker is still open to its pool.
+    let ends = (1..)
+        .zip(&runs)
+        .map(|(n, (_, run))| end(n, *run, EndKind::Done));
+    bed.tick();
+    bed.look(&worker, &look(1_500, vec![], ends.collect()));
+    bed.tick();
+    assert_eq!(starts(&bed.store()).len(), 1);
+    assert_eq!(bed.shard.vacate(bed.at, &worker, true), Vacancy::Busy);
+}
