--- /dev/null
+++ b/crates/cli/tests/node.rs
@@ -0,0 +1,122 @@
+//! Tests of `lavenderhollow node` as a process.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use lavenderhollow_platform::HttpClient;
+use lavenderhollow_platform::Limits;
+use lavenderhollow_testing::prepared::Deployment;
+use lavenderhollow_testing::prepared::ROUTE_HOST;
+use lavenderhollow_testing::prepared::ROUTE_PREFIX;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_lavenderhollow");
+
+/// More lines than a pipe holds: a line has over 100 bytes and a pipe 65,536.
+const REQUESTS: usize = 1_500;
+
+/// Kills the process when a test ends.
+struct Killed(Child);
+
+impl Drop for Killed {
+    fn drop(&mut self) {
+        // A process that has ended already can't be killed.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn free_ports() -> [u16; 4] {
+    let held: Vec<TcpListener> = (0..4)
+        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+        .collect();
+    let mut ports: Vec<u16> = held
+        .iter()
+        .map(|l| l.local_addr().expect("an address").port())
+        .collect();
+    // The last two are the ends of the range of internal ports.
+    ports[2..].sort_unstable();
+    ports.try_into().expect("four ports")
+}
+
+async fn status(client: &HttpClient, to: SocketAddr) -> Option<StatusCode> {
+    let request = Request::get(format!("http://{to}{ROUTE_PREFIX}0000000000000001"))
+        .header("host", ROUTE_HOST)
+        .header("authorization", "Bearer unknown")
+        .body(Bytes::new())
+        .expect("a valid request");
+    let limits = Limits {
+        time: Duration::from_secs(5),
+        body: 1 << 16,
+    };
+    client.call(request, limits).await.ok().map(|a| a.status())
+}
+
+/// Guards against a process that stands still because nobody reads its logs.
+#[tokio::test]
+async fn a_blocked_standard_output_does_not_hold_the_process_up() {
+    let deployment = Deployment::start(1, Duration::from_millis(10)).await;
+    let deployment = deployment.expect("free ports");
+    let folder = std::env::temp_dir().join(format!("node-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let file = folder.join("node.toml");
+    let ports = free_ports();
+    std::fs::write(&file, deployment.settings("vm-1", ports)).expect("a file");
+    let child = Command::new(PROGRAM)
+        .arg("node")
+        .arg("--settings")
+        .arg(&file)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the program");
+    let mut process = Killed(child);
+    let to = SocketAddr::from(([127, 0, 0, 1], ports[0]));
+    let client = HttpClient::new(Duration::from_secs(1), 4);
+    for _ in 0..500 {
+        if status(&client, to).await == Some(StatusCode::UNAUTHORIZED) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for i in 0..REQUESTS {
+        let answer = status(&client, to).await;
+        assert_eq!(answer, Some(StatusCode::UNAUTHORIZED), "request {i}");
+    }
+    let output = process.0.stdout.take().expect("standard output");
+    let lines = BufReader::new(output).lines().take(50);
+    for line in lines {
+        let line = line.expect("a line");
+        let parsed: serde_json::Value = serde_json::from_str(&line).expect("a line of JSON");
+        assert!(
+            parsed["event"].is_string() && parsed["unix_ms"].is_u64(),
+            "{line}"
+        );
+    }
+    std::fs::remove_dir_all(&folder).expect("the folder");
+}
+
+/// Guards against a process that starts with settings that it can't use.
+#[test]
+fn malformed_settings_are_refused_with_the_cause() {
+    let folder = std::env::temp_dir().join(format!("bad-node-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let file = folder.join("node.toml");
+    std::fs::write(&file, "node_name = 3").expect("a file");
+    let output = Command::new(PROGRAM)
+        .args(["node", "--settings"])
+        .arg(&file)
+        .output()
+        .expect("the program");
+    assert_eq!(output.status.code(), Some(3));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(text.contains("node_name"), "{text}");
+    std::fs::remove_dir_all(&folder).expect("the folder");
+}
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -274,9 +274,6 @@
 
     /// Encodes the state of a wave.
     fn wave_status(&self, wave: u64, completed: bool) -> Record;
-
-    /// Tells whether a status record says that a wave is completed.
-    fn completed_wave(&self, key: &str, value: &[u8]) -> Option<u64>;
 }
 
 /// All of the platform.
--- a/crates/shard/src/active.rs
+++ b/crates/shard/src/active.rs
@@ -99,7 +99,6 @@
     pub(crate) finished: Option<(Instant, Duration)>,
     pub(crate) occurrences: BTreeMap<u32, Vec<StepTasks>>,
     pub(crate) objective: Duration,
-    pub(crate) dirty: bool,
     /// Whether the submission itself is stored or in a batch that is being stored.
     pub(crate) recorded: bool,
 }
@@ -115,7 +114,6 @@
             accepted_unix: unix,
             finished: None,
             occurrences: BTreeMap::new(),
-            dirty: true,
             recorded: false,
         }
     }
--- a/crates/shard/src/lease.rs
+++ b/crates/shard/src/lease.rs
@@ -44,11 +44,6 @@
         let left = Duration::from_millis(self.granted.saturating_sub(sample.clock));
         Some(sample.at + left.div_f64(1.0 - MAX_CLOCK_LAG))
     }
-
-    /// Returns the last deadline that was sent, in milliseconds on the worker's clock.
-    pub fn granted(&self) -> u64 {
-        self.granted
-    }
 }
 
 fn millis(time: Duration) -> u64 {
--- a/crates/shard/src/recovery.rs
+++ b/crates/shard/src/recovery.rs
@@ -47,7 +47,6 @@
         active.state = progress.state;
         active.shown = progress.state;
         active.recorded = true;
-        active.dirty = false;
         active.finished = progress.finished.map(|unix| {
             let since: Duration = at.unix.saturating_sub(unix);
             (at.now.checked_sub(since).unwrap_or(at.now), unix)
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -265,7 +265,6 @@
             if !mem::replace(&mut job.recorded, true) {
                 records.push(job_record(&job.job));
             }
-            job.dirty = false;
             records.push(progress_record(id, &job.progress()));
             if job.shown != job.state {
                 batch.shown.push((id, job.state));
