--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -14,6 +14,7 @@
 use lavenderhollow_shard::RunId;
 use lavenderhollow_shard::StartAnswer;
 use lavenderhollow_shard::StartOrder;
+use lavenderhollow_shard::StepId;
 
 use crate::catalog::Catalog;
 use crate::catalog::Wave;
@@ -188,6 +189,16 @@
     async fn pace(&self, target: &Target, run: RunId, percent: u32) -> bool;
 }
 
+/// The workers that may run a step, with their tickets, and for how long these hold.
+pub type Advised = (Vec<(Name, Name)>, Duration);
+
+/// The policy service of queues that ask for one.
+#[async_trait]
+pub trait Advisor: Send + Sync {
+    /// Asks which workers may run a step; nothing when there is no usable answer.
+    async fn advise(&self, step: StepId, workers: &[Name]) -> Option<Advised>;
+}
+
 /// What a machine does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MachineState {
@@ -285,6 +296,8 @@
     pub workers: Arc<dyn Workers>,
     /// The machines; nothing where the platform has no interface for them.
     pub machines: Option<Arc<dyn Machines>>,
+    /// The policy service; nothing where the platform has none.
+    pub advisor: Option<Arc<dyn Advisor>>,
     /// The formats of the others' records.
     pub codec: Arc<dyn Codec>,
 }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -16,6 +16,7 @@
 use lavenderhollow_shard::RunId;
 use lavenderhollow_shard::Shard;
 use lavenderhollow_shard::StartAnswer;
+use lavenderhollow_shard::StepId;
 use lavenderhollow_shard::Ticket;
 use lavenderhollow_shard::Tuning;
 use lavenderhollow_shard::Vacancy;
@@ -27,6 +28,7 @@
 
 use crate::appender::Appender;
 use crate::appender::Lost;
+use crate::backend::Advised;
 use crate::backend::LookError;
 use crate::backend::Platform;
 use crate::backend::StoreError;
@@ -77,6 +79,7 @@
     Looked(Name, Instant, Result<Look, LookError>),
     Paced(Name, RunId, bool),
     Stored(Instant, Result<Appender, Lost>),
+    Advised(StepId, Option<Advised>),
     Confirmed(Instant, Result<(), StoreError>),
     Allotted(Option<Vec<(Name, Resources)>>),
 }
@@ -271,6 +274,7 @@
                     self.shard.pace_failed(&worker, run);
                 }
             }
+            Event::Advised(step, answer) => self.shard.advised(at, step, answer),
             Event::Stored(sent, result) => {
                 self.appender = Some(result?);
                 self.confirm(sent);
@@ -483,6 +487,20 @@
                     send(&events, Event::Looked(worker, sent, result)).await;
                 });
             }
+            Effect::Advise(step, workers) => {
+                let advisor = self.parts.platform.advisor.clone();
+                metrics::counter!("advice_total").increment(1);
+                self.calls.spawn(async move {
+                    let answer = match advisor {
+                        Some(advisor) => advisor.advise(step, &workers).await,
+                        None => {
+                            log::error!(step:display; "no_policy_service");
+                            None
+                        }
+                    };
+                    send(&events, Event::Advised(step, answer)).await;
+                });
+            }
             Effect::Pace(worker, run, percent) => {
                 let Some(target) = self.target(&worker) else {
                     return;
--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -8,6 +8,7 @@
 
 use crate::active::Phase;
 use crate::active::Run;
+use crate::advice::StepId;
 use crate::job::JobId;
 use crate::job::Name;
 use crate::job::Resources;
@@ -20,25 +21,6 @@
 use crate::worker::RunId;
 use crate::worker::Worker;
 
-/// A step of an occurrence.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct StepId {
-    job: JobId,
-    occurrence: u32,
-    step: u16,
-}
-
-impl StepId {
-    fn task(self, index: u32) -> TaskId {
-        TaskId {
-            job: self.job,
-            occurrence: self.occurrence,
-            step: self.step,
-            index,
-        }
-    }
-}
-
 /// What a placement pass has found so far.
 #[derive(Debug, Default)]
 struct Pass {
@@ -149,7 +131,9 @@
             return false;
         }
         let Some(worker) = self.choose(at.now, id, step, pool, pass) else {
-            if step.lasting {
+            if self.needs_ticket(id.job) {
+                self.ask_advice(at.now, StepId::of(id), pool);
+            } else if step.lasting {
                 self.keep_worker(at.now, id, step, pool, pass);
             } else if step.label.is_none() && step.spread.is_none() {
                 pass.full.insert(Arc::clone(pool), step.charge());
@@ -225,6 +209,8 @@
         };
         let text = Arc::clone(&job.job.text);
         let checkpoint = job.task(id).and_then(|t| t.checkpoint.clone());
+        let tickets = self.tickets.get(&StepId::of(id));
+        let ticket = tickets.and_then(|t| t.for_worker(at.now, &worker)).cloned();
         let run = Run {
             number,
             worker: Arc::clone(&worker),
@@ -250,6 +236,7 @@
                 text,
                 deadline: 0,
                 checkpoint,
+                ticket,
             },
         ));
     }
@@ -292,8 +279,12 @@
             .get(&id.job)
             .and_then(|j| j.task(id))
             .and_then(|t| t.failed_on.clone());
+        let needs_ticket = self.needs_ticket(id.job);
+        let tickets = self.tickets.get(&StepId::of(id));
         let candidates = self.workers.iter().filter(|(name, w)| {
-            self.may_run(now, w, step, pool, &siblings)
+            let ticket = tickets.and_then(|t| t.for_worker(now, name));
+            (!needs_ticket || ticket.is_some())
+                && self.may_run(now, w, step, pool, &siblings)
                 && !pass.kept.contains(*name)
                 && w.listing.capacity.fits(w.used, charge)
         });
@@ -361,6 +352,11 @@
         }
     }
 
+    fn needs_ticket(&self, id: JobId) -> bool {
+        let job = self.jobs.get(&id);
+        job.is_some_and(|j| j.job.queue.advice.is_some())
+    }
+
     pub(crate) fn charge_of(&self, id: TaskId) -> Resources {
         let job = self.jobs.get(&id.job);
         let step = job.and_then(|j| j.job.steps.get(usize::from(id.step)));
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod active;
 mod admission;
+mod advice;
 mod dispatch;
 mod interference;
 mod job;
@@ -16,6 +17,7 @@
 mod upkeep;
 mod worker;
 
+pub use advice::StepId;
 pub use job::*;
 pub use lease::Lease;
 pub use looks::LookFailure;
--- a/crates/shard/src/orders.rs
+++ b/crates/shard/src/orders.rs
@@ -6,6 +6,7 @@
 
 use crate::active::Phase;
 use crate::active::Run;
+use crate::advice::StepId;
 use crate::job::JobState;
 use crate::job::Name;
 use crate::job::Resources;
@@ -127,6 +128,12 @@
                 w.rests_until = Some(now + UNHEALTHY_PAUSE);
                 w.note_failure(now, id.task.job);
             }
+            StartAnswer::NoTicket => {
+                if let Some(tickets) = self.tickets.get_mut(&StepId::of(id.task)) {
+                    tickets.forget(worker);
+                }
+                return;
+            }
             StartAnswer::OtherWorker | StartAnswer::NotSent => w.reachable = false,
             _ => {}
         }
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -15,6 +15,8 @@
 
 use crate::active::ActiveJob;
 use crate::active::Phase;
+use crate::advice::StepId;
+use crate::advice::Tickets;
 use crate::job::Job;
 use crate::job::JobId;
 use crate::job::JobState;
@@ -53,6 +55,8 @@
     pub deadline: u64,
     /// The checkpoint to resume from.
     pub checkpoint: Option<Name>,
+    /// The ticket of the queue's policy service.
+    pub ticket: Option<Name>,
 }
 
 /// A look at a worker, which renews its lease.
@@ -91,6 +95,8 @@
     Stop(Name, RunId),
     /// Look at a worker and report it with `looked` or `look_failed`.
     Look(Name, LookOrder),
+    /// Ask the policy service which of these workers may run a step and report it with `advised`.
+    Advise(StepId, Vec<Name>),
     /// Set the share at which a filling task works, in percent.
     Pace(Name, RunId, u32),
 }
@@ -146,6 +152,8 @@
     /// The workers whose lives were ended by orders, with the start of that life.
     pub(crate) ended_lives: BTreeMap<Name, u64>,
     pub(crate) teams: BTreeMap<Name, TeamUse>,
+    /// The tickets of the steps of queues that ask a policy service.
+    pub(crate) tickets: BTreeMap<StepId, Tickets>,
     pub(crate) stops: BTreeMap<(Name, RunId), PendingStop>,
     pub(crate) deposed: bool,
     /// Whether the runs that an earlier owner left on unknown workers are dealt with.
@@ -170,6 +178,7 @@
             workers: BTreeMap::new(),
             ended_lives: BTreeMap::new(),
             teams: BTreeMap::new(),
+            tickets: BTreeMap::new(),
             stops: BTreeMap::new(),
             deposed: false,
             adopted: false,
@@ -417,6 +426,7 @@
         let age = at.now.saturating_duration_since(job.accepted);
         let objective = job.objective;
         self.open.remove(&id);
+        self.tickets.retain(|step, _| step.job != id);
         let runs = self.runs_of(id);
         for run in runs {
             self.unwanted(run);
--- a/crates/shard/tests/support/world.rs
+++ b/crates/shard/tests/support/world.rs
@@ -419,7 +419,7 @@
                 Effect::Start(worker, order) => (worker, Call::Start(order)),
                 Effect::Stop(worker, run) => (worker, Call::Stop(run)),
                 Effect::Look(worker, order) => (worker, Call::Look(order)),
-                Effect::Pace(..) => continue,
+                Effect::Pace(..) | Effect::Advise(..) => continue,
             };
             let index = self.machines.iter().position(|m| m.id == worker);
             self.send(index.expect("an order to a worker that never was"), call);
--- a/crates/shard/tests/test_kinds.rs
+++ b/crates/shard/tests/test_kinds.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use lavenderhollow_shard::Advice;
 use lavenderhollow_shard::Effect;
 use lavenderhollow_shard::EndKind;
 use lavenderhollow_shard::Repeat;
@@ -144,3 +145,42 @@
     bed.tick();
     assert_eq!(starts(&bed.store()).len(), 2);
 }
+
+/// Guards against starts without a ticket where the queue's policy asks for one, and against a
+/// ticket that is used after its time.
+#[test]
+fn a_step_starts_only_where_a_ticket_holds() {
+    let workers = ["w1", "w2"];
+    let mut bed = Bed::new(&workers);
+    bed.contact(&workers);
+    let mut advised = job(1, vec![step(2, &[])]);
+    let valid = Duration::from_secs(2);
+    advised.queue.advice = Some(Advice { valid });
+    bed.submit(advised);
+    let question = |effects: &[Effect]| {
+        let asked = effects.iter().filter_map(|effect| match effect {
+            Effect::Advise(step, workers) => Some((*step, workers.len())),
+            _ => None,
+        });
+        asked.collect::<Vec<_>>()
+    };
+    let asked = question(&bed.tick());
+    assert_eq!(asked.len(), 1);
+    assert_eq!(
+        (asked[0].0.to_string(), asked[0].1),
+        ("0000000000000001.0.0".to_owned(), 2)
+    );
+    assert!(starts(&bed.store()).is_empty());
+    assert_eq!(question(&bed.tick()), vec![], "one question at a time");
+    let rows = vec![("w2".into(), "ticket".into())];
+    bed.shard.advised(bed.at, asked[0].0, Some((rows, valid)));
+    bed.tick();
+    let orders = starts(&bed.store());
+    assert_eq!(orders.len(), 2);
+    for (worker, order) in &orders {
+        assert_eq!((&**worker, order.ticket.as_deref()), ("w2", Some("ticket")));
+        bed.started(worker, order.run, StartAnswer::NoTicket);
+    }
+    bed.advance(valid);
+    assert_eq!(question(&bed.tick()).len(), 1);
+}
