--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -46,9 +46,10 @@
 /// The time for telling the owner of a pool that a worker's runs are over.
 const ENDED_LIMIT: Duration = Duration::from_secs(2);
 
-/// The longest list of team allotments or of machines in one record is far below the store's
-/// bound on records; keys begin with one of these letters.
+/// What the keys of a shard's allotments begin with.
 const ALLOTMENT_KEY: &str = "a";
+
+/// What the keys of the machines of waves begin with.
 const WAVE_KEY: &str = "w";
 
 /// What the owner of the fleet shard works with.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -238,7 +238,7 @@
                 Vacancy::NoWorker => Reply::Unknown,
             },
             Question::Ended(worker) => {
-                self.shard.worker_ended(at, &worker);
+                self.shard.worker_ended(&worker);
                 Reply::Accepted
             }
             Question::Allot(_) => Reply::NotOwner,
--- a/crates/shard/src/active.rs
+++ b/crates/shard/src/active.rs
@@ -65,8 +65,6 @@
     pub(crate) checkpoint: Option<Name>,
     pub(crate) failed_on: Option<Name>,
     pub(crate) runs: Vec<Run>,
-    /// Since when nothing of a lasting task is at work.
-    pub(crate) away: Option<Instant>,
 }
 
 impl Task {
--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -177,7 +177,7 @@
                 .flatten();
             let Some(worker) = worker else {
                 for run in placed {
-                    self.undo_start(at.now, run);
+                    self.undo_start(run);
                 }
                 self.release_starts(held_back, false);
                 return;
@@ -192,8 +192,8 @@
     }
 
     /// Takes back a run that was placed in this pass and not recorded.
-    fn undo_start(&mut self, now: Instant, id: RunId) {
-        self.end_run(now, id);
+    fn undo_start(&mut self, id: RunId) {
+        self.end_run(id);
         let job = self.jobs.get_mut(&id.task.job);
         if let Some(task) = job.and_then(|j| j.task_mut(id.task)) {
             task.last_run = id.number - 1;
--- a/crates/shard/src/looks.rs
+++ b/crates/shard/src/looks.rs
@@ -54,7 +54,7 @@
                 let born = listing.born;
                 self.workers
                     .insert(Arc::clone(&id), Worker::new(listing, at.now));
-                self.adopt_runs(at.now, &id, born);
+                self.adopt_runs(&id, born);
                 continue;
             };
             if listing.born < worker.listing.born {
@@ -168,7 +168,7 @@
         for row in &look.running {
             self.take_row(at.now, name, born, row);
         }
-        self.resolve_missing(at.now, name, sent, look);
+        self.resolve_missing(name, sent, look);
         self.judge_serving(at.now, name);
         let idle = self.tuning.idle_look;
         let retry = self.tuning.look_retry;
@@ -188,7 +188,7 @@
     fn take_end(&mut self, at: Moment, name: &Name, end: &EndRow) {
         let id = end.run;
         if self.run(id).is_some_and(|r| r.worker == *name) {
-            self.end_run(at.now, id);
+            self.end_run(id);
             self.judge_worker(at.now, name, end);
         } else if !self.take_given_up(id) {
             self.note("end_of_unknown_run", id.task, || {
@@ -327,18 +327,15 @@
             self.stops.entry((Arc::clone(name), id)).or_default();
         }
         let job = self.jobs.get_mut(&id.task.job);
-        if let Some(task) = job.and_then(|j| j.task_mut(id.task)) {
-            if !row.checkpoint.is_empty() {
-                task.checkpoint = Some(Arc::clone(&row.checkpoint));
-            }
-            if row.percent >= 100 {
-                task.away = None;
-            }
+        if let Some(task) = job.and_then(|j| j.task_mut(id.task))
+            && !row.checkpoint.is_empty()
+        {
+            task.checkpoint = Some(Arc::clone(&row.checkpoint));
         }
     }
 
     /// Ends runs that the worker does not list although it must have begun them or can't any more.
-    fn resolve_missing(&mut self, now: Instant, name: &Name, sent: Instant, look: &Look) {
+    fn resolve_missing(&mut self, name: &Name, sent: Instant, look: &Look) {
         let Some(worker) = self.workers.get(name) else {
             return;
         };
@@ -365,7 +362,7 @@
                 self.note("run_missing", id.task, || {
                     format!("run={} worker={name}", id.number)
                 });
-                self.give_up(now, id);
+                self.give_up(id);
             }
         }
     }
@@ -399,7 +396,7 @@
                     self.stops.insert(key, Default::default());
                 }
                 Phase::Recorded | Phase::Running { .. } | Phase::Inherited => {
-                    self.end_run(at.now, id);
+                    self.end_run(id);
                 }
             }
         }
@@ -430,13 +427,13 @@
             let recorded = self.run(id).is_some_and(|r| r.phase == Phase::Recorded);
             if !recorded {
                 self.note("run_lapsed", id.task, || format!("run={}", id.number));
-                self.give_up(at.now, id);
+                self.give_up(id);
             }
         }
     }
 
     /// Gives a worker that became known the inherited runs that were recorded for it.
-    fn adopt_runs(&mut self, now: Instant, name: &Name, born: u64) {
+    fn adopt_runs(&mut self, name: &Name, born: u64) {
         let all = self.jobs.keys().flat_map(|&job| self.runs_of(job));
         let all: Vec<RunId> = all.collect();
         for id in all {
@@ -451,7 +448,7 @@
                 worker.used.add(charge);
             }
             if ended {
-                self.end_run(now, id);
+                self.end_run(id);
             }
         }
     }
--- a/crates/shard/src/orders.rs
+++ b/crates/shard/src/orders.rs
@@ -9,7 +9,6 @@
 use crate::advice::StepId;
 use crate::job::JobState;
 use crate::job::Name;
-use crate::job::Resources;
 use crate::job::TaskId;
 use crate::shard::Effect;
 use crate::shard::Moment;
@@ -62,7 +61,7 @@
             return;
         };
         if run.unwanted {
-            self.end_run(now, id);
+            self.end_run(id);
             return;
         }
         run.phase = Phase::Ordered;
@@ -74,7 +73,7 @@
             .and_then(|w| w.lease.grant(now, lease));
         let Some(deadline) = deadline else {
             // The worker began a new life since the placement.
-            self.end_run(now, id);
+            self.end_run(id);
             return;
         };
         order.deadline = deadline;
@@ -114,7 +113,7 @@
                 });
                 return;
             }
-            _ => self.end_run(now, id),
+            _ => self.end_run(id),
         }
         self.note("start_refused", id.task, || {
             format!("run={} worker={worker} reason={answer:?}", id.number)
@@ -222,15 +221,14 @@
     }
 
     /// Removes a run that is over, and gives back what it used.
-    pub(crate) fn end_run(&mut self, now: Instant, id: RunId) {
+    pub(crate) fn end_run(&mut self, id: RunId) {
         let Some(job) = self.jobs.get_mut(&id.task.job) else {
             return;
         };
         let Some(step) = job.job.steps.get(usize::from(id.task.step)) else {
             return;
         };
-        let (charge, need, lasting): (Resources, Resources, bool) =
-            (step.charge(), step.need, step.lasting);
+        let (charge, need) = (step.charge(), step.need);
         let team = job.job.team.clone();
         let Some(task) = job.task_mut(id.task) else {
             return;
@@ -239,9 +237,6 @@
             return;
         };
         let run = task.runs.remove(place);
-        if lasting && task.away.is_none() {
-            task.away = Some(now);
-        }
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.used.sub(charge);
             worker.runs.remove(&id);
@@ -255,8 +250,8 @@
     }
 
     /// Ends a run without a listed end, which may still be listed.
-    pub(crate) fn give_up(&mut self, now: Instant, id: RunId) {
-        self.end_run(now, id);
+    pub(crate) fn give_up(&mut self, id: RunId) {
+        self.end_run(id);
         let job = self.jobs.get_mut(&id.task.job);
         if let Some(task) = job.and_then(|j| j.task_mut(id.task)) {
             task.given_up.push(id.number);
--- a/crates/shard/src/upkeep.rs
+++ b/crates/shard/src/upkeep.rs
@@ -75,7 +75,7 @@
     }
 
     /// Takes in that a worker's life was ended by an order to its machine.
-    pub fn worker_ended(&mut self, at: Moment, name: &Name) {
+    pub fn worker_ended(&mut self, name: &Name) {
         let Some(worker) = self.workers.remove(name) else {
             return;
         };
@@ -83,7 +83,7 @@
             format!("runs={}", worker.runs.len())
         });
         for id in worker.runs {
-            self.end_run(at.now, id);
+            self.end_run(id);
         }
         self.ended_lives
             .insert(Arc::clone(name), worker.listing.born);
--- a/crates/shard/tests/test_shard.rs
+++ b/crates/shard/tests/test_shard.rs
@@ -131,7 +131,7 @@
 fn an_upkeep_gives_the_tasks_back_at_once() {
     let (mut bed, runs) = bed_with_running_job(&["w1", "w2"], 1);
     let (worker, _) = runs[0].clone();
-    bed.shard.worker_ended(bed.at, &worker);
+    bed.shard.worker_ended(&worker);
     bed.tick();
     assert_eq!(starts(&bed.store()).len(), 1);
     // The platform's list may still name the worker.
