shard, node: refuse absurd sizes; give a shard up when its owner fails

Cause: a job with a processor need or an estimate near the largest number overflowed the sums of its owner. In a release build sums of needs wrap, and long estimates end the owner's task, after which the process would still be announced as the shard's owner. Now such a job is refused with 400, and a task that ends by a fault releases its shard.

--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -283,11 +283,23 @@
             .announce(shard, ownership.clone());
         self.parts.router.local().insert(shard, requests.clone());
         let manager = Arc::clone(self);
+        let mut left = ownership.clone();
+        left.released = true;
         tokio::spawn(async move {
-            manager.run(shard, claimed, incoming).await;
-            let mut local = manager.parts.router.local();
-            if local.get(&shard).is_some_and(|o| o.same_channel(&requests)) {
-                local.remove(&shard);
+            let owner = Arc::clone(&manager);
+            let run = tokio::spawn(async move { owner.run(shard, claimed, incoming).await });
+            let result = run.await;
+            {
+                let mut local = manager.parts.router.local();
+                if local.get(&shard).is_some_and(|o| o.same_channel(&requests)) {
+                    local.remove(&shard);
+                }
+            }
+            if let Err(error) = result {
+                // A fault in the decisions must not leave the shard without an owner.
+                log::error!(shard:display, error:display; "owner_failed");
+                manager.parts.router.roster().announce(shard, left.clone());
+                claim::announce(&manager.parts.platform, shard, &left).await;
             }
         });
         claim::announce(&self.parts.platform, shard, &ownership).await;
--- a/crates/shard/src/job.rs
+++ b/crates/shard/src/job.rs
@@ -27,6 +27,13 @@
 /// The longest text handed to tasks, in bytes; the interface's limit.
 pub const MAX_TEXT_BYTES: usize = 4_000;
 
+/// The most of each resource that a task may need, in the resource's unit; far beyond any machine,
+/// and small enough that sums over all tasks do not overflow.
+pub const MAX_NEED: u64 = 1_000_000_000;
+
+/// The longest estimate of a task's run time; sums over all steps stay within the clock's range.
+pub const MAX_ESTIMATE: Duration = Duration::from_secs(366 * 24 * 3_600);
+
 /// The id that the caller chose for a job.
 #[derive(
     Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -246,6 +253,15 @@
     /// A step has no task, or the job has too many.
     #[display("a step has at least one task, and a job at most {MAX_TASKS}")]
     Tasks,
+    /// A task needs more than any machine has, or its estimate is absurd.
+    #[display(
+        "step {step} needs more than {MAX_NEED} of a resource or more than {} s a task",
+        MAX_ESTIMATE.as_secs()
+    )]
+    Size {
+        /// The step.
+        step: usize,
+    },
     /// A step waits for itself or for a later one.
     #[display("step {step} may only wait for earlier steps")]
     Order {
@@ -274,6 +290,13 @@
         if tasks > MAX_TASKS || self.steps.iter().any(|s| s.count == 0) {
             return Err(InvalidJob::Tasks);
         }
+        let sized = |s: &Step| {
+            let Resources { cpu, memory, gpu } = s.need;
+            cpu.max(memory).max(gpu) <= MAX_NEED && s.estimate <= MAX_ESTIMATE
+        };
+        if let Some(step) = self.steps.iter().position(|s| !sized(s)) {
+            return Err(InvalidJob::Size { step });
+        }
         let backward = |(i, s): (usize, &Step)| s.after.iter().all(|&a| usize::from(a) < i);
         if let Some(step) = self.steps.iter().enumerate().position(|e| !backward(e)) {
             return Err(InvalidJob::Order { step });
--- a/crates/shard/tests/test_job.rs
+++ b/crates/shard/tests/test_job.rs
@@ -51,6 +51,12 @@
     );
     let cycle = job(1, vec![step(1, &[1]), step(1, &[0])]);
     assert_eq!(cycle.check(), Err(InvalidJob::Order { step: 0 }));
+    let mut wide = job(1, vec![step(1, &[])]);
+    wide.steps[0].need.cpu = u64::MAX;
+    assert_eq!(wide.check(), Err(InvalidJob::Size { step: 0 }));
+    let mut slow = job(1, vec![step(1, &[]), step(1, &[])]);
+    slow.steps[1].estimate = Duration::from_millis(u64::MAX);
+    assert_eq!(slow.check(), Err(InvalidJob::Size { step: 1 }));
     let mut long = job(1, vec![step(1, &[])]);
     long.text = "x".repeat(MAX_TEXT_BYTES + 1).into();
     assert_eq!(long.check(), Err(InvalidJob::Text));
