testing: take the ports of listeners from outside the range of connections

The tests bound port 0 to find a free port, let it go and bound it again later; it lay in the range from which the system takes the local ports of connections, so that a connection of another test could take it in between. The internal ports were the ends of a range between two such ports.

Ruled out: a listener of an earlier test that was still there (each test had its own ports), and TIME_WAIT (listeners are bound with SO_REUSEADDR).

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -3,7 +3,6 @@
 use std::io::BufRead;
 use std::io::BufReader;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
@@ -14,6 +13,7 @@
 use http::StatusCode;
 use lavenderhollow_platform::HttpClient;
 use lavenderhollow_platform::Limits;
+use lavenderhollow_testing::free_ports;
 use lavenderhollow_testing::prepared::Deployment;
 use lavenderhollow_testing::prepared::ROUTE_HOST;
 use lavenderhollow_testing::prepared::ROUTE_PREFIX;
@@ -34,19 +34,6 @@
     }
 }
 
-fn free_ports() -> [u16; 4] {
-    let held: Vec<TcpListener> = (0..4)
-        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
-        .collect();
-    let mut ports: Vec<u16> = held
-        .iter()
-        .map(|l| l.local_addr().expect("an address").port())
-        .collect();
-    // The last two are the ends of the range of internal ports.
-    ports[2..].sort_unstable();
-    ports.try_into().expect("four ports")
-}
-
 async fn status(client: &HttpClient, to: SocketAddr) -> Option<StatusCode> {
     let request = Request::get(format!("http://{to}{ROUTE_PREFIX}0000000000000001"))
         .header("host", ROUTE_HOST)
--- a/crates/testing/src/bin/prepared.rs
+++ b/crates/testing/src/bin/prepared.rs
@@ -2,7 +2,6 @@
 //! every process, one process is killed and another one stopped, and every job completes once.
 
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -19,6 +18,7 @@
 use http::StatusCode;
 use lavenderhollow_platform::HttpClient;
 use lavenderhollow_platform::Limits;
+use lavenderhollow_testing::free_ports;
 use lavenderhollow_testing::prepared::Deployment;
 use lavenderhollow_testing::prepared::ROUTE_HOST;
 use lavenderhollow_testing::prepared::ROUTE_PREFIX;
@@ -54,24 +54,8 @@
     Ok(folder.join("lavenderhollow"))
 }
 
-fn free_ports() -> std::io::Result<[u16; 4]> {
-    let held = [
-        TcpListener::bind("127.0.0.1:0")?,
-        TcpListener::bind("127.0.0.1:0")?,
-        TcpListener::bind("127.0.0.1:0")?,
-        TcpListener::bind("127.0.0.1:0")?,
-    ];
-    let mut ports = [0; 4];
-    for (port, listener) in ports.iter_mut().zip(&held) {
-        *port = listener.local_addr()?.port();
-    }
-    // The last two are the ends of the range of internal ports.
-    ports[2..].sort_unstable();
-    Ok(ports)
-}
-
 fn start(deployment: &Deployment, folder: &std::path::Path, vm: &str) -> eyre::Result<Process> {
-    let ports = free_ports()?;
+    let ports = free_ports();
     let file = folder.join(format!("{vm}.toml"));
     std::fs::write(&file, deployment.settings(vm, ports))?;
     let log = std::fs::File::create(folder.join(format!("{vm}.log")))?;
