shard: move tasks that block an upkeep together one by one

Ruled out: pools under load that keep their machines (the pool was quiet, and the wave was urgent by then), and an order without an answer.

The owner now stops one of these tasks at a time, while the budget has room and another worker takes it, and the next one once the first is at work again. Placement also avoids such workers. tasks_that_block_an_upkeep_together_move_one_by_one fails without the eviction.

--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -297,12 +297,25 @@
                     .filter_map(|n| self.workers.get(n))
                     .any(|s| s.rack() == w.rack());
             let fresh = failed_on.as_ref() != Some(*name);
+            // More tasks of a step on one worker than may be away at once keep its machine up.
+            let placed = siblings.get(*name).copied().unwrap_or(0);
+            let apart = step.may_miss == 0 || placed < step.may_miss;
             let free = w.listing.capacity.cpu.saturating_sub(w.used.cpu);
-            (near, together, fresh, free)
+            (near, together, apart, fresh, free)
         });
         best.map(|(name, _)| Arc::clone(name))
     }
 
+    /// Tells whether another worker has room for a task now.
+    pub(crate) fn has_place(&self, now: Instant, id: TaskId) -> bool {
+        let job = self.jobs.get(&id.job).map(|j| Arc::clone(&j.job));
+        job.is_some_and(|job| {
+            let step = job.steps.get(usize::from(id.step));
+            let pass = Pass::default();
+            step.is_some_and(|s| self.choose(now, id, s, &job.queue.pool, &pass).is_some())
+        })
+    }
+
     fn may_run(
         &self,
         now: Instant,
--- a/crates/shard/src/upkeep.rs
+++ b/crates/shard/src/upkeep.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use crate::active::Phase;
+use crate::advice::StepId;
 use crate::job::Name;
 use crate::job::TaskId;
 use crate::shard::Moment;
@@ -57,6 +58,7 @@
             return Vacancy::Busy;
         }
         if let Some((task, missing)) = self.over_budget(name, &lasting) {
+            self.evict_one(at, name, &lasting);
             let blocked = self.workers.get_mut(name).map(|w| &mut w.blocked);
             if blocked.is_some_and(|b| !std::mem::replace(b, true)) {
                 self.note("upkeep_waits", name, || {
@@ -118,6 +120,41 @@
         step.is_some_and(|s| s.lasting)
     }
 
+    /// Stops a lasting task so that it starts on another worker, if its step has several tasks on
+    /// this one: together they would exceed the budget whenever the worker goes down. Another one
+    /// follows once the first is at work again.
+    fn evict_one(&mut self, at: Moment, name: &Name, runs: &[RunId]) {
+        let step_of = |id: &RunId| StepId::of(id.task);
+        let evicted = runs.iter().find(|id| {
+            let together = runs.iter().filter(|r| step_of(r) == step_of(id)).count();
+            together > 1 && self.has_budget(id.task) && self.has_place(at.now, id.task)
+        });
+        let Some(&id) = evicted else {
+            return;
+        };
+        self.note("lasting_task_evicted", id.task, || {
+            format!("run={} worker={name}", id.number)
+        });
+        self.unwanted(id);
+    }
+
+    /// Tells whether the budget of a task's step allows one more task to be away.
+    fn has_budget(&self, id: TaskId) -> bool {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return false;
+        };
+        let Some(step) = job.job.steps.get(usize::from(id.step)) else {
+            return false;
+        };
+        let steps = job.occurrences.get(&id.occurrence);
+        let Some(tasks) = steps.and_then(|s| s.get(usize::from(id.step))) else {
+            return false;
+        };
+        let at_work = |t: &&crate::active::Task| t.runs.iter().any(|r| self.is_at_work(r));
+        let away = tasks.tasks.iter().filter(|t| !at_work(t)).count();
+        away < step.may_miss as usize
+    }
+
     /// Returns a lasting task on a worker that may not be ended by an order, because with it more
     /// tasks of its step would be away than the budget allows, and how many that would be.
     fn over_budget(&self, name: &Name, runs: &[RunId]) -> Option<(TaskId, usize)> {
--- a/crates/shard/tests/runner.rs
+++ b/crates/shard/tests/runner.rs
@@ -6,4 +6,5 @@
 mod test_kinds;
 mod test_lease;
 mod test_shard;
+mod test_vacancy;
 mod test_world;
--- /dev/null
+++ b/crates/shard/tests/test_vacancy.rs
@@ -0,0 +1,66 @@
+//! Tests of keeping workers free: for the upkeep of their machines, and for other pools.
+
+use std::time::Duration;
+
+use lavenderhollow_shard::Effect;
+use lavenderhollow_shard::EndKind;
+use lavenderhollow_shard::StartAnswer;
+use lavenderhollow_shard::Vacancy;
+
+use crate::support::Bed;
+use crate::support::end;
+use crate::support::job;
+use crate::support::look;
+use crate::support::running;
+use crate::support::starts;
+use crate::support::step;
+
+/// Guards against a machine that never gets its upkeep because several tasks of one step run on
+/// it, more than its budget lets be away at once.
+#[test]
+fn tasks_that_block_an_upkeep_together_move_one_by_one() {
+    let mut bed = Bed::new(&["w1"]);
+    bed.contact(&["w1"]);
+    let mut lasting = step(2, &[]);
+    lasting.lasting = true;
+    lasting.may_miss = 1;
+    bed.submit(job(1, vec![lasting]));
+    bed.tick();
+    let orders = starts(&bed.store());
+    assert_eq!(orders.len(), 2);
+    for (worker, order) in &orders {
+        bed.started(worker, order.run, StartAnswer::Started(1_000));
+    }
+    let rows: Vec<_> = orders.iter().map(|(_, o)| running(o.run, 100)).collect();
+    bed.tick();
+    bed.look("w1", &look(1_100, rows.clone(), vec![]));
+    bed.list(&["w1", "w2"]);
+    bed.advance(Duration::from_millis(10));
+    bed.contact(&["w2"]);
+    assert_eq!(bed.shard.vacate(bed.at, &"w1".into(), true), Vacancy::Busy);
+    let effects = bed.tick();
+    let stops: Vec<_> = effects
+        .iter()
+        .filter_map(|e| match e {
+            Effect::Stop(worker, run) => Some((worker.clone(), *run)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(stops.len(), 1, "one task at a time: {effects:?}");
+    let (worker, stopped) = stops[0].clone();
+    bed.shard.stop_answered(bed.at, &worker, stopped, true);
+    let left: Vec<_> = rows.into_iter().filter(|r| r.run != stopped).collect();
+    bed.look(
+        "w1",
+        &look(1_200, left.clone(), vec![end(1, stopped, EndKind::Stopped)]),
+    );
+    assert_eq!(bed.shard.vacate(bed.at, &"w1".into(), true), Vacancy::Busy);
+    bed.tick();
+    let orders = starts(&bed.store());
+    assert_eq!(orders.len(), 1);
+    assert_eq!(&*orders[0].0, "w2");
+    let run = orders[0].1.run;
+    bed.started(&"w2".into(), run, StartAnswer::Started(1_000));
+    bed.look("w2", &look(1_300, vec![running(run, 100)], vec![]));
+    assert_eq!(bed.shard.vacate(bed.at, &"w1".into(), true), Vacancy::Free);
+}
