--- a/crates/shard/src/orders.rs
+++ b/crates/shard/src/orders.rs
@@ -102,6 +102,8 @@
             StartAnswer::Started(_) => {
                 run.phase = Phase::Running { confirmed: now };
                 self.note_started(id.task);
+                // A worker that was idle is looked at seldom.
+                self.look_soon(now, worker);
                 return;
             }
             StartAnswer::Unknown => {
--- a/crates/shard/tests/test_shard.rs
+++ b/crates/shard/tests/test_shard.rs
@@ -355,3 +355,23 @@
     assert_eq!(starts(&bed.store()).len(), 1);
     assert_eq!(bed.shard.vacate(bed.at, &worker, true), Vacancy::Busy);
 }
+
+/// Guards against an end that is seen only with the next look at an idle worker, seconds later.
+#[test]
+fn a_worker_is_looked_at_once_a_task_has_started() {
+    let mut bed = Bed::new(&["w1"]);
+    bed.contact(&["w1"]);
+    bed.tick();
+    bed.look("w1", &look(1_000, vec![], vec![]));
+    bed.submit(job(1, vec![step(1, &[])]));
+    let effects = bed.tick();
+    assert!(
+        !effects.iter().any(|e| matches!(e, Effect::Look(..))),
+        "{effects:?}"
+    );
+    let (worker, order) = starts(&bed.store()).remove(0);
+    bed.started(&worker, order.run, StartAnswer::Started(1_000));
+    let effects = bed.tick();
+    let waits = |e: &Effect| matches!(e, Effect::Look(_, order) if order.wait > Duration::ZERO);
+    assert!(effects.iter().any(waits), "{effects:?}");
+}
