node, shard, platform: move machines to the pools that peak

Cause: the queues peak by turns, each with more work than its pool holds, while the spare pool stood by and other pools idled; machines never moved.

Each pool's owner reports what would do its open work in time (no more than can run at once) and which workers are idle; the owner of the fleet shard moves machines: those that stand by first, then idle ones of other pools, which keep half of their own. A machine returns to its home, which is stored before its first move, when nobody needs it. Short tasks fill the fullest worker first, so that others become idle.

--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -11,6 +11,7 @@
 use lavenderhollow_shard::LookOrder;
 use lavenderhollow_shard::Name;
 use lavenderhollow_shard::Record;
+use lavenderhollow_shard::Resources;
 use lavenderhollow_shard::RunId;
 use lavenderhollow_shard::StartAnswer;
 use lavenderhollow_shard::StartOrder;
@@ -221,6 +222,8 @@
     pub state: MachineState,
     /// The worker that runs on it.
     pub worker: Option<Name>,
+    /// What it offers.
+    pub capacity: Resources,
 }
 
 /// What came of an order for a machine.
@@ -235,9 +238,10 @@
     /// The machine is not up, or leaves.
     #[display("busy")]
     Busy,
-    /// The machine does not belong to the wave, or there is no such machine.
-    #[display("not_in_wave")]
-    NotInWave,
+    /// The machine does not belong to the wave, the pool does not take it, or there is no such
+    /// machine.
+    #[display("impossible")]
+    Impossible,
     /// The platform refused for now; nothing was done.
     #[display("refused")]
     Refused,
@@ -263,6 +267,9 @@
 
     /// Orders the upkeep of a machine for a wave.
     async fn upkeep(&self, holder: &Holder, machine: &str, wave: u64) -> MachineAnswer;
+
+    /// Orders the move of a machine to another pool.
+    async fn move_to(&self, holder: &Holder, machine: &str, pool: &str) -> MachineAnswer;
 }
 
 /// Decodes what others write into the store, and encodes what operators read.
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -1,4 +1,7 @@
-//! The owner of the fleet shard as a task: the teams' allotments, and maintenance waves.
+//! The owner of the fleet shard as a task: the teams' allotments, maintenance waves, and moves of
+//! machines between pools.
+
+mod moves;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -7,6 +10,7 @@
 use std::time::Instant;
 
 use lavenderhollow_shard::Name;
+use lavenderhollow_shard::PoolDemand;
 use lavenderhollow_shard::Record;
 use lavenderhollow_shard::Resources;
 use lavenderhollow_types::Clock;
@@ -23,6 +27,7 @@
 use crate::backend::Platform;
 use crate::backend::StoreError;
 use crate::backend::Topic;
+use crate::balance::Balance;
 use crate::catalog::Wave;
 use crate::claim::Claimed;
 use crate::current::Current;
@@ -62,6 +67,8 @@
     pub(crate) quiet: Duration,
     /// How long an upkeep takes.
     pub(crate) upkeep: Duration,
+    /// How long a move to another pool takes.
+    pub(crate) migration: Duration,
 }
 
 struct Fleet {
@@ -72,6 +79,11 @@
     begun: BTreeMap<u64, BTreeSet<Name>>,
     runs: BTreeMap<u64, WaveRun>,
     completed: BTreeSet<u64>,
+    balance: Balance,
+    /// The machines whose homes are stored.
+    stored_homes: BTreeSet<Name>,
+    /// What the pools reported, and when.
+    demands: BTreeMap<Name, (Instant, PoolDemand)>,
     since: Instant,
     confirmed: Instant,
 }
@@ -85,6 +97,9 @@
 ) {
     let now = parts.clock.now();
     let mut fleet = Fleet {
+        balance: Balance::new(parts.migration),
+        stored_homes: BTreeSet::new(),
+        demands: BTreeMap::new(),
         parts,
         token: claimed.token,
         appender: claimed.appender,
@@ -143,6 +158,14 @@
                 }
                 Err(error) => log::error!(key, error:display; "record_unreadable"),
             }
+        } else if let Some(machine) = key.strip_prefix(moves::HOME_KEY) {
+            match std::str::from_utf8(value) {
+                Ok(home) => {
+                    self.stored_homes.insert(machine.into());
+                    self.balance.restore(machine.into(), home.into());
+                }
+                Err(error) => log::error!(key, error:display; "record_unreadable"),
+            }
         }
     }
 
@@ -152,7 +175,14 @@
         answer: oneshot::Sender<Reply>,
     ) -> Result<(), Lost> {
         let reply = match question {
-            Question::Allot(report) => self.allot(&report).await?,
+            Question::Allot(report) => {
+                let now = self.parts.clock.now();
+                for (pool, demand) in &report.pools {
+                    let pool = Arc::clone(pool);
+                    self.demands.insert(pool, (now, demand.clone()));
+                }
+                self.allot(&report).await?
+            }
             _ => Reply::NotOwner,
         };
         // The asker may have given up; it asks again.
@@ -210,7 +240,7 @@
         }
     }
 
-    /// Confirms the ownership and moves the waves on.
+    /// Confirms the ownership, moves the waves on and balances the pools.
     async fn work(&mut self) -> Result<(), Lost> {
         let now = self.parts.clock.now();
         if now.saturating_duration_since(self.confirmed) > CONFIRM_EVERY {
@@ -226,7 +256,7 @@
         let Some(machines) = self.parts.platform.machines.clone() else {
             return Ok(());
         };
-        if self.runs.is_empty() || now.saturating_duration_since(self.since) < self.parts.quiet {
+        if now.saturating_duration_since(self.since) < self.parts.quiet {
             return Ok(());
         }
         let Some(list) = machines.list().await else {
@@ -237,7 +267,7 @@
         for number in numbers {
             self.advance(number, &*machines, &list).await?;
         }
-        Ok(())
+        self.balance(&*machines, &list).await
     }
 
     async fn advance(
@@ -335,6 +365,13 @@
         (names(vacant), names(needed))
     }
 
+    fn holder(&self) -> Holder {
+        Holder {
+            name: Arc::clone(&self.parts.router.me.vm),
+            token: self.token,
+        }
+    }
+
     async fn order(
         &mut self,
         number: u64,
@@ -342,10 +379,7 @@
         name: &Name,
         worker: Option<Name>,
     ) -> Result<(), Lost> {
-        let holder = Holder {
-            name: Arc::clone(&self.parts.router.me.vm),
-            token: self.token,
-        };
+        let holder = self.holder();
         let now = self.parts.clock.now();
         if let Some(run) = self.runs.get_mut(&number) {
             run.order(now, name, worker);
@@ -359,11 +393,11 @@
             MachineAnswer::Done => run.confirm(name),
             MachineAnswer::Deposed => return Err(Lost),
             MachineAnswer::Busy | MachineAnswer::Refused => run.refuse(now, name),
-            MachineAnswer::NotInWave => run.skip(name),
+            MachineAnswer::Impossible => run.skip(name),
             MachineAnswer::Unknown => return Ok(()),
         }
         let begun = run.begun().clone();
-        if matches!(answer, MachineAnswer::Done | MachineAnswer::NotInWave) {
+        if matches!(answer, MachineAnswer::Done | MachineAnswer::Impossible) {
             self.store(format!("{WAVE_KEY}{number}"), &begun).await?;
         }
         Ok(())
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 mod allotment;
 mod appender;
 pub mod backend;
+mod balance;
 mod catalog;
 mod claim;
 mod clock;
@@ -25,6 +26,8 @@
 pub use allotment::Allotted;
 pub use appender::Appender;
 pub use appender::Lost;
+pub use balance::Balance;
+pub use balance::PlannedMove;
 pub use catalog::CallerLimits;
 pub use catalog::Catalog;
 pub use catalog::Pool;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -5,6 +5,7 @@
 use lavenderhollow_shard::JobId;
 use lavenderhollow_shard::JobState;
 use lavenderhollow_shard::Name;
+use lavenderhollow_shard::PoolDemand;
 use lavenderhollow_shard::Resources;
 use serde::Deserialize;
 use serde::Serialize;
@@ -30,10 +31,12 @@
         /// Whether a pool under load has to give it as well.
         urgent: bool,
     },
+    /// Give a worker away, so that its machine can move to another pool.
+    Lend(Name),
     /// Take in that a worker's life was ended by an order to its machine.
     Ended(Name),
-    /// Take a shard's use of the teams' limits, and tell its allotments. Only the owner of the
-    /// fleet shard answers.
+    /// Take a shard's use of the teams' limits and its pools' demands, and tell its allotments.
+    /// Only the owner of the fleet shard answers.
     Allot(ShardUse),
 }
 
@@ -46,13 +49,14 @@
             Self::State(_) => "state",
             Self::Pending(_) => "pending",
             Self::Vacate { .. } => "vacate",
+            Self::Lend(_) => "lend",
             Self::Ended(_) => "ended",
             Self::Allot(_) => "allot",
         }
     }
 }
 
-/// What one shard uses of the teams' limits.
+/// What one shard uses of the teams' limits, and what its pools need.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShardUse {
     /// The shard.
@@ -61,6 +65,8 @@
     pub token: u64,
     /// A row for each team.
     pub teams: Vec<TeamRow>,
+    /// The demands of the shard's pools.
+    pub pools: Vec<(Name, PoolDemand)>,
 }
 
 /// What a shard uses of one team's limit.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -57,6 +57,8 @@
     pub holder_gap: Duration,
     /// How long an upkeep takes.
     pub upkeep: Duration,
+    /// How long a move to another pool takes.
+    pub migration: Duration,
 }
 
 /// A running process.
@@ -103,6 +105,7 @@
             current: Arc::clone(&current),
             tuning: Tuning::new(settings.max_hold, settings.status),
             upkeep: settings.upkeep,
+            migration: settings.migration,
             quiet: settings.holder_gap,
             waves: waves_seen,
         });
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -33,6 +33,7 @@
 use crate::backend::Platform;
 use crate::backend::StoreError;
 use crate::backend::Target;
+use crate::catalog::Pool;
 use crate::claim;
 use crate::claim::Claimed;
 use crate::clock::moment;
@@ -54,7 +55,7 @@
 /// After what time without an append the owner checks that the shard is still its own.
 const CONFIRM_EVERY: Duration = Duration::from_millis(1_500);
 
-/// How often the owner reports its use of the teams' limits.
+/// How often the owner reports its use of the teams' limits and its pools' demands.
 const ALLOT_EVERY: Duration = Duration::from_millis(300);
 
 /// The time for a report of the use of the limits.
@@ -237,6 +238,10 @@
                 Vacancy::Later => Reply::Later,
                 Vacancy::NoWorker => Reply::Unknown,
             },
+            Question::Lend(worker) => match self.shard.lend(at, &worker) {
+                true => Reply::Vacant,
+                false => Reply::Busy,
+            },
             Question::Ended(worker) => {
                 self.shard.worker_ended(&worker);
                 Reply::Accepted
@@ -389,7 +394,15 @@
         }
         self.next_allot = now + ALLOT_EVERY;
         self.allotting = true;
-        let limits: BTreeMap<Name, Resources> = self.parts.current.load().team_limits();
+        let catalog = self.parts.current.load();
+        let limits: BTreeMap<Name, Resources> = catalog.team_limits();
+        let own = |pool: &&Pool| ShardId::of_pool(&pool.name) == self.parts.id;
+        let pools = catalog.pools.iter().filter(own);
+        let pools = pools.map(|pool| {
+            let demand = self.shard.pool_demand(now, &pool.name);
+            (Arc::clone(&pool.name), demand)
+        });
+        let pools = pools.collect();
         let mut teams: Vec<TeamRow> = self
             .shard
             .team_use()
@@ -416,6 +429,7 @@
             shard: self.parts.id,
             token: self.token,
             teams,
+            pools,
         });
         let (router, events) = (Arc::clone(&self.parts.router), self.events.clone());
         self.calls.spawn(async move {
--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -76,6 +76,7 @@
     pub(crate) current: Arc<Current>,
     pub(crate) tuning: Tuning,
     pub(crate) upkeep: Duration,
+    pub(crate) migration: Duration,
     /// For how long an earlier owner of the fleet shard may still give orders.
     pub(crate) quiet: Duration,
     pub(crate) waves: watch::Receiver<Vec<Wave>>,
@@ -325,6 +326,7 @@
                 current: Arc::clone(&parts.current),
                 quiet: parts.quiet,
                 upkeep: parts.upkeep,
+                migration: parts.migration,
             };
             fleet::run(fleet_parts, claimed, incoming, taken).await;
             follower.abort();
--- a/crates/node/src/wave.rs
+++ b/crates/node/src/wave.rs
@@ -154,6 +154,15 @@
         self.chosen.keys().cloned().collect()
     }
 
+    /// Returns the machines that are down for the wave or about to go down.
+    pub fn held(&self) -> Vec<Name> {
+        self.down
+            .keys()
+            .chain(self.chosen.keys())
+            .cloned()
+            .collect()
+    }
+
     /// Returns machines whose order had no answer, to be ordered again.
     pub fn unconfirmed(&self) -> Vec<Name> {
         let open = self.down.iter().filter(|(_, d)| !d.confirmed);
--- a/crates/node/tests/runner.rs
+++ b/crates/node/tests/runner.rs
@@ -1,5 +1,6 @@
 //! Tests of the process's decisions.
 
 mod test_allotments;
+mod test_balance;
 mod test_election;
 mod test_wave;
--- a/crates/node/tests/test_allotments.rs
+++ b/crates/node/tests/test_allotments.rs
@@ -43,6 +43,7 @@
             wanted: cpu(wanted),
             allotted: holder.in_force,
         }],
+        pools: Vec::new(),
     }
 }
 
--- a/crates/node/tests/test_wave.rs
+++ b/crates/node/tests/test_wave.rs
@@ -9,6 +9,7 @@
 use lavenderhollow_node::backend::Machine;
 use lavenderhollow_node::backend::MachineState;
 use lavenderhollow_shard::Name;
+use lavenderhollow_shard::Resources;
 
 const UPKEEP: Duration = Duration::from_secs(2);
 
@@ -18,6 +19,7 @@
         pool: "pool".into(),
         state,
         worker: Some(worker.into()),
+        capacity: Resources::default(),
     }
 }
 
--- a/crates/shard/src/active.rs
+++ b/crates/shard/src/active.rs
@@ -8,6 +8,7 @@
 use crate::job::Job;
 use crate::job::JobState;
 use crate::job::Name;
+use crate::job::Resources;
 use crate::job::TaskId;
 use crate::stored::Progress;
 use crate::stored::StoredRun;
@@ -195,6 +196,42 @@
         left
     }
 
+    /// Returns what the job should have running to be done in time: the work that is left over the
+    /// time that is left, but at least `shortest`, and no more than can run at once. Lasting tasks
+    /// need what they hold.
+    pub(crate) fn need(&self, now: Instant, shortest: Duration) -> Resources {
+        let mut lasting = Resources::default();
+        let mut work = [0.0; 3];
+        let mut widest = [0.0f64; 3];
+        if self.state.is_final() {
+            return lasting;
+        }
+        for steps in self.occurrences.values() {
+            for (step, tasks) in self.job.steps.iter().zip(steps) {
+                let open = tasks.tasks.iter().filter(|t| !t.done).count() as u64;
+                let charge = step.charge();
+                let all = [charge.cpu, charge.memory, charge.gpu].map(|r| r.saturating_mul(open));
+                if step.lasting {
+                    let [cpu, memory, gpu] = all;
+                    lasting.add(Resources { cpu, memory, gpu });
+                    continue;
+                }
+                for ((work, widest), all) in work.iter_mut().zip(&mut widest).zip(all) {
+                    *work += all as f64 * step.estimate.as_secs_f64();
+                    *widest = widest.max(all as f64);
+                }
+            }
+        }
+        let left = self.due().saturating_duration_since(now).max(shortest);
+        let rate = |i: usize| (work[i] / left.as_secs_f64()).min(widest[i]) as u64;
+        lasting.add(Resources {
+            cpu: rate(0),
+            memory: rate(1),
+            gpu: rate(2),
+        });
+        lasting
+    }
+
     /// Returns the time until which the job earns its full worth.
     pub(crate) fn due(&self) -> Instant {
         self.accepted + self.objective
--- /dev/null
+++ b/crates/shard/src/demand.rs
@@ -0,0 +1,68 @@
+//! What a pool needs, and which of its workers it can do without.
+//!
+//! The load this answers: queues whose demand peaks by turns. While one pool has more work than its
+//! workers can do in time, others have idle workers; the owner of the fleet shard moves machines by
+//! what is reported here.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::job::Name;
+use crate::job::Resources;
+use crate::shard::Moment;
+use crate::shard::Shard;
+
+/// The shortest time in which the work of a late job is to be done. A move takes about twice as
+/// long, so that a shorter backlog is gone before a machine arrives.
+const SHORTEST: Duration = Duration::from_secs(1);
+
+/// What a pool needs and has.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolDemand {
+    /// What its usable workers offer.
+    pub offered: Resources,
+    /// What would do the work ahead in time, lasting tasks included.
+    pub needed: Resources,
+    /// The workers on which nothing runs, and for how long.
+    pub idle: Vec<(Name, Duration)>,
+}
+
+impl Shard {
+    /// Returns what a pool needs and has.
+    pub fn pool_demand(&self, now: Instant, pool: &str) -> PoolDemand {
+        let mut demand = PoolDemand::default();
+        for (name, worker) in &self.workers {
+            if &*worker.listing.pool != pool || !worker.is_open(now) {
+                continue;
+            }
+            demand.offered.add(worker.listing.capacity);
+            if worker.runs.is_empty() {
+                let idle = now.saturating_duration_since(worker.busy_at);
+                demand.idle.push((Name::clone(name), idle));
+            }
+        }
+        let jobs = self.open.iter().filter_map(|id| self.jobs.get(id));
+        for job in jobs.filter(|j| &*j.job.queue.pool == pool && j.class(now) <= 2) {
+            demand.needed.add(job.need(now, SHORTEST));
+        }
+        demand
+    }
+
+    /// Gives a worker away if nothing runs on it. It gets no tasks from then on, unless it is still
+    /// there after a while.
+    pub fn lend(&mut self, at: Moment, name: &Name) -> bool {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return false;
+        };
+        if !worker.runs.is_empty() {
+            return false;
+        }
+        worker.vacated.get_or_insert(at.now);
+        worker.vacate_asked = at.now;
+        worker.released = true;
+        true
+    }
+}
--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -301,7 +301,10 @@
             let placed = siblings.get(*name).copied().unwrap_or(0);
             let apart = step.may_miss == 0 || placed < step.may_miss;
             let free = w.listing.capacity.cpu.saturating_sub(w.used.cpu);
-            (near, together, apart, fresh, free)
+            // Short tasks fill the fullest worker first, so that others become idle and can be moved
+            // to pools that need them, and wide tasks find room.
+            let order = if step.lasting { free } else { u64::MAX - free };
+            (near, together, apart, fresh, order)
         });
         best.map(|(name, _)| Arc::clone(name))
     }
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -4,6 +4,7 @@
 mod active;
 mod admission;
 mod advice;
+mod demand;
 mod dispatch;
 mod interference;
 mod job;
@@ -18,6 +19,7 @@
 mod worker;
 
 pub use advice::StepId;
+pub use demand::PoolDemand;
 pub use job::*;
 pub use lease::Lease;
 pub use looks::LookFailure;
--- a/crates/shard/src/looks.rs
+++ b/crates/shard/src/looks.rs
@@ -151,6 +151,9 @@
         };
         let first = !worker.fenced;
         worker.fenced = true;
+        if !worker.runs.is_empty() {
+            worker.busy_at = at.now;
+        }
         worker.lease.observe(at.now, look.clock);
         let born = worker.listing.born;
         let seen = worker.seen;
--- a/crates/shard/src/orders.rs
+++ b/crates/shard/src/orders.rs
@@ -208,7 +208,7 @@
         };
         let (charge, need) = (step.charge(), step.need);
         let team = job.job.team.clone();
-        let worker = Arc::clone(&run.worker);
+        let (worker, since) = (Arc::clone(&run.worker), run.since);
         if let Some(task) = job.task_mut(task_id) {
             task.last_run = task.last_run.max(run.number);
             task.runs.push(run);
@@ -216,6 +216,7 @@
         if let Some(worker) = self.workers.get_mut(&worker) {
             worker.used.add(charge);
             worker.runs.insert(id);
+            worker.busy_at = since;
         }
         if let Some(team) = team {
             self.teams.entry(team).or_default().used.add(need);
--- a/crates/shard/src/worker.rs
+++ b/crates/shard/src/worker.rs
@@ -122,6 +122,8 @@
     pub(crate) reachable: bool,
     pub(crate) looking: bool,
     pub(crate) next_look: Instant,
+    /// When a run last began or ended here.
+    pub(crate) busy_at: Instant,
     /// When this life of the worker became known.
     pub(crate) life: Instant,
     /// Until when the worker is kept free for an upkeep of its machine.
@@ -152,6 +154,7 @@
             reachable: true,
             looking: false,
             next_look: now,
+            busy_at: now,
             life: now,
             vacated: None,
             vacate_asked: now,
--- a/crates/shard/tests/test_vacancy.rs
+++ b/crates/shard/tests/test_vacancy.rs
@@ -64,3 +64,47 @@
     bed.look("w2", &look(1_300, vec![running(run, 100)], vec![]));
     assert_eq!(bed.shard.vacate(bed.at, &"w1".into(), true), Vacancy::Free);
 }
+
+/// Guards against a machine that is given away while something runs on it, and against a start on
+/// one that was given away.
+#[test]
+fn only_an_idle_worker_is_lent_and_then_kept_free() {
+    let mut bed = Bed::new(&["w1"]);
+    bed.contact(&["w1"]);
+    bed.submit(job(1, vec![step(1, &[])]));
+    bed.tick();
+    assert!(
+        !bed.shard.lend(bed.at, &"w1".into()),
+        "a start is being stored"
+    );
+    let (worker, order) = starts(&bed.store()).remove(0);
+    bed.started(&worker, order.run, StartAnswer::Started(1_000));
+    assert!(!bed.shard.lend(bed.at, &"w1".into()));
+    bed.tick();
+    bed.look(
+        "w1",
+        &look(1_100, vec![], vec![end(1, order.run, EndKind::Done)]),
+    );
+    assert!(bed.shard.lend(bed.at, &"w1".into()));
+    bed.submit(job(2, vec![step(1, &[])]));
+    bed.tick();
+    assert!(starts(&bed.store()).is_empty());
+}
+
+/// Guards against demand that leaves out waiting work, or counts the same work for ever.
+#[test]
+fn the_demand_of_a_pool_follows_its_open_work() {
+    let mut bed = Bed::new(&["w1"]);
+    bed.contact(&["w1"]);
+    bed.advance(Duration::from_secs(2));
+    let demand = bed.shard.pool_demand(bed.at.now, "pool");
+    assert_eq!(demand.idle, vec![("w1".into(), Duration::from_secs(2))]);
+    assert_eq!((demand.offered.cpu, demand.needed.cpu), (4_000, 0));
+    bed.submit(job(1, vec![step(20, &[])]));
+    bed.tick();
+    let demand = bed.shard.pool_demand(bed.at.now, "pool");
+    assert_eq!(demand.needed.cpu, 5_000, "10 s of work within 2 s");
+    assert_eq!(demand.idle, vec![]);
+    bed.cancel(1);
+    assert_eq!(bed.shard.pool_demand(bed.at.now, "pool").needed.cpu, 0);
+}
--- a/crates/testing/src/prepared/deployment.rs
+++ b/crates/testing/src/prepared/deployment.rs
@@ -17,6 +17,7 @@
 use super::machines::Machine;
 use super::machines::Machines;
 use super::machines::MachinesHandler;
+use super::machines::SPARE_POOL;
 use super::store::Store;
 use super::store::StoreFaults;
 use super::store::StoreHandler;
@@ -66,17 +67,32 @@
     ///
     /// Fails when no port is free.
     pub async fn start(workers: usize, work: Duration) -> std::io::Result<Self> {
+        Self::start_with_spare(workers, 0, work).await
+    }
+
+    /// Starts a deployment with further machines in a pool whose machines are off. Their workers
+    /// come after the others.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port is free.
+    pub async fn start_with_spare(
+        workers: usize,
+        spare: usize,
+        work: Duration,
+    ) -> std::io::Result<Self> {
         let store = Arc::new(Store::default());
         let machines = Arc::new(Machines::default());
         let mut running = Vec::new();
-        for i in 0..workers {
+        for i in 0..workers + spare {
             let id = format!("worker-{i}");
             let worker = Arc::new(Worker::new(&id, 1, WORKER_CORES, work));
             let server = serve(Arc::new(WorkerHandler(Arc::clone(&worker)))).await?;
             let machine = Machine {
-                pool: POOL.to_owned(),
+                pool: if i < workers { POOL } else { SPARE_POOL }.to_owned(),
                 worker: id,
                 fence: 0,
+                capacity: capacity(),
             };
             machines.all().insert(format!("machine-{i}"), machine);
             running.push((worker, server));
@@ -85,7 +101,8 @@
             .iter()
             .map(|(worker, server)| (worker.id.clone(), server.address))
             .collect();
-        let beats = tokio::spawn(beat(Arc::clone(&store), entries));
+        let beats = beat(Arc::clone(&store), Arc::clone(&machines), entries);
+        let beats = tokio::spawn(beats);
         let deployment = Self {
             store_server: serve(Arc::new(StoreHandler(Arc::clone(&store)))).await?,
             store,
@@ -124,7 +141,9 @@
                 "service": POOL, "max_attempts": 2, "slack_factor": 4.0,
                 "target_latency_ms": 4_000, "priority": 0, "allow_anonymous": false,
             }],
-            "services": [{ "name": POOL, "standby": false }],
+            "services": [
+                { "name": POOL, "standby": false }, { "name": SPARE_POOL, "standby": true },
+            ],
             "limits": { "max_body_bytes": 65_536 },
             "tenants": [{ "name": "team", "api_keys": keys, "weight": 1, "cap": { "cpu": 0 } }],
         });
@@ -181,6 +200,18 @@
         }
     }
 
+    /// Returns how many tasks were started on a worker.
+    pub fn started_on(&self, worker: usize) -> usize {
+        let worker = self.workers.get(worker);
+        worker.map_or(0, |(worker, _)| worker.started().len())
+    }
+
+    /// Returns the pool that a worker's machine is in.
+    pub fn pool_of(&self, worker: usize) -> Option<String> {
+        let (worker, _) = self.workers.get(worker)?;
+        self.machines.pool_of(&worker.id)
+    }
+
     /// Returns how often each task was started, over all workers.
     pub fn started(&self) -> BTreeMap<String, u32> {
         let mut all = BTreeMap::new();
@@ -199,14 +230,22 @@
     }
 }
 
+/// What each worker offers, as the wire names it.
+fn capacity() -> Value {
+    json!({ "cpu": WORKER_CORES * 1_000, "mem_mb": 65_536, "gpu": 0 })
+}
+
 /// Writes the workers' entries again and again.
-async fn beat(store: Arc<Store>, entries: Vec<(String, SocketAddr)>) {
+async fn beat(store: Arc<Store>, machines: Arc<Machines>, entries: Vec<(String, SocketAddr)>) {
     for sequence in 0u64.. {
         for (id, address) in &entries {
+            let Some(pool) = machines.pool_of(id).filter(|pool| pool != SPARE_POOL) else {
+                continue;
+            };
             let entry = json!({
-                "service": POOL, "address": address.to_string(), "zone": "zone", "version": "v1",
+                "service": pool, "address": address.to_string(), "zone": "zone", "version": "v1",
                 "slots": 8, "state": "ready", "sequence": sequence, "born": 1,
-                "capacity": { "cpu": WORKER_CORES * 1_000, "mem_mb": 65_536, "gpu": 0 },
+                "capacity": capacity(),
                 "labels": ["a", "r1-1"],
             });
             let value = entry.to_string();
--- a/crates/testing/src/prepared/machines.rs
+++ b/crates/testing/src/prepared/machines.rs
@@ -16,12 +16,16 @@
 use super::http::Call;
 use super::http::Handler;
 
+/// The pool whose machines are off.
+pub const SPARE_POOL: &str = "spare-pool";
+
 /// A machine.
 #[derive(Clone, Debug)]
 pub(super) struct Machine {
     pub(super) pool: String,
     pub(super) worker: String,
     pub(super) fence: u64,
+    pub(super) capacity: Value,
 }
 
 /// The machines, and which of them had their upkeep in which wave.
@@ -44,13 +48,22 @@
             .clone()
     }
 
+    /// Returns the pool of a worker's machine.
+    pub(super) fn pool_of(&self, worker: &str) -> Option<String> {
+        let all = self.all();
+        let machine = all.values().find(|m| m.worker == worker);
+        machine.map(|m| m.pool.clone())
+    }
+
     fn list(&self) -> Answer {
         let rows: Vec<Value> = self
             .all()
             .iter()
             .map(|(name, machine)| {
+                let worker = (machine.pool != SPARE_POOL).then_some(&machine.worker);
                 json!({
-                    "machine": name, "pool": machine.pool, "state": "up", "id": machine.worker,
+                    "machine": name, "pool": machine.pool, "state": "up", "id": worker,
+                    "capacity": machine.capacity,
                 })
             })
             .collect();
@@ -59,8 +72,29 @@
     }
 
     fn upkeep(&self, call: &Call) -> Answer {
+        let Some(wave) = call.json()["wave"].as_u64() else {
+            return Answer::empty(StatusCode::BAD_REQUEST);
+        };
+        self.order(call, |name, _| {
+            self.kept_up
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .insert((wave, name.to_owned()));
+        })
+    }
+
+    fn move_to(&self, call: &Call) -> Answer {
         let body = call.json();
-        let (Some(name), Some(wave)) = (body["machine"].as_str(), body["wave"].as_u64()) else {
+        let Some(pool) = body["pool"].as_str() else {
+            return Answer::empty(StatusCode::BAD_REQUEST);
+        };
+        self.order(call, |_, machine| pool.clone_into(&mut machine.pool))
+    }
+
+    /// Carries an order out unless a higher token was seen for the machine.
+    fn order(&self, call: &Call, effect: impl FnOnce(&str, &mut Machine)) -> Answer {
+        let body = call.json();
+        let Some(name) = body["machine"].as_str() else {
             return Answer::empty(StatusCode::BAD_REQUEST);
         };
         let token = call.headers.get("lavenderhollow-fencing-token");
@@ -74,10 +108,7 @@
             return Answer::json(StatusCode::CONFLICT, &body);
         }
         machine.fence = token.unwrap_or(0);
-        self.kept_up
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .insert((wave, name.to_owned()));
+        effect(name, machine);
         Answer::json(StatusCode::OK, &json!({}))
     }
 }
@@ -91,6 +122,7 @@
         Some(match (&call.method, call.path.as_str()) {
             (&Method::GET, "/api/machines") => self.0.list(),
             (&Method::POST, "/api/machine-upkeep") => self.0.upkeep(&call),
+            (&Method::POST, "/api/machine-move") => self.0.move_to(&call),
             _ => Answer::empty(StatusCode::NOT_FOUND),
         })
     }
--- a/crates/testing/src/prepared/mod.rs
+++ b/crates/testing/src/prepared/mod.rs
@@ -13,5 +13,6 @@
 pub use deployment::ROUTE_HOST;
 pub use deployment::ROUTE_PREFIX;
 pub use deployment::TEAM_KEY;
+pub use machines::SPARE_POOL;
 pub use store::StoreFaults;
 pub use worker::WorkerFaults;
