balance: keep three quarters of a pool's machines when it lends

A failed try, not kept: idle machines of calm pools stand by after 3 s. Lasting tasks are spread over most workers, so that few can leave, and a pool that gave its machines away begins its peak without them.

--- a/crates/node/src/balance.rs
+++ b/crates/node/src/balance.rs
@@ -30,7 +30,7 @@
 
 /// The share of its own machines that a pool keeps when it lends; its next peak begins before they
 /// are back.
-const KEPT_SHARE: f64 = 0.5;
+const KEPT_SHARE: f64 = 0.75;
 
 /// The time after the arrival of a machine in which its worker reports for duty, and in which it
 /// counts as on its way.
