node: remove the earlier run on the same VM from the members

The store deals partitions to new members only when the old ones lapse, 1.5 s after their last sign of life, and lists no member without one, so that the new runs saw each other late.

Ruled out: the wait for unchanged members (0.35 s of it) and the claims (30 ms).

A process that finds an earlier run on its own VM among the members removes it.

--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -39,6 +39,13 @@
     }
 }
 
+impl Member {
+    /// Tells whether this is an earlier run on the same VM, which has ended since then.
+    pub fn is_replaced_by(&self, later: &Self) -> bool {
+        self.vm == later.vm && self.started < later.started
+    }
+}
+
 /// A text that names no member.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 #[display("a member has the form VM/STARTED/ADDRESS")]
--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -153,7 +153,8 @@
                 return false;
             }
         };
-        let members = members.iter().filter_map(|m| m.parse().ok());
+        let members: Vec<Member> = members.iter().filter_map(|m| m.parse().ok()).collect();
+        self.remove_earlier_runs(&members).await;
         let (before, after): (Vec<Member>, Vec<Member>) = {
             let mut roster = self.parts.router.roster();
             let before = roster.members().cloned().collect();
@@ -174,6 +175,18 @@
         true
     }
 
+    /// Removes earlier runs on this VM from the members. Otherwise the store keeps partitions for
+    /// them until they lapse, and new members are not listed before they get one.
+    async fn remove_earlier_runs(&self, members: &[Member]) {
+        let me = &self.parts.router.me;
+        for member in members.iter().filter(|m| m.is_replaced_by(me)) {
+            match self.parts.platform.store.leave(&member.to_string()).await {
+                Ok(()) => log::info!(member:display; "earlier_run_removed"),
+                Err(error) => log::warn!(member:display, error:display; "earlier_run_not_removed"),
+            }
+        }
+    }
+
     async fn follow_owners(self: Arc<Self>) {
         let mut follower = Follower::new(Topic::Owners);
         let mut failing = false;
--- a/crates/node/tests/test_election.rs
+++ b/crates/node/tests/test_election.rs
@@ -88,3 +88,14 @@
     assert_eq!(roster.to_release(&a, &shards(3)), None);
     assert_eq!(roster.to_release(&b, &shards(3)), None);
 }
+
+/// Guards against a process that takes itself, a later run or another VM for its own earlier run,
+/// and removes a live member.
+#[test]
+fn only_an_earlier_run_on_the_same_vm_is_replaced() {
+    let me = member("vm-1", 2);
+    assert!(member("vm-1", 1).is_replaced_by(&me));
+    for other in [member("vm-1", 2), member("vm-1", 3), member("vm-2", 1)] {
+        assert!(!other.is_replaced_by(&me), "{other}");
+    }
+}
