shard: let work beyond a team's share wait behind the others'

Each shard counts the jobs a second of each team against its weight. A job beyond it starts after everybody else's and is refused, with the time after which one is within the share, when the pool is full. The log lines of a submission name the team and why it was refused. a_team_beyond_its_share_waits_behind_the_others plays the load; without the class it starts none of the other team's tasks.

--- a/crates/node/src/catalog.rs
+++ b/crates/node/src/catalog.rs
@@ -58,7 +58,7 @@
 pub struct Team {
     /// The name.
     pub name: Name,
-    /// Its share when everything is full.
+    /// Its share when everything is full, in jobs a second.
     pub weight: u64,
     /// What it may have running across all workers; zero means no limit.
     pub limit: Resources,
@@ -151,6 +151,12 @@
         shards
     }
 
+    /// Returns how many jobs a second each team may submit within its share.
+    pub fn team_rates(&self) -> BTreeMap<Name, u64> {
+        let all = self.teams.iter().filter(|t| t.weight > 0);
+        all.map(|t| (Arc::clone(&t.name), t.weight)).collect()
+    }
+
     /// Returns the limit of each team.
     pub fn team_limits(&self) -> BTreeMap<Name, Resources> {
         let all = self.teams.iter();
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -396,6 +396,7 @@
         self.allotting = true;
         let catalog = self.parts.current.load();
         let limits: BTreeMap<Name, Resources> = catalog.team_limits();
+        self.shard.set_shares(catalog.team_rates());
         let own = |pool: &&Pool| ShardId::of_pool(&pool.name) == self.parts.id;
         let pools = catalog.pools.iter().filter(own);
         let pools = pools.map(|pool| {
--- a/crates/shard/src/active.rs
+++ b/crates/shard/src/active.rs
@@ -17,6 +17,28 @@
 /// A job is late after its objective and worth nothing after this many times its objective.
 pub(crate) const WORTHLESS_AFTER: u32 = 3;
 
+/// How urgent a job is; the first is the most urgent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Class {
+    /// Its tasks run until it is cancelled.
+    Lasting,
+    /// It can be completed within its objective.
+    InTime,
+    /// It will be late, and is worth less.
+    Late,
+    /// It is beyond its team's share.
+    Excess,
+    /// It is worth nothing any more.
+    Worthless,
+}
+
+impl Class {
+    /// Tells whether the pool has to provide for such a job.
+    pub(crate) fn is_owed(self) -> bool {
+        self < Self::Excess
+    }
+}
+
 /// How far a run is known to be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -98,6 +120,8 @@
     pub(crate) finished: Option<(Instant, Duration)>,
     pub(crate) occurrences: BTreeMap<u32, Vec<StepTasks>>,
     pub(crate) objective: Duration,
+    /// Whether its team had submitted more than its share.
+    pub(crate) excess: bool,
     /// Whether the submission itself is stored or in a batch that is being stored.
     pub(crate) recorded: bool,
 }
@@ -113,6 +137,7 @@
             accepted_unix: unix,
             finished: None,
             occurrences: BTreeMap::new(),
+            excess: false,
             recorded: false,
         }
     }
@@ -252,18 +277,22 @@
         chains.max().unwrap_or_default()
     }
 
-    /// Returns the urgency: jobs of a lower class go first. A job that can't be completed within
-    /// its objective any more gives way to those that can.
-    pub(crate) fn class(&self, now: Instant) -> u8 {
+    /// Returns the urgency. A job that can't be completed within its objective any more gives way to
+    /// those that can, and what its team sent beyond its share gives way to both.
+    pub(crate) fn class(&self, now: Instant) -> Class {
         let age = now.saturating_duration_since(self.accepted);
         if self.job.is_lasting() {
-            0
-        } else if self.job.repeat.is_some() || age + self.chain_left() <= self.objective {
-            1
-        } else if age <= self.objective * WORTHLESS_AFTER {
-            2
+            Class::Lasting
+        } else if self.job.repeat.is_some() {
+            Class::InTime
+        } else if age > self.objective * WORTHLESS_AFTER {
+            Class::Worthless
+        } else if self.excess {
+            Class::Excess
+        } else if age + self.chain_left() <= self.objective {
+            Class::InTime
         } else {
-            3
+            Class::Late
         }
     }
 
--- a/crates/shard/src/admission.rs
+++ b/crates/shard/src/admission.rs
@@ -55,8 +55,14 @@
 }
 
 impl Shard {
-    /// Returns when to come back if a job would be completed too late to be worth anything.
-    pub(crate) fn refuses(&mut self, now: Instant, job: &Job) -> Option<Duration> {
+    /// Returns when to come back if a job would be completed too late to be worth anything, or is
+    /// beyond its team's share while the pool is full; `excess` is after what time it would not be.
+    pub(crate) fn refuses(
+        &mut self,
+        now: Instant,
+        job: &Job,
+        excess: Option<Duration>,
+    ) -> Option<Duration> {
         if job.is_lasting() || job.repeat.is_some() {
             return None;
         }
@@ -67,6 +73,19 @@
         let (wait, chain, objective) = (load.wait(), job.chain(), job.objective());
         let worthless = objective * WORTHLESS_AFTER * ESTIMATE_ERROR;
         let total = wait + chain;
+        if let Some(until) = excess {
+            let retry_after = until.max(wait).max(MIN_RETRY);
+            self.note("job_refused", job.id, || {
+                format!(
+                    "queue={} team={} cause=beyond_share wait_ms={} retry_ms={}",
+                    job.queue.name,
+                    job.team.as_deref().unwrap_or("-"),
+                    wait.as_millis(),
+                    retry_after.as_millis()
+                )
+            });
+            return Some(retry_after);
+        }
         if total <= worthless {
             return None;
         }
@@ -74,7 +93,7 @@
         let retry_after = (total - objective).max(MIN_RETRY);
         self.note("job_refused", job.id, || {
             format!(
-                "queue={} wait_ms={} chain_ms={} objective_ms={} retry_ms={} load={load:?}",
+                "queue={} cause=too_late wait_ms={} chain_ms={} objective_ms={} retry_ms={} load={load:?}",
                 job.queue.name,
                 wait.as_millis(),
                 chain.as_millis(),
@@ -98,7 +117,7 @@
             if job.job.is_lasting() {
                 let steps = job.job.steps.iter().filter(|s| !s.fills);
                 load.lasting += steps.map(|s| s.need.cpu * u64::from(s.count)).sum::<u64>();
-            } else if job.class(now) <= 2 {
+            } else if job.class(now).is_owed() {
                 load.ahead += job.work_left();
             }
         }
--- a/crates/shard/src/demand.rs
+++ b/crates/shard/src/demand.rs
@@ -45,7 +45,7 @@
             }
         }
         let jobs = self.open.iter().filter_map(|id| self.jobs.get(id));
-        for job in jobs.filter(|j| &*j.job.queue.pool == pool && j.class(now) <= 2) {
+        for job in jobs.filter(|j| &*j.job.queue.pool == pool && j.class(now).is_owed()) {
             demand.needed.add(job.need(now, SHORTEST));
         }
         demand
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -13,6 +13,7 @@
 mod orders;
 mod recovery;
 mod shard;
+mod share;
 mod stored;
 mod tuning;
 mod upkeep;
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -23,6 +23,7 @@
 use crate::job::Name;
 use crate::job::Resources;
 use crate::job::TaskId;
+use crate::share::Shares;
 use crate::stored::Record;
 use crate::stored::job_record;
 use crate::stored::progress_record;
@@ -152,6 +153,7 @@
     /// The workers whose lives were ended by orders, with the start of that life.
     pub(crate) ended_lives: BTreeMap<Name, u64>,
     pub(crate) teams: BTreeMap<Name, TeamUse>,
+    pub(crate) shares: Shares,
     /// The tickets of the steps of queues that ask a policy service.
     pub(crate) tickets: BTreeMap<StepId, Tickets>,
     pub(crate) stops: BTreeMap<(Name, RunId), PendingStop>,
@@ -178,6 +180,7 @@
             workers: BTreeMap::new(),
             ended_lives: BTreeMap::new(),
             teams: BTreeMap::new(),
+            shares: Shares::default(),
             tickets: BTreeMap::new(),
             stops: BTreeMap::new(),
             deposed: false,
@@ -203,17 +206,22 @@
             }
             return;
         }
-        if let Some(retry_after) = self.refuses(at.now, &job) {
+        let excess = job.team.as_ref();
+        let excess = excess.and_then(|team| self.shares.take(at.now, team));
+        if let Some(retry_after) = self.refuses(at.now, &job, excess) {
             let answer = Answer::Refused { retry_after };
             self.effects.push(Effect::Answer(ticket, answer));
             return;
         }
         let mut active = ActiveJob::new(Arc::new(job), at.now, at.unix);
+        active.excess = excess.is_some();
         active.open_due(at.unix);
         self.note("job_accepted", id, || {
             format!(
-                "queue={} steps={} objective_ms={}",
+                "queue={} team={} excess={} steps={} objective_ms={}",
                 active.job.queue.name,
+                active.job.team.as_deref().unwrap_or("-"),
+                active.excess,
                 active.job.steps.len(),
                 active.objective.as_millis()
             )
--- a/crates/shard/tests/test_admission.rs
+++ b/crates/shard/tests/test_admission.rs
@@ -9,6 +9,7 @@
 use lavenderhollow_shard::JobId;
 use lavenderhollow_shard::JobState;
 use lavenderhollow_shard::Name;
+use lavenderhollow_shard::Resources;
 use lavenderhollow_shard::RunId;
 use lavenderhollow_shard::StartAnswer;
 
@@ -136,3 +137,47 @@
         "{by_arrival} {outcome:?}"
     );
 }
+
+/// Guards against a team that sends many times its share and takes the place of the others.
+#[test]
+fn a_team_beyond_its_share_waits_behind_the_others() {
+    let mut bed = Bed::new(&["w1", "w2"]);
+    bed.contact(&["w1", "w2"]);
+    let teams = ["hot", "calm"].map(Name::from);
+    let unlimited = teams.iter().map(|t| (t.clone(), Resources::default()));
+    bed.shard.set_limits(&unlimited.collect());
+    let shares = teams.iter().cloned().zip([1, 10]);
+    bed.shard.set_shares(shares.collect());
+    let of_team = |id, team: &Name| {
+        let mut job = job(id, vec![step(4, &[])]);
+        job.team = Some(team.clone());
+        job
+    };
+    for id in 1..=6 {
+        bed.submit(of_team(id, &teams[0]));
+    }
+    bed.tick();
+    let running: Vec<_> = starts(&bed.store());
+    assert_eq!(running.len(), 8, "the pool is full");
+    let refused = bed.submit(of_team(7, &teams[0]));
+    let effects = bed.tick();
+    let is_refusal = |e: &Effect| matches!(e, Effect::Answer(t, Answer::Refused { retry_after }) if *t == refused && *retry_after >= Duration::from_secs(1));
+    assert!(effects.iter().any(is_refusal), "{effects:?}");
+    let accepted = bed.submit(of_team(8, &teams[1]));
+    bed.tick();
+    let answers = bed.store();
+    assert!(answers.contains(&Effect::Answer(accepted, Answer::Accepted)));
+    for worker in ["w1", "w2"].map(Name::from) {
+        let here = running.iter().filter(|(w, _)| *w == worker);
+        let ends = (1..).zip(here).map(|(n, (_, order))| {
+            bed.started(&worker, order.run, StartAnswer::Started(1_000));
+            end(n, order.run, EndKind::Done)
+        });
+        let ends: Vec<_> = ends.collect();
+        bed.look(&worker, &look(1_100, vec![], ends));
+    }
+    bed.tick();
+    let next = starts(&bed.store());
+    let calm = next.iter().filter(|(_, o)| o.run.task.job == JobId(8));
+    assert_eq!((next.len(), calm.count()), (8, 4));
+}
