demand: ask for more than the work ahead while a peak grows

Ruled out: machines that are not free then (the spare machines stood by).

A pool now asks for two and a half times the work ahead of its short tasks.

--- a/crates/shard/src/demand.rs
+++ b/crates/shard/src/demand.rs
@@ -19,6 +19,10 @@
 /// long, so that a shorter backlog is gone before a machine arrives.
 const SHORTEST: Duration = Duration::from_secs(1);
 
+/// How much more than the work ahead a pool should offer: a peak still grows while machines are on
+/// their way, and tasks do not fill workers to the brim.
+const HEADROOM: f64 = 2.5;
+
 /// What a pool needs and has.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PoolDemand {
@@ -46,7 +50,11 @@
         }
         let jobs = self.open.iter().filter_map(|id| self.jobs.get(id));
         for job in jobs.filter(|j| &*j.job.queue.pool == pool && j.class(now).is_owed()) {
-            demand.needed.add(job.need(now, SHORTEST));
+            let mut need = job.need(now, SHORTEST);
+            if !job.job.is_lasting() {
+                need = need.scaled(HEADROOM);
+            }
+            demand.needed.add(need);
         }
         demand
     }
--- a/crates/shard/src/job.rs
+++ b/crates/shard/src/job.rs
@@ -126,6 +126,17 @@
         self.gpu = self.gpu.saturating_sub(other.gpu);
     }
 
+    /// Returns these resources times a factor.
+    #[must_use]
+    pub fn scaled(self, factor: f64) -> Self {
+        let times = |amount: u64| (amount as f64 * factor) as u64;
+        Self {
+            cpu: times(self.cpu),
+            memory: times(self.memory),
+            gpu: times(self.gpu),
+        }
+    }
+
     /// Tells whether `need` fits into what `used` leaves of these resources.
     pub fn fits(self, used: Self, need: Self) -> bool {
         used.cpu + need.cpu <= self.cpu
