fleet: serve a pool that lacks capacity without waiting for the next round

Moves were planned every 0.3 s whatever the pools reported. The first report of a shortage now brings the round forward.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -40,8 +40,11 @@
 use crate::shard_id::ShardId;
 use crate::wave::WaveRun;
 
-/// How often waves are looked after.
-const WAVE_EVERY: Duration = Duration::from_millis(300);
+/// How often waves and pools are looked after.
+const WORK_EVERY: Duration = Duration::from_millis(300);
+
+/// How soon after that a pool that lacks capacity is served.
+const HURRY_AFTER: Duration = Duration::from_millis(60);
 
 /// After what time without an append the owner checks that the shard is still its own.
 const CONFIRM_EVERY: Duration = Duration::from_millis(1_500);
@@ -89,6 +92,8 @@
     stored_homes: BTreeSet<Name>,
     /// What the pools reported, and when.
     demands: BTreeMap<Name, (Instant, PoolDemand)>,
+    /// Whether a pool reported since the last work that it lacks capacity.
+    lacking: bool,
     since: Instant,
     confirmed: Instant,
 }
@@ -106,6 +111,7 @@
         orders: RecentOrders::new(parts.quiet),
         stored_homes: BTreeSet::new(),
         demands: BTreeMap::new(),
+        lacking: false,
         parts,
         token: claimed.token,
         appender: claimed.appender,
@@ -122,9 +128,14 @@
         }
     }
     log::info!(token = fleet.token; "fleet_owned");
-    let mut next_wave = now;
+    let mut last_work = now;
     let released = loop {
-        let pause = next_wave.saturating_duration_since(fleet.parts.clock.now());
+        let every = if fleet.lacking {
+            HURRY_AFTER
+        } else {
+            WORK_EVERY
+        };
+        let pause = (last_work + every).saturating_duration_since(fleet.parts.clock.now());
         let result = tokio::select! {
             Some(request) = requests.recv() => match request {
                 LocalRequest::Release(done) => break Some(done),
@@ -135,8 +146,10 @@
                 Ok(())
             }
             () = tokio::time::sleep(pause) => {
-                next_wave = fleet.parts.clock.now() + WAVE_EVERY;
-                fleet.work().await
+                fleet.lacking = false;
+                let result = fleet.work().await;
+                last_work = fleet.parts.clock.now();
+                result
             }
         };
         if result.is_err() {
@@ -189,6 +202,7 @@
             Question::Allot(report) => {
                 let now = self.parts.clock.now();
                 for (pool, demand) in &report.pools {
+                    self.lacking |= demand.is_short();
                     let pool = Arc::clone(pool);
                     self.demands.insert(pool, (now, demand.clone()));
                 }
--- a/crates/shard/src/demand.rs
+++ b/crates/shard/src/demand.rs
@@ -34,6 +34,13 @@
     pub idle: Vec<(Name, Duration)>,
 }
 
+impl PoolDemand {
+    /// Tells whether the pool needs more than it has.
+    pub fn is_short(&self) -> bool {
+        self.needed.cpu > self.offered.cpu || self.needed.memory > self.offered.memory
+    }
+}
+
 impl Shard {
     /// Returns what a pool needs and has.
     pub fn pool_demand(&self, now: Instant, pool: &str) -> PoolDemand {
--- a/crates/shard/tests/test_vacancy.rs
+++ b/crates/shard/tests/test_vacancy.rs
@@ -103,7 +103,10 @@
     bed.submit(job(1, vec![step(20, &[])]));
     bed.tick();
     let demand = bed.shard.pool_demand(bed.at.now, "pool");
-    assert_eq!(demand.needed.cpu, 12_500, "10 s of work within 2 s, and headroom");
+    assert_eq!(
+        demand.needed.cpu, 12_500,
+        "10 s of work within 2 s, and headroom"
+    );
     assert_eq!(demand.idle, vec![]);
     bed.cancel(1);
     assert_eq!(bed.shard.pool_demand(bed.at.now, "pool").needed.cpu, 0);
