--- a/crates/node/src/appender.rs
+++ b/crates/node/src/appender.rs
@@ -17,6 +17,10 @@
 /// The pause after a call that the store refused or did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// After what time without an append an owner checks that the partition is still its own; well
+/// within the time that a successor waits for it.
+pub(crate) const CONFIRM_EVERY: Duration = Duration::from_millis(1_500);
+
 /// The process does not own the partition any more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Lost;
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -19,6 +19,7 @@
 
 use crate::allotment::Allotments;
 use crate::appender::Appender;
+use crate::appender::CONFIRM_EVERY;
 use crate::appender::Lost;
 use crate::backend::Holder;
 use crate::backend::Machine;
@@ -46,9 +47,6 @@
 /// How soon after that a pool that lacks capacity is served.
 const HURRY_AFTER: Duration = Duration::from_millis(60);
 
-/// After what time without an append the owner checks that the shard is still its own.
-const CONFIRM_EVERY: Duration = Duration::from_millis(1_500);
-
 /// The time for a question to the owner of a machine's pool.
 const VACATE_LIMIT: Duration = Duration::from_millis(500);
 
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -27,6 +27,7 @@
 use tokio::task::JoinSet;
 
 use crate::appender::Appender;
+use crate::appender::CONFIRM_EVERY;
 use crate::appender::Lost;
 use crate::backend::Advised;
 use crate::backend::LookError;
@@ -52,9 +53,6 @@
 /// How many answers of the store and of workers may wait.
 const EVENT_QUEUE: usize = 4_096;
 
-/// After what time without an append the owner checks that the shard is still its own.
-const CONFIRM_EVERY: Duration = Duration::from_millis(1_500);
-
 /// How often the owner reports its use of the teams' limits and its pools' demands.
 const ALLOT_EVERY: Duration = Duration::from_millis(300);
 
@@ -62,7 +60,7 @@
 const ALLOT_LIMIT: Duration = Duration::from_millis(800);
 
 /// The time for storing that the shard was given up.
-const RELEASE_LIMIT: Duration = Duration::from_millis(600);
+const RELEASE_RECORD_LIMIT: Duration = Duration::from_millis(600);
 
 /// What the owner of a shard works with.
 pub(crate) struct OwnerParts {
@@ -190,7 +188,10 @@
         if let Some(mut appender) = owner.appender.take() {
             let records = [claim::release_record(owner.token)];
             let appended = appender.append(&records);
-            if tokio::time::timeout(RELEASE_LIMIT, appended).await.is_err() {
+            if tokio::time::timeout(RELEASE_RECORD_LIMIT, appended)
+                .await
+                .is_err()
+            {
                 log::warn!(shard:display = owner.parts.id; "release_not_stored");
             }
         }
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -167,6 +167,8 @@
     next: Batch,
     in_flight: Option<Batch>,
     removals: Vec<Record>,
+    /// When finished jobs are looked at next.
+    next_forget: Instant,
 }
 
 impl Shard {
@@ -191,6 +193,7 @@
             next: Batch::default(),
             in_flight: None,
             removals: Vec::new(),
+            next_forget: now,
         }
     }
 
@@ -366,8 +369,14 @@
         Some(Arc::clone(&worker.listing.address))
     }
 
-    /// Forgets jobs that finished long ago.
+    /// Forgets jobs that finished long ago, now and then, since it looks at all jobs.
     pub(crate) fn forget_finished(&mut self, now: Instant) {
+        /// A small part of the time for which finished jobs are remembered.
+        const FORGET_EVERY: Duration = Duration::from_secs(1);
+        if now < self.next_forget {
+            return;
+        }
+        self.next_forget = now + FORGET_EVERY;
         let remember = self.tuning.remember;
         let old = self.jobs.iter().filter(|(_, job)| {
             job.occurrences.is_empty()
--- a/crates/shard/tests/test_shard.rs
+++ b/crates/shard/tests/test_shard.rs
@@ -21,6 +21,7 @@
 use crate::support::running;
 use crate::support::starts;
 use crate::support::step;
+use crate::support::tuning;
 
 /// Brings a job of one step of `count` tasks to run on the workers.
 fn bed_with_running_job(
@@ -375,3 +376,21 @@
     let waits = |e: &Effect| matches!(e, Effect::Look(_, order) if order.wait > Duration::ZERO);
     assert!(effects.iter().any(waits), "{effects:?}");
 }
+
+/// Guards against finished jobs that are kept for ever, or forgotten while callers still ask.
+#[test]
+fn a_finished_job_is_remembered_for_its_time() {
+    let mut bed = Bed::new(&["w1"]);
+    bed.contact(&["w1"]);
+    bed.submit(job(1, vec![step(1, &[])]));
+    bed.cancel(1);
+    bed.store();
+    bed.advance(tuning().remember - Duration::from_secs(2));
+    bed.tick();
+    assert_eq!(bed.shard.state(JobId(1)), Some(JobState::Cancelled));
+    bed.advance(Duration::from_secs(4));
+    bed.tick();
+    assert_eq!(bed.shard.state(JobId(1)), None);
+    bed.store();
+    assert_eq!(bed.stored.len(), 0, "its records are removed");
+}
