balance: leave a machine where it is if its home does not take it

Found by reading: a home that is no pool any more answers each order with a refusal, and the order was repeated in every round. a_machine_whose_home_does_not_take_it_stays fails without the check.

--- a/crates/node/src/balance.rs
+++ b/crates/node/src/balance.rs
@@ -221,7 +221,8 @@
                 continue;
             };
             let idle = pools.get(&machine.pool).and_then(|p| idle_time(p, machine));
-            if *home != machine.pool && idle.is_some_and(|idle| idle >= RETURN_AFTER) {
+            let returns = *home != machine.pool && self.is_possible(machine, home);
+            if returns && idle.is_some_and(|idle| idle >= RETURN_AFTER) {
                 moves.push(planned(machine, home));
             }
         }
@@ -273,10 +274,10 @@
     ) -> Option<usize> {
         let short = pools.get(to)?;
         let rank = |machine: &Machine| {
-            let possible = !self
-                .impossible
-                .contains(&(Arc::clone(&machine.name), Arc::clone(to)));
-            if machine.pool == *to || !possible || !short.lacks(machine.capacity) {
+            if machine.pool == *to
+                || !self.is_possible(machine, to)
+                || !short.lacks(machine.capacity)
+            {
                 return None;
             }
             if standby.contains(&machine.pool) {
@@ -299,6 +300,11 @@
         ranked.min().map(|(_, place)| place)
     }
 
+    fn is_possible(&self, machine: &Machine, to: &Name) -> bool {
+        let pair = (Arc::clone(&machine.name), Arc::clone(to));
+        !self.impossible.contains(&pair)
+    }
+
     /// Notes that a move is being ordered.
     pub fn order(&mut self, now: Instant, planned: &PlannedMove) {
         let trip = Trip {
--- a/crates/node/tests/test_balance.rs
+++ b/crates/node/tests/test_balance.rs
@@ -238,3 +238,14 @@
     fleet.balance.rule_out(&"s1".into());
     assert_eq!(fleet.plan(), Vec::<String>::new());
 }
+
+/// Guards against a machine that is sent home again and again although its home takes it no more.
+#[test]
+fn a_machine_whose_home_does_not_take_it_stays() {
+    let mut fleet = Fleet::new();
+    fleet.arrive("s1", "a");
+    fleet.need("a", 0, LONG);
+    fleet.order();
+    fleet.balance.rule_out(&"s1".into());
+    assert_eq!(fleet.plan(), Vec::<String>::new());
+}
