election: hand shards over to members that run and stay

A shard that was given up went to the least loaded member: first the one that had given it up, which counted as a member until it had left, and then one that had just started and waits before it claims.

The member that gave a shard up comes last, and one that has just started, while others have not, counts as owner of one shard more than it has.

--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -9,6 +9,8 @@
 use std::fmt;
 use std::str::FromStr;
 use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
 
 use derive_more::Display;
 use derive_more::Error;
@@ -19,6 +21,18 @@
 use crate::shard_id::ShardId;
 use crate::shard_id::fnv1a;
 
+/// For how long a member that has started after the others counts as owner of [`NEW_LOAD`] shards
+/// more than it has: it waits before it claims any, and callers would wait with it.
+const NEW_FOR: Duration = Duration::from_millis(1_500);
+
+/// A new member is preferred only to members that own more than this, so that one that outlives many
+/// others does not end up with all of their shards.
+const NEW_LOAD: usize = 1;
+
+/// How much later than another member one has to have started to count as new, in milliseconds; more
+/// than the clocks of the VMs differ, so that members that start together count alike.
+const STARTED_LATER_MS: u64 = 5_000;
+
 /// By how many shards an owner has to exceed the least loaded member before it gives one away.
 const IMBALANCE: usize = 2;
 
@@ -79,13 +93,14 @@
 /// What is known of members and owners.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
-    members: BTreeSet<Member>,
+    /// The live members, with the time at which they were first seen.
+    members: BTreeMap<Member, Instant>,
     owners: BTreeMap<ShardId, Ownership>,
 }
 
 impl Roster {
     /// Takes the live members. Of two runs on one VM only the later counts.
-    pub fn set_members(&mut self, members: impl IntoIterator<Item = Member>) {
+    pub fn set_members(&mut self, now: Instant, members: impl IntoIterator<Item = Member>) {
         let mut latest: BTreeMap<Name, Member> = BTreeMap::new();
         for member in members {
             let known = latest.get(&member.vm);
@@ -93,7 +108,9 @@
                 latest.insert(Arc::clone(&member.vm), member);
             }
         }
-        self.members = latest.into_values().collect();
+        let seen = |m: &Member| self.members.get(m).copied().unwrap_or(now);
+        let members = latest.into_values().map(|m| (seen(&m), m));
+        self.members = members.map(|(seen, m)| (m, seen)).collect();
     }
 
     /// Takes an announcement unless a later owner is known.
@@ -117,16 +134,24 @@
 
     /// Returns the live members.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
-        self.members.iter()
+        self.members.keys()
+    }
+
+    /// Tells whether a member has just started while others have not.
+    fn is_new(&self, now: Instant, member: &Member) -> bool {
+        let seen = self.members.get(member);
+        let earlier = |m: &Member| m.started + STARTED_LATER_MS < member.started;
+        seen.is_some_and(|at| now.saturating_duration_since(*at) < NEW_FOR)
+            && self.members.keys().any(earlier)
     }
 
     fn is_owned(&self, shard: ShardId) -> bool {
         let owner = self.owners.get(&shard);
-        owner.is_some_and(|o| !o.released && self.members.contains(&o.member))
+        owner.is_some_and(|o| !o.released && self.members.contains_key(&o.member))
     }
 
     fn loads(&self, shards: &BTreeSet<ShardId>) -> BTreeMap<&Member, usize> {
-        let mut loads: BTreeMap<&Member, usize> = self.members.iter().map(|m| (m, 0)).collect();
+        let mut loads: BTreeMap<&Member, usize> = self.members.keys().map(|m| (m, 0)).collect();
         for shard in shards {
             if let Some(owner) = self.owners.get(shard)
                 && !owner.released
@@ -138,15 +163,19 @@
         loads
     }
 
-    /// Returns the shards without a live owner that `me` should claim.
-    pub fn to_claim(&self, me: &Member, shards: &BTreeSet<ShardId>) -> Vec<ShardId> {
+    /// Returns the shards without a live owner that `me` should claim. The member that gave a shard
+    /// up, which may be about to stop, comes last, and one that has just started later.
+    pub fn to_claim(&self, now: Instant, me: &Member, shards: &BTreeSet<ShardId>) -> Vec<ShardId> {
         let mut loads = self.loads(shards);
         let mut mine = Vec::new();
         for &shard in shards.iter().filter(|s| !self.is_owned(**s)) {
+            let left = self.owners.get(&shard).filter(|o| o.released);
+            let leaves = |m: &Member| left.is_some_and(|o| o.member == *m);
+            let load = |m: &Member, load: usize| load + usize::from(self.is_new(now, m)) * NEW_LOAD;
             let rank = |member: &Member| fnv1a(format!("{shard}/{}", member.vm).as_bytes());
             let best = loads
                 .iter()
-                .min_by_key(|(member, load)| (**load, rank(member)))
+                .min_by_key(|(m, owned)| (leaves(m), load(m, **owned), rank(m)))
                 .map(|(&member, _)| member);
             let Some(best) = best else {
                 break;
--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -158,7 +158,7 @@
         let (before, after): (Vec<Member>, Vec<Member>) = {
             let mut roster = self.parts.router.roster();
             let before = roster.members().cloned().collect();
-            roster.set_members(members);
+            roster.set_members(self.parts.clock.now(), members);
             (before, roster.members().cloned().collect())
         };
         if before != after {
@@ -263,7 +263,7 @@
             let unchanged = now.saturating_duration_since(*lock(&self.changed));
             let shards = self.parts.current.load().shards();
             let me = &self.parts.router.me;
-            let wanted = self.parts.router.roster().to_claim(me, &shards);
+            let wanted = self.parts.router.roster().to_claim(now, me, &shards);
             for shard in wanted {
                 let owned = self.parts.router.local().contains_key(&shard);
                 if !owned && lock(&self.claiming).insert(shard) {
--- a/crates/node/tests/test_election.rs
+++ b/crates/node/tests/test_election.rs
@@ -1,6 +1,8 @@
 //! Tests of who claims which shard.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
 
 use lavenderhollow_node::Member;
 use lavenderhollow_node::Ownership;
@@ -42,10 +44,10 @@
 fn every_shard_is_claimed_by_one_member_and_evenly() {
     let members: Vec<Member> = (0..4).map(|i| member(&format!("vm-{i}"), 1)).collect();
     let mut roster = Roster::default();
-    roster.set_members(members.clone());
+    roster.set_members(Instant::now(), members.clone());
     let claims: Vec<Vec<ShardId>> = members
         .iter()
-        .map(|m| roster.to_claim(m, &shards(8)))
+        .map(|m| roster.to_claim(Instant::now(), m, &shards(8)))
         .collect();
     assert!(claims.iter().all(|c| c.len() == 2), "{claims:?}");
     let all: BTreeSet<ShardId> = claims.into_iter().flatten().collect();
@@ -57,11 +59,14 @@
 fn a_restarted_process_replaces_its_earlier_run() {
     let (old, new) = (member("vm-1", 1), member("vm-1", 2));
     let mut roster = Roster::default();
-    roster.set_members([old.clone(), new.clone()]);
+    roster.set_members(Instant::now(), [old.clone(), new.clone()]);
     roster.announce(ShardId(0), owned(&old, 5));
-    assert_eq!(roster.to_claim(&new, &shards(1)), vec![ShardId(0)]);
+    assert_eq!(
+        roster.to_claim(Instant::now(), &new, &shards(1)),
+        vec![ShardId(0)]
+    );
     roster.announce(ShardId(0), owned(&new, 9));
-    assert_eq!(roster.to_claim(&new, &shards(1)), vec![]);
+    assert_eq!(roster.to_claim(Instant::now(), &new, &shards(1)), vec![]);
 }
 
 /// Guards against an announcement that arrives late and hides the present owner.
@@ -79,7 +84,7 @@
 fn only_a_clear_imbalance_moves_a_shard() {
     let (a, b) = (member("vm-a", 1), member("vm-b", 1));
     let mut roster = Roster::default();
-    roster.set_members([a.clone(), b.clone()]);
+    roster.set_members(Instant::now(), [a.clone(), b.clone()]);
     for shard in shards(3) {
         roster.announce(shard, owned(&a, 1));
     }
@@ -99,3 +104,49 @@
         assert!(!other.is_replaced_by(&me), "{other}");
     }
 }
+
+/// Guards against a shard that waits for the member that gave it up and is about to stop, and
+/// against one that nobody claims when there is no other.
+#[test]
+fn a_shard_that_was_given_up_goes_to_another_member() {
+    let (a, b) = (member("vm-a", 1), member("vm-b", 1));
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    roster.set_members(now, [a.clone(), b.clone()]);
+    for shard in 1..4 {
+        roster.announce(ShardId(shard), owned(&b, 1));
+    }
+    let mut left = owned(&a, 1);
+    left.released = true;
+    roster.announce(ShardId(0), left);
+    assert_eq!(roster.to_claim(now, &a, &shards(4)), vec![]);
+    assert_eq!(roster.to_claim(now, &b, &shards(4)), vec![ShardId(0)]);
+    roster.set_members(now, [a.clone()]);
+    assert_eq!(roster.to_claim(now, &a, &shards(1)), vec![ShardId(0)]);
+}
+
+/// Guards against a shard that waits for a member that has just started and claims nothing yet,
+/// against members that start together and all leave the shards to each other, and against one
+/// member that claims the shards of all that have started again.
+#[test]
+fn a_member_that_has_just_started_comes_later() {
+    let (a, b) = (member("vm-a", 1_000), member("vm-b", 60_000));
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    roster.set_members(now, [a.clone()]);
+    let later = now + Duration::from_secs(59);
+    roster.set_members(later, [a.clone(), b.clone()]);
+    assert_eq!(roster.to_claim(later, &b, &shards(1)), vec![]);
+    assert_eq!(roster.to_claim(later, &a, &shards(1)), vec![ShardId(0)]);
+    let of_many = roster.to_claim(later, &b, &shards(6)).len();
+    assert!((2..=3).contains(&of_many), "{of_many} of 6");
+    let settled = later + Duration::from_secs(2);
+    assert_eq!(roster.to_claim(settled, &b, &shards(6)).len(), 3);
+    let together = [member("vm-c", 1_000), member("vm-d", 1_200)];
+    let mut roster = Roster::default();
+    roster.set_members(now, together.clone());
+    let claimed = together
+        .iter()
+        .map(|m| roster.to_claim(now, m, &shards(2)).len());
+    assert_eq!(claimed.collect::<Vec<_>>(), [1, 1]);
+}
