share, demand: give refused jobs back to a team's share; state a job's need by resource

A job within its team's share that was refused for being too late counted against the share, so that the callers' retries could make the team one beyond it. a_refused_job_does_not_count_against_the_share fails without the return.

The need of a job is written with element-wise operations on resources, which the allotments use as well; the figures are the same.

--- a/crates/node/src/allotment.rs
+++ b/crates/node/src/allotment.rs
@@ -33,11 +33,7 @@
 
 impl Part {
     fn counted(&self) -> Resources {
-        Resources {
-            cpu: self.granted.cpu.max(self.in_force.cpu),
-            memory: self.granted.memory.max(self.in_force.memory),
-            gpu: self.granted.gpu.max(self.in_force.gpu),
-        }
+        self.granted.max(self.in_force)
     }
 }
 
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -389,8 +389,8 @@
         (names(vacant), names(needed))
     }
 
-    /// Stores that machines are about to be ordered. A successor leaves them alone for a while, and
-    /// an owner that has lost the shard learns it before it orders.
+    /// Stores that machines are about to be ordered, unless that is stored already. A successor
+    /// leaves them alone for a while, and an owner that has lost the shard learns it here.
     async fn record_orders(&mut self, machines: &[Name]) -> Result<(), Lost> {
         let now = self.parts.clock.now();
         match self.orders.add(now, machines) {
--- a/crates/shard/src/active.rs
+++ b/crates/shard/src/active.rs
@@ -226,34 +226,24 @@
     /// need what they hold.
     pub(crate) fn need(&self, now: Instant, shortest: Duration) -> Resources {
         let mut lasting = Resources::default();
-        let mut work = [0.0; 3];
-        let mut widest = [0.0f64; 3];
+        let (mut rate, mut widest) = (Resources::default(), Resources::default());
         if self.state.is_final() {
             return lasting;
         }
+        let left = self.due().saturating_duration_since(now).max(shortest);
         for steps in self.occurrences.values() {
             for (step, tasks) in self.job.steps.iter().zip(steps) {
-                let open = tasks.tasks.iter().filter(|t| !t.done).count() as u64;
-                let charge = step.charge();
-                let all = [charge.cpu, charge.memory, charge.gpu].map(|r| r.saturating_mul(open));
+                let open = tasks.tasks.iter().filter(|t| !t.done).count();
+                let all = step.charge().scaled(open as f64);
                 if step.lasting {
-                    let [cpu, memory, gpu] = all;
-                    lasting.add(Resources { cpu, memory, gpu });
-                    continue;
-                }
-                for ((work, widest), all) in work.iter_mut().zip(&mut widest).zip(all) {
-                    *work += all as f64 * step.estimate.as_secs_f64();
-                    *widest = widest.max(all as f64);
+                    lasting.add(all);
+                } else {
+                    rate.add(all.scaled(step.estimate.as_secs_f64() / left.as_secs_f64()));
+                    widest = widest.max(all);
                 }
             }
         }
-        let left = self.due().saturating_duration_since(now).max(shortest);
-        let rate = |i: usize| (work[i] / left.as_secs_f64()).min(widest[i]) as u64;
-        lasting.add(Resources {
-            cpu: rate(0),
-            memory: rate(1),
-            gpu: rate(2),
-        });
+        lasting.add(rate.min(widest));
         lasting
     }
 
--- a/crates/shard/src/job.rs
+++ b/crates/shard/src/job.rs
@@ -137,6 +137,26 @@
         }
     }
 
+    /// Returns the smaller amount of each resource.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.min(other.cpu),
+            memory: self.memory.min(other.memory),
+            gpu: self.gpu.min(other.gpu),
+        }
+    }
+
+    /// Returns the larger amount of each resource.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.max(other.cpu),
+            memory: self.memory.max(other.memory),
+            gpu: self.gpu.max(other.gpu),
+        }
+    }
+
     /// Tells whether `need` fits into what `used` leaves of these resources.
     pub fn fits(self, used: Self, need: Self) -> bool {
         used.cpu + need.cpu <= self.cpu
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -212,6 +212,9 @@
         let excess = job.team.as_ref();
         let excess = excess.and_then(|team| self.shares.take(at.now, team));
         if let Some(retry_after) = self.refuses(at.now, &job, excess) {
+            if let (Some(team), None) = (&job.team, excess) {
+                self.shares.give_back(team);
+            }
             let answer = Answer::Refused { retry_after };
             self.effects.push(Effect::Answer(ticket, answer));
             return;
--- a/crates/shard/src/share.rs
+++ b/crates/shard/src/share.rs
@@ -50,6 +50,14 @@
         let missing = (1.0 - bucket.jobs) / rate.max(1.0);
         Some(Duration::from_secs_f64(missing))
     }
+
+    /// Gives a job back that was refused, so that a team that tries again is not beyond its share
+    /// for that alone.
+    pub(crate) fn give_back(&mut self, team: &Name) {
+        if let Some(bucket) = self.buckets.get_mut(team) {
+            bucket.jobs += 1.0;
+        }
+    }
 }
 
 impl Shard {
--- a/crates/shard/tests/test_admission.rs
+++ b/crates/shard/tests/test_admission.rs
@@ -181,3 +181,36 @@
     let calm = next.iter().filter(|(_, o)| o.run.task.job == JobId(8));
     assert_eq!((next.len(), calm.count()), (8, 4));
 }
+
+/// Guards against a team that is taken for one beyond its share because its jobs were refused and
+/// came again.
+#[test]
+fn a_refused_job_does_not_count_against_the_share() {
+    let mut bed = Bed::new(&["w1"]);
+    bed.contact(&["w1"]);
+    let team = Name::from("team");
+    let unlimited = [(team.clone(), Resources::default())];
+    bed.shard.set_limits(&unlimited.into_iter().collect());
+    bed.shard
+        .set_shares([(team.clone(), 3)].into_iter().collect());
+    let of_team = |id, tasks| {
+        let mut job = job(id, vec![step(tasks, &[])]);
+        job.team = Some(team.clone());
+        job
+    };
+    bed.submit(of_team(1, 4));
+    bed.submit(of_team(2, 400));
+    bed.tick();
+    assert_eq!(starts(&bed.store()).len(), 4, "the pool is full");
+    bed.shard.take_notes();
+    for id in 3..9 {
+        bed.submit(of_team(id, 4));
+    }
+    let notes = bed.shard.take_notes();
+    let refused = notes.iter().filter(|n| n.event == "job_refused");
+    assert_eq!(refused.count(), 6);
+    assert!(
+        notes.iter().all(|n| n.detail.contains("cause=too_late")),
+        "{notes:?}"
+    );
+}
