--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -35,8 +35,8 @@
 /// How often the process tells the store that it lives; several times in [`MEMBER_TTL`].
 const JOIN_EVERY: Duration = Duration::from_millis(400);
 
-/// How often a process that has just started does so, until it may claim shards: it learns of other
-/// new members with the answer.
+/// How often a process that has just become a member does so, until it may claim shards: it learns
+/// of other new members with the answer.
 const FIRST_JOINS_EVERY: Duration = Duration::from_millis(100);
 
 /// After what silence a member counts as gone. A pause of this length moves its shards.
@@ -139,7 +139,8 @@
                     refreshed = None;
                 }
             }
-            let first = !self.is_settled(self.parts.clock.now());
+            let joined = lock(&self.joined).is_some();
+            let first = joined && !self.is_settled(self.parts.clock.now());
             let pause = if first { FIRST_JOINS_EVERY } else { JOIN_EVERY };
             tokio::time::sleep(pause).await;
         }
