balance, fleet: give up lost orders of reborn workers; check the shard before repeated orders

Found by reading. A move whose order was lost stayed on its way for ever when another worker began to live on the machine, since the owner of its pool agrees to a repeated order only for the worker that it was asked for. The machine was not moved again. a_lost_order_is_given_up_when_another_worker_lives_on_the_machine fails without the check.

An order for a machine that the stored set covers was given without an append, which is how an owner learns that it has lost the shard; it now asks the store first.

--- a/crates/node/src/balance.rs
+++ b/crates/node/src/balance.rs
@@ -157,7 +157,12 @@
                     ended.push((Arc::clone(&trip.from), Arc::clone(worker)));
                 }
             }
-            !trip.confirmed || now.saturating_duration_since(trip.since) < limit
+            // The worker's owner agrees to a repeated order only while it lives.
+            let reborn = machine.state == MachineState::Up && machine.worker != trip.worker;
+            match trip.confirmed {
+                true => now.saturating_duration_since(trip.since) < limit,
+                false => !reborn,
+            }
         });
         self.refused.retain(|_, until| *until > now);
         ended
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -266,15 +266,9 @@
     /// Confirms the ownership, moves the waves on and balances the pools.
     async fn work(&mut self) -> Result<(), Lost> {
         let now = self.parts.clock.now();
-        if now.saturating_duration_since(self.confirmed) > CONFIRM_EVERY {
-            match self.appender.confirm().await {
-                Ok(()) => self.confirmed = now,
-                Err(StoreError::Moved { .. }) => return Err(Lost),
-                Err(error) => {
-                    log::warn!(error:display; "fleet_confirm_failed");
-                    return Ok(());
-                }
-            }
+        let due = now.saturating_duration_since(self.confirmed) > CONFIRM_EVERY;
+        if due && !self.confirm().await? {
+            return Ok(());
         }
         let Some(machines) = self.parts.platform.machines.clone() else {
             return Ok(());
@@ -395,7 +389,23 @@
         let now = self.parts.clock.now();
         match self.orders.add(now, machines) {
             Some(recent) => self.store(ORDERED_KEY.to_owned(), &recent).await,
-            None => Ok(()),
+            None => self.confirm().await.map(|_| ()),
+        }
+    }
+
+    /// Checks that the shard is still this owner's; false when the store does not tell.
+    async fn confirm(&mut self) -> Result<bool, Lost> {
+        let now = self.parts.clock.now();
+        match self.appender.confirm().await {
+            Ok(()) => {
+                self.confirmed = now;
+                Ok(true)
+            }
+            Err(StoreError::Moved { .. }) => Err(Lost),
+            Err(error) => {
+                log::warn!(error:display; "fleet_confirm_failed");
+                Ok(false)
+            }
         }
     }
 
--- a/crates/node/tests/test_balance.rs
+++ b/crates/node/tests/test_balance.rs
@@ -249,3 +249,24 @@
     fleet.balance.rule_out(&"s1".into());
     assert_eq!(fleet.plan(), Vec::<String>::new());
 }
+
+/// Guards against a machine that counts as on its way for ever because the order to move it was lost
+/// and its worker has begun a new life under another id.
+#[test]
+fn a_lost_order_is_given_up_when_another_worker_lives_on_the_machine() {
+    let mut fleet = Fleet::new();
+    fleet.arrive("s1", "b");
+    fleet.need("b", 0, LONG);
+    fleet.need("a", 5, Duration::ZERO);
+    fleet.order();
+    fleet.balance.take_list(fleet.now, &fleet.list);
+    assert!(
+        fleet.balance.is_moving("s1"),
+        "the order may still be carried out"
+    );
+    for m in fleet.list.iter_mut().filter(|m| &*m.name == "s1") {
+        m.worker = Some("reborn".into());
+    }
+    fleet.balance.take_list(fleet.now, &fleet.list);
+    assert!(!fleet.balance.is_moving("s1"));
+}
