shard: look at a reborn worker before its inherited runs count as over

An owner ordered a start without an answer, the worker began a new life under the same id, and the owner died. The successor took the run for over, because the worker's life had ended, and started the task elsewhere. It was done there, and then the late order was carried out by the new life, which had seen no token yet. The same owner bars such an order with a stop; the successor did not.

Runs on workers that this owner has not looked at stay inherited across a new life. The first look carries the new token, after which earlier orders are refused, and shows what runs. a_late_order_of_an_earlier_owner_is_fenced_before_the_task_starts_elsewhere failed before the change and passes with it.

--- a/crates/shard/src/looks.rs
+++ b/crates/shard/src/looks.rs
@@ -398,9 +398,10 @@
                     let key = (Arc::clone(name), id);
                     self.stops.insert(key, Default::default());
                 }
-                Phase::Recorded | Phase::Running { .. } | Phase::Inherited => {
-                    self.end_run(id);
-                }
+                // An order of an earlier owner may be carried out by the new life until it has seen
+                // this owner's token.
+                Phase::Inherited => run.born = born,
+                Phase::Recorded | Phase::Running { .. } => self.end_run(id),
             }
         }
     }
@@ -440,19 +441,17 @@
         let all = self.jobs.keys().flat_map(|&job| self.runs_of(job));
         let all: Vec<RunId> = all.collect();
         for id in all {
-            let Some(run) = self.run(id).filter(|r| r.worker == *name) else {
+            let charge = self.charge_of(id.task);
+            let Some(run) = self.run_mut(id).filter(|r| r.worker == *name) else {
                 continue;
             };
-            let ended = run.born < born;
-            let charge = self.charge_of(id.task);
+            // In a new life of the worker as well, the first look tells whether it runs.
+            run.born = run.born.max(born);
             if let Some(worker) = self.workers.get_mut(name)
                 && worker.runs.insert(id)
             {
                 worker.used.add(charge);
             }
-            if ended {
-                self.end_run(id);
-            }
         }
     }
 
--- a/crates/shard/tests/test_world.rs
+++ b/crates/shard/tests/test_world.rs
@@ -88,6 +88,37 @@
     world.settle();
 }
 
+/// Guards against a task that starts again after it was done: the order of an owner that died was
+/// carried out by a new life of its worker, which the successor took for empty before it had looked
+/// at it. Found with WORLD_SEED=189353.
+#[test]
+fn a_late_order_of_an_earlier_owner_is_fenced_before_the_task_starts_elsewhere() {
+    let mut world = World::new(WORKERS);
+    for op in [
+        Op::Fault(Fault::StoreDown(100)),
+        Op::Submit(1, 3),
+        Op::Wait(1),
+        Op::Submit(1, 3),
+        Op::Wait(41),
+        Op::Fault(Fault::Cut(0, 93)),
+        Op::Fault(Fault::Cut(2, 53)),
+        Op::Submit(4, 1),
+        Op::Submit(3, 1),
+        Op::Wait(84),
+        Op::Fault(Fault::Fails(0, 10)),
+        Op::Fault(Fault::Late(2, 10)),
+        Op::Submit(2, 1),
+        Op::Fault(Fault::Reborn(2)),
+        Op::Fault(Fault::Cut(2, 86)),
+        Op::Fault(Fault::OwnerDies(23)),
+        Op::Wait(15),
+        Op::Wait(50),
+    ] {
+        world.apply(op);
+    }
+    world.settle();
+}
+
 /// Guards against every broken rule that the world checks.
 #[test]
 fn the_rules_hold_under_faults() {
