upkeep: count the tasks of a step that are away in one place

The budget of a step was counted twice, once for an upkeep and once for moving a task away, by two walks from a task to its step's runs. Shard::worker_names was called by nobody. Behaviour is the same.

--- a/crates/shard/src/upkeep.rs
+++ b/crates/shard/src/upkeep.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use crate::active::Phase;
+use crate::active::Run;
 use crate::advice::StepId;
 use crate::job::Name;
 use crate::job::TaskId;
@@ -140,52 +141,35 @@
 
     /// Tells whether the budget of a task's step allows one more task to be away.
     fn has_budget(&self, id: TaskId) -> bool {
-        let Some(job) = self.jobs.get(&id.job) else {
-            return false;
-        };
-        let Some(step) = job.job.steps.get(usize::from(id.step)) else {
-            return false;
-        };
-        let steps = job.occurrences.get(&id.occurrence);
-        let Some(tasks) = steps.and_then(|s| s.get(usize::from(id.step))) else {
-            return false;
-        };
-        let at_work = |t: &&crate::active::Task| t.runs.iter().any(|r| self.is_at_work(r));
-        let away = tasks.tasks.iter().filter(|t| !at_work(t)).count();
-        away < step.may_miss as usize
+        let away = self.away(id, None);
+        away.is_some_and(|(missing, budget)| missing < budget)
     }
 
     /// Returns a lasting task on a worker that may not be ended by an order, because with it more
     /// tasks of its step would be away than the budget allows, and how many that would be.
     fn over_budget(&self, name: &Name, runs: &[RunId]) -> Option<(TaskId, usize)> {
         runs.iter().find_map(|id| {
-            let job = self.jobs.get(&id.task.job)?;
-            let step = job.job.steps.get(usize::from(id.task.step))?;
-            if step.may_miss == 0 {
-                return None;
-            }
-            let steps = job.occurrences.get(&id.task.occurrence);
-            let tasks = steps.and_then(|s| s.get(usize::from(id.task.step)))?;
-            let kept = |t: &crate::active::Task| {
-                t.runs
-                    .iter()
-                    .any(|r| self.is_at_work(r) && r.worker != *name)
-            };
-            let missing = tasks.tasks.iter().filter(|t| !kept(t)).count();
-            (missing > step.may_miss as usize).then_some((id.task, missing))
+            let (missing, budget) = self.away(id.task, Some(name))?;
+            (budget > 0 && missing > budget).then_some((id.task, missing))
         })
     }
 
-    fn is_at_work(&self, run: &crate::active::Run) -> bool {
+    /// Returns how many tasks of a task's step would be away without a worker, and how many may be.
+    fn away(&self, id: TaskId, without: Option<&Name>) -> Option<(usize, usize)> {
+        let job = self.jobs.get(&id.job)?;
+        let step = job.job.steps.get(usize::from(id.step))?;
+        let steps = job.occurrences.get(&id.occurrence)?;
+        let tasks = &steps.get(usize::from(id.step))?.tasks;
+        let kept = |r: &Run| self.is_at_work(r) && Some(&r.worker) != without;
+        let missing = tasks.iter().filter(|t| !t.runs.iter().any(kept));
+        Some((missing.count(), step.may_miss as usize))
+    }
+
+    fn is_at_work(&self, run: &Run) -> bool {
         let worker = self.workers.get(&run.worker);
         matches!(run.phase, Phase::Running { .. })
             && run.percent >= 100
             && !run.unwanted
             && worker.is_some_and(|w| w.reachable && w.listed && !w.released && !w.listing.draining)
     }
-
-    /// Returns the ids of the workers of this shard.
-    pub fn worker_names(&self) -> Vec<Name> {
-        self.workers.keys().map(Arc::clone).collect()
-    }
 }
