balance: keep the planned move in the trip

A trip repeated the fields of the move that it carries out, and the move was put together again for each repeated order. Behaviour is the same.

--- a/crates/node/src/balance.rs
+++ b/crates/node/src/balance.rs
@@ -42,9 +42,7 @@
 /// A machine on its way.
 #[derive(Clone, Debug)]
 struct Trip {
-    to: Name,
-    worker: Option<Name>,
-    from: Name,
+    planned: PlannedMove,
     since: Instant,
     confirmed: bool,
     /// Whether the owner of the pool that it left was told that its worker's life has ended.
@@ -149,16 +147,16 @@
             let Some(machine) = by_name.get(name) else {
                 return false;
             };
-            if machine.pool == trip.to {
+            if machine.pool == trip.planned.to {
                 trip.confirmed = true;
-                if let Some(worker) = &trip.worker
+                if let Some(worker) = &trip.planned.worker
                     && !std::mem::replace(&mut trip.told, true)
                 {
-                    ended.push((Arc::clone(&trip.from), Arc::clone(worker)));
+                    ended.push((Arc::clone(&trip.planned.from), Arc::clone(worker)));
                 }
             }
             // The worker's owner agrees to a repeated order only while it lives.
-            let reborn = machine.state == MachineState::Up && machine.worker != trip.worker;
+            let reborn = machine.state == MachineState::Up && machine.worker != trip.planned.worker;
             match trip.confirmed {
                 true => now.saturating_duration_since(trip.since) < limit,
                 false => !reborn,
@@ -171,13 +169,7 @@
     /// Returns the moves whose order had no answer, to be ordered again.
     pub fn unconfirmed(&self) -> Vec<PlannedMove> {
         let open = self.trips.iter().filter(|(_, trip)| !trip.confirmed);
-        open.map(|(name, trip)| PlannedMove {
-            machine: Arc::clone(name),
-            from: Arc::clone(&trip.from),
-            to: Arc::clone(&trip.to),
-            worker: trip.worker.clone(),
-        })
-        .collect()
+        open.map(|(_, trip)| trip.planned.clone()).collect()
     }
 
     /// Plans moves. `standby` are the pools whose machines are off, `kept` the machines that stay
@@ -254,7 +246,7 @@
             .collect();
         for machine in list {
             if let Some(trip) = self.trips.get(&machine.name) {
-                if let Some(pool) = pools.get_mut(&trip.to) {
+                if let Some(pool) = pools.get_mut(&trip.planned.to) {
                     pool.offered.add(machine.capacity);
                 }
             } else if let Some(pool) = pools.get_mut(&machine.pool) {
@@ -313,9 +305,7 @@
     /// Notes that a move is being ordered.
     pub fn order(&mut self, now: Instant, planned: &PlannedMove) {
         let trip = Trip {
-            to: Arc::clone(&planned.to),
-            worker: planned.worker.clone(),
-            from: Arc::clone(&planned.from),
+            planned: planned.clone(),
             since: now,
             confirmed: false,
             told: false,
@@ -343,7 +333,8 @@
     /// Notes that a pool does not take the machine.
     pub fn rule_out(&mut self, machine: &Name) {
         if let Some(trip) = self.trips.remove(machine) {
-            self.impossible.insert((Arc::clone(machine), trip.to));
+            self.impossible
+                .insert((Arc::clone(machine), trip.planned.to));
         }
     }
 
