--- a/crates/shard/tests/support/world.rs
+++ b/crates/shard/tests/support/world.rs
@@ -98,6 +98,26 @@
     fails: u32,
 }
 
+impl Machine {
+    /// Creates a worker that has run nothing and seen no token.
+    fn new(id: Name, born: u64, start: Instant) -> Self {
+        Self {
+            id,
+            born,
+            clock_start: start,
+            fence: 0,
+            deadline: 0,
+            running: Vec::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            highest: BTreeMap::new(),
+            cut: 0,
+            late: 0,
+            fails: 0,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Call {
     Start(StartOrder),
@@ -155,20 +175,7 @@
 impl World {
     pub(crate) fn new(workers: usize) -> Self {
         let start = Instant::now();
-        let machines = (0..workers).map(|i| Machine {
-            id: format!("w{i}").into(),
-            born: 1,
-            clock_start: start,
-            fence: 0,
-            deadline: 0,
-            running: Vec::new(),
-            ended: Vec::new(),
-            next_end: 1,
-            highest: BTreeMap::new(),
-            cut: 0,
-            late: 0,
-            fails: 0,
-        });
+        let machines = (0..workers).map(|i| Machine::new(format!("w{i}").into(), 1, start));
         let mut world = Self {
             ticks: 0,
             start,
@@ -285,15 +292,10 @@
                 let index = usize::from(w) % count;
                 self.calls.retain(|c| c.worker != index);
                 *machine = Machine {
-                    born,
-                    clock_start: now,
-                    fence: 0,
-                    deadline: 0,
-                    running: Vec::new(),
-                    ended: Vec::new(),
-                    next_end: 1,
-                    highest: BTreeMap::new(),
-                    ..machine.clone()
+                    cut: machine.cut,
+                    late: machine.late,
+                    fails: machine.fails,
+                    ..Machine::new(machine.id.clone(), born, now)
                 };
                 let now = self.at().now;
                 let owner = self.owner;
