testing: raise the group's generation when partitions change hands

The stand-in of the store raised a group's generation only when members came or went. A process reads the members again when the generation rises, so that of three processes that started together each saw only the first, for good; found by the new `status`. The fault was the stand-in's; the tests with two processes never needed the second as a member. Ruled out: reading the members on a timer, which the store charges for.

processes_that_start_together_see_each_other fails without the change (30 s, members 1) and passes with it.

--- a/crates/testing/src/prepared/log.rs
+++ b/crates/testing/src/prepared/log.rs
@@ -211,7 +211,8 @@
     }
 
     /// Deals the partitions evenly. One that a live member holds moves only once that member has
-    /// joined with this generation.
+    /// joined with this generation, and the generation rises when it moves, as it does on the
+    /// platform.
     fn deal(&mut self) {
         let names: Vec<&String> = self.members.keys().collect();
         if names.is_empty() {
@@ -233,6 +234,10 @@
             });
             dealt.insert(place, keeps.unwrap_or(next).clone());
         }
+        let moved = |(place, holder)| dealt.get(place).is_some_and(|next| next != holder);
+        if self.parts.iter().any(moved) {
+            self.generation += 1;
+        }
         self.parts = dealt;
     }
 }
