balance: see a peak by what arrives, and lend what idles

Cause, from a line a plan with what each pool needs, holds and has idle: (1) the first machine was ordered 0.9 s after a peak had begun, since need was measured by the work that waits; (2) while one pool lacked two thirds of its need, the others had 30 machines with a tenth of their cores in use and none idle, since lasting tasks were placed where most room was, one on nearly every worker; (3) a pool whose peak was ending kept idle machines, or sent them home, because a backlog of late work counted as its need; (4) pools that did have idle machines kept three quarters.

Now a pool needs at least twice the rate at which work arrived in the last 0.6 s; the lasting tasks of several steps share workers, those of one step stay spread; a pool lends idle workers beyond what runs and arrives, whatever waits; pools keep half of their own.

Ruled out by the same lines: a lack of machines in all (1,536 cores for peaks of 550 to 690).

--- a/crates/node/src/balance.rs
+++ b/crates/node/src/balance.rs
@@ -29,8 +29,8 @@
 const RETURN_AFTER: Duration = Duration::from_millis(1_200);
 
 /// The share of its own machines that a pool keeps when it lends; its next peak begins before they
-/// are back.
-const KEPT_SHARE: f64 = 0.75;
+/// are back. Lasting tasks run on about half of a calm pool's workers, so that more are seldom idle.
+const KEPT_SHARE: f64 = 0.5;
 
 /// The time after the arrival of a machine in which its worker reports for duty, and in which it
 /// counts as on its way.
@@ -67,6 +67,7 @@
 struct PoolState {
     offered: Resources,
     needed: Resources,
+    kept: Resources,
     idle: BTreeMap<Name, Duration>,
     /// Machines that are up, or return to it after an upkeep.
     present: usize,
@@ -94,10 +95,10 @@
             || lacks(self.needed.memory, self.offered.memory, machine.memory)
     }
 
-    /// Tells whether the pool does without a machine.
+    /// Tells whether the pool does without a machine, even if it lacks capacity itself.
     fn spares(&self, machine: Resources) -> bool {
-        self.needed.cpu + machine.cpu <= self.offered.cpu
-            && self.needed.memory + machine.memory <= self.offered.memory
+        self.kept.cpu + machine.cpu <= self.offered.cpu
+            && self.kept.memory + machine.memory <= self.offered.memory
     }
 }
 
@@ -238,6 +239,7 @@
                 let pool = PoolState {
                     offered: demand.offered,
                     needed: demand.needed,
+                    kept: demand.kept,
                     idle: demand.idle.iter().cloned().collect(),
                     ..PoolState::default()
                 };
--- a/crates/shard/src/demand.rs
+++ b/crates/shard/src/demand.rs
@@ -23,6 +23,10 @@
 /// their way, and tasks do not fill workers to the brim.
 const HEADROOM: f64 = 2.5;
 
+/// How much more than what arrives a pool should offer: a peak doubles its rate within some
+/// seconds, and jobs take more than their estimates.
+const GROWTH: f64 = 2.0;
+
 /// What a pool needs and has.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PoolDemand {
@@ -30,6 +34,9 @@
     pub offered: Resources,
     /// What would do the work ahead in time, lasting tasks included.
     pub needed: Resources,
+    /// What runs, and at least what would do the work as fast as it comes. The pool does without the
+    /// rest, however much waits: it would run on an idle worker if it could.
+    pub kept: Resources,
     /// The workers on which nothing runs, and for how long.
     pub idle: Vec<(Name, Duration)>,
 }
@@ -50,19 +57,27 @@
                 continue;
             }
             demand.offered.add(worker.listing.capacity);
+            demand.kept.add(worker.used);
             if worker.runs.is_empty() {
                 let idle = now.saturating_duration_since(worker.busy_at);
                 demand.idle.push((Name::clone(name), idle));
             }
         }
+        let mut lasting = Resources::default();
+        let mut waiting = Resources::default();
         let jobs = self.open.iter().filter_map(|id| self.jobs.get(id));
         for job in jobs.filter(|j| &*j.job.queue.pool == pool && j.class(now).is_owed()) {
-            let mut need = job.need(now, SHORTEST);
-            if !job.job.is_lasting() {
-                need = need.scaled(HEADROOM);
+            match job.job.is_lasting() {
+                true => lasting.add(job.need(now, SHORTEST)),
+                false => waiting.add(job.need(now, SHORTEST)),
             }
-            demand.needed.add(need);
         }
+        let arriving = self.arrivals.rate(now, pool).scaled(GROWTH);
+        demand.needed = waiting.scaled(HEADROOM).max(arriving);
+        let mut least = arriving;
+        least.add(lasting);
+        demand.kept = demand.kept.max(least);
+        demand.needed.add(lasting);
         demand
     }
 
--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Which tasks start next, and where.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -301,14 +302,27 @@
             let placed = siblings.get(*name).copied().unwrap_or(0);
             let apart = step.may_miss == 0 || placed < step.may_miss;
             let free = w.listing.capacity.cpu.saturating_sub(w.used.cpu);
-            // Short tasks fill the fullest worker first, so that others become idle and can be moved
-            // to pools that need them, and wide tasks find room.
-            let order = if step.lasting { free } else { u64::MAX - free };
+            // Workers become idle, and can be moved to pools that need them, when short tasks fill
+            // the fullest worker first, and the lasting tasks of several steps share workers. Those
+            // of one step are spread, since a worker may be lost.
+            let order = match step.lasting {
+                true => (Reverse(placed), self.runs_lasting(w), free),
+                false => (Reverse(0), false, u64::MAX - free),
+            };
             (near, together, apart, fresh, order)
         });
         best.map(|(name, _)| Arc::clone(name))
     }
 
+    /// Tells whether a lasting task runs on a worker.
+    fn runs_lasting(&self, worker: &Worker) -> bool {
+        let jobs = worker
+            .runs
+            .iter()
+            .filter_map(|r| self.jobs.get(&r.task.job));
+        jobs.into_iter().any(|job| job.job.is_lasting())
+    }
+
     /// Tells whether another worker has room for a task now.
     pub(crate) fn has_place(&self, now: Instant, id: TaskId) -> bool {
         let job = self.jobs.get(&id.job).map(|j| Arc::clone(&j.job));
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -4,6 +4,7 @@
 mod active;
 mod admission;
 mod advice;
+mod arrivals;
 mod demand;
 mod dispatch;
 mod interference;
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -17,6 +17,7 @@
 use crate::active::Phase;
 use crate::advice::StepId;
 use crate::advice::Tickets;
+use crate::arrivals::Arrivals;
 use crate::job::Job;
 use crate::job::JobId;
 use crate::job::JobState;
@@ -154,6 +155,7 @@
     pub(crate) ended_lives: BTreeMap<Name, u64>,
     pub(crate) teams: BTreeMap<Name, TeamUse>,
     pub(crate) shares: Shares,
+    pub(crate) arrivals: Arrivals,
     /// The tickets of the steps of queues that ask a policy service.
     pub(crate) tickets: BTreeMap<StepId, Tickets>,
     pub(crate) stops: BTreeMap<(Name, RunId), PendingStop>,
@@ -183,6 +185,7 @@
             ended_lives: BTreeMap::new(),
             teams: BTreeMap::new(),
             shares: Shares::default(),
+            arrivals: Arrivals::default(),
             tickets: BTreeMap::new(),
             stops: BTreeMap::new(),
             deposed: false,
@@ -232,6 +235,9 @@
                 active.objective.as_millis()
             )
         });
+        if !active.excess {
+            self.arrivals.add(at.now, &active.job);
+        }
         self.jobs.insert(id, active);
         self.open.insert(id);
         self.mark(id);
@@ -247,6 +253,7 @@
             return;
         };
         if !job.state.is_final() {
+            self.arrivals.remove(id);
             self.finish(at, id, JobState::Cancelled);
         }
         self.next
