recent_orders: store how long ago each machine was ordered

Cause: a new owner of the fleet shard left every machine that an earlier one had ordered alone for lease_ms after its own claim.

The stored set now has the time since the last order of each machine, counted from its answer and refreshed with each confirmation of the shard and at a handover. The successor waits for the rest of lease_ms, counted from its claim, which is later than the storing; no clock is compared. A machine that is stored with an age is stored anew before it is ordered. An unreadable set closes all machines for lease_ms. Ruled out: wall-clock times in the record, since clocks are stepped, and the births of workers, which do not show an order that is still to be carried out.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -38,6 +38,7 @@
 use crate::message::Reply;
 use crate::message::ShardUse;
 use crate::recent_orders::RecentOrders;
+use crate::recent_orders::StoredOrders;
 use crate::router::LocalRequest;
 use crate::router::Router;
 use crate::shard_id::ShardId;
@@ -64,7 +65,7 @@
 const WAVE_KEY: &str = "w";
 
 /// The key of the machines that were ordered lately.
-const ORDERED_KEY: &str = "ordered";
+const ORDERED_KEY: &str = "orders";
 
 /// The key of the switches of automatic actions.
 const AUTOMATIC_KEY: &str = "switches";
@@ -145,7 +146,10 @@
         let pause = (last_work + every).saturating_duration_since(fleet.parts.clock.now());
         let result = tokio::select! {
             Some(request) = requests.recv() => match request {
-                LocalRequest::Release(done) => break Some(done),
+                LocalRequest::Release(done) => {
+                    fleet.store_ages().await;
+                    break Some(done);
+                }
                 LocalRequest::Ask(question, answer) => fleet.answer(question, answer).await,
             },
             Some(list) = waves.recv() => {
@@ -185,9 +189,12 @@
                 Err(error) => log::error!(key, error:display; "record_unreadable"),
             }
         } else if key == ORDERED_KEY {
-            match postcard::from_bytes::<BTreeSet<Name>>(value) {
-                Ok(machines) => self.orders.inherit(self.since, machines),
-                Err(error) => log::error!(key, error:display; "record_unreadable"),
+            match postcard::from_bytes::<StoredOrders>(value) {
+                Ok(stored) => self.orders.inherit(self.since, &stored),
+                Err(error) => {
+                    self.orders.inherit_unknown(self.since);
+                    log::error!(key, error:display; "record_unreadable");
+                }
             }
         } else if key == AUTOMATIC_KEY {
             match postcard::from_bytes::<Automatic>(value) {
@@ -314,7 +321,7 @@
     async fn work(&mut self) -> Result<(), Lost> {
         let now = self.parts.clock.now();
         let due = now.saturating_duration_since(self.confirmed) > CONFIRM_EVERY;
-        if due && !self.confirm().await? {
+        if due && !self.confirm_with_ages().await? {
             return Ok(());
         }
         let Some(machines) = self.parts.platform.machines.clone() else {
@@ -443,6 +450,28 @@
         }
     }
 
+    /// Stores the present ages of the orders, since no further ones follow from this owner.
+    async fn store_ages(&mut self) {
+        if let Some(recent) = self.orders.refresh(self.parts.clock.now())
+            && self.store(ORDERED_KEY.to_owned(), &recent).await.is_err()
+        {
+            // The successor goes by the ages that were stored before.
+            log::info!(token = self.token; "order_ages_not_stored");
+        }
+    }
+
+    /// Checks that the shard is still this owner's, with the present ages of the orders if there are
+    /// any; false when the store does not tell.
+    async fn confirm_with_ages(&mut self) -> Result<bool, Lost> {
+        if !self.confirm().await? {
+            return Ok(false);
+        }
+        if let Some(recent) = self.orders.refresh(self.parts.clock.now()) {
+            self.store(ORDERED_KEY.to_owned(), &recent).await?;
+        }
+        Ok(true)
+    }
+
     /// Checks that the shard is still this owner's; false when the store does not tell.
     async fn confirm(&mut self) -> Result<bool, Lost> {
         let now = self.parts.clock.now();
@@ -480,6 +509,7 @@
             run.order(now, name, worker);
         }
         let answer = machines.upkeep(&holder, name, number).await;
+        self.orders.ordered(self.parts.clock.now(), name);
         log::info!(wave = number, machine = &**name, token = self.token, answer:display; "upkeep_ordered");
         let Some(run) = self.runs.get_mut(&number) else {
             return Ok(());
--- a/crates/node/src/fleet/moves.rs
+++ b/crates/node/src/fleet/moves.rs
@@ -41,6 +41,9 @@
         for (pool, worker) in self.balance.take_list(now, list) {
             self.tell_ended(&pool, worker);
         }
+        if self.orders.is_closed(now) {
+            return Ok(());
+        }
         let mut moves = self.balance.unconfirmed();
         if self.automatic.allows(Action::Moves) {
             moves.extend(self.planned_moves(now, list));
@@ -132,6 +135,7 @@
         let name = &planned.machine;
         self.balance.order(self.parts.clock.now(), planned);
         let answer = machines.move_to(&self.holder(), name, &planned.to).await;
+        self.orders.ordered(self.parts.clock.now(), name);
         metrics::counter!("machine_moves_total", "outcome" => answer.to_string()).increment(1);
         log::info!(
             machine = &**name, from = &*planned.from, to = &*planned.to, token = self.token,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -59,6 +59,7 @@
 pub use node::NodeSettings;
 pub use operators::Switch;
 pub use recent_orders::RecentOrders;
+pub use recent_orders::StoredOrders;
 pub use router::AskFailure;
 pub use router::Router;
 pub use shard_id::ShardId;
