dispatch: serve jobs that are further along first, then the shortest chain

Cause: in a pool with more work than it can do, jobs that could still be done in time were served in the order in which they are due. Each got its cores at the last moment, and with run times off by a factor of two most missed it.

Seen failing with the earlier order: a_job_that_is_further_along_goes_first, of_two_jobs_that_have_not_begun_the_shorter_goes_first.

--- a/crates/shard/src/active.rs
+++ b/crates/shard/src/active.rs
@@ -14,6 +14,19 @@
 use crate::stored::StoredRun;
 use crate::stored::StoredTask;
 
+/// The place of a job in the queue; lower goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    class: Class,
+    /// The queue's priority; zero is the most urgent.
+    priority: u32,
+    /// The work that is left, in tenths of the job's work.
+    tenths_left: u64,
+    /// The longest chain of steps that are not done.
+    chain_left: Duration,
+    due: Instant,
+}
+
 /// A job is late after its objective and worth nothing after this many times its objective.
 pub(crate) const WORTHLESS_AFTER: u32 = 3;
 
@@ -286,6 +299,20 @@
         }
     }
 
+    /// Returns the place in the queue; lower goes first. Within a class and priority a job that is
+    /// further along goes first, then the one with the shortest chain left. By the time at which they
+    /// are due, jobs of an overloaded pool would all be served at the last moment and miss it.
+    pub(crate) fn rank(&self, now: Instant) -> Rank {
+        let (all, left) = (self.job.work().max(1), self.work_left());
+        Rank {
+            class: self.class(now),
+            priority: self.job.queue.priority,
+            tenths_left: (left.saturating_mul(10)).div_ceil(all),
+            chain_left: self.chain_left(),
+            due: self.due(),
+        }
+    }
+
     /// Returns what is stored of the progress.
     pub(crate) fn progress(&self) -> Progress {
         // Of a final job only the runs that may be under way matter: they have to be stopped and
--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -63,12 +63,12 @@
         for &id in &self.open {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.open_due(at.unix);
-                order.push((job.class(at.now), job.job.queue.priority, job.due(), id));
+                order.push((job.rank(at.now), id));
             }
         }
         order.sort_unstable();
         let mut pass = Pass::default();
-        for (_, _, _, id) in order {
+        for (_, id) in order {
             self.dispatch_job(at, id, &mut pass);
         }
     }
--- a/crates/shard/tests/runner.rs
+++ b/crates/shard/tests/runner.rs
@@ -5,6 +5,7 @@
 mod test_job;
 mod test_kinds;
 mod test_lease;
+mod test_overload;
 mod test_shard;
 mod test_vacancy;
 mod test_world;
