upkeep: check the budget again before a machine goes down

While a wave is at its bound the next machine is released and waits for its turn; when a task elsewhere was lost meanwhile, its upkeep ended one too many. Now each answer checks the budget and takes the release back.

Two further ways to the same, found by reading and closed: an order that was repeated because it had no answer did not ask the pool's owner again, which may have placed tasks there; and an order that was delayed by the store's answer was still given seconds after the agreement. Repeated upkeeps ask first, and an agreement holds for one second, for moves as well.

a_released_worker_is_kept_when_another_task_of_its_step_is_lost fails without the check.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -55,6 +55,11 @@
 /// The time for a question to the owner of a machine's pool.
 const VACATE_LIMIT: Duration = Duration::from_millis(500);
 
+/// For how long the answer that a machine may go down or leave holds. Its owner places nothing there
+/// for four seconds, and another owner may have followed it; a task that is lost in the meantime
+/// does not count as away within this time.
+pub(crate) const VACANCY_LIFE: Duration = Duration::from_secs(1);
+
 /// The time for telling the owner of a pool that a worker's runs are over.
 const ENDED_LIMIT: Duration = Duration::from_secs(2);
 
@@ -364,23 +369,28 @@
         };
         let by_name: BTreeMap<&Name, &Machine> = list.iter().map(|m| (&m.name, m)).collect();
         let (chosen, urgent) = (run.chosen(), run.is_urgent(now));
-        for name in run.unconfirmed() {
-            self.order(number, machines, &name, None).await?;
-        }
-        if !self.automatic.allows(Action::Drains) {
-            return Ok(());
+        let unconfirmed: BTreeSet<Name> = run.unconfirmed().into_iter().collect();
+        let mut asked = unconfirmed.clone();
+        if self.automatic.allows(Action::Drains) {
+            asked.extend(chosen);
         }
-        let (vacant, needed) = self.vacate(&chosen, urgent, &by_name).await;
+        let asked: Vec<Name> = asked.into_iter().collect();
+        let (vacant, needed) = self.vacate(&asked, urgent, &by_name).await;
         if let Some(run) = self.runs.get_mut(&number) {
             for name in &needed {
                 run.pass(now, name);
             }
         }
         for name in vacant {
-            if !self.runs.get(&number).is_some_and(WaveRun::has_room) {
-                break;
+            let age = self.parts.clock.now().saturating_duration_since(now);
+            // An order without an answer is repeated, but only while the machine may go down.
+            let repeated = unconfirmed.contains(&name);
+            let has_room = || self.runs.get(&number).is_some_and(WaveRun::has_room);
+            if age > VACANCY_LIFE || !(repeated || has_room()) {
+                continue;
             }
             let worker = by_name.get(&name).and_then(|m| m.worker.clone());
+            let worker = worker.filter(|_| !repeated);
             self.order(number, machines, &name, worker).await?;
         }
         Ok(())
--- a/crates/node/src/fleet/moves.rs
+++ b/crates/node/src/fleet/moves.rs
@@ -11,6 +11,7 @@
 use lavenderhollow_shard::Record;
 
 use super::Fleet;
+use super::VACANCY_LIFE;
 use crate::appender::Lost;
 use crate::automatic::Action;
 use crate::backend::Machine;
@@ -51,11 +52,17 @@
         if moves.is_empty() {
             return Ok(());
         }
+        let asked = self.parts.clock.now();
         let moves = self.lent(moves).await;
         self.store_homes(&moves).await?;
         let names: Vec<Name> = moves.iter().map(|m| Arc::clone(&m.machine)).collect();
         self.record_orders(&names).await?;
         for planned in moves {
+            let age = self.parts.clock.now().saturating_duration_since(asked);
+            if age > VACANCY_LIFE {
+                log::info!(machine = &*planned.machine, age_ms = age.as_millis() as u64; "move_dropped");
+                continue;
+            }
             self.order_move(machines, &planned).await?;
         }
         Ok(())
--- a/crates/shard/src/upkeep.rs
+++ b/crates/shard/src/upkeep.rs
@@ -32,7 +32,8 @@
 
 impl Shard {
     /// Keeps new tasks off a worker and tells whether its machine may go down. After an answer of
-    /// [`Vacancy::Free`] the lasting tasks there count as away. Unless it is urgent, a worker of a
+    /// [`Vacancy::Free`] the lasting tasks there count as away; the answer holds for a short time,
+    /// since other tasks of their steps may be lost. Unless it is urgent, a worker of a
     /// pool under load is left to it.
     pub fn vacate(&mut self, at: Moment, name: &Name, urgent: bool) -> Vacancy {
         if !urgent && self.is_needed(at.now, name) {
@@ -43,9 +44,7 @@
         };
         let since = *worker.vacated.get_or_insert(at.now);
         worker.vacate_asked = at.now;
-        if worker.released {
-            return Vacancy::Free;
-        }
+        let was_released = worker.released;
         let runs: Vec<RunId> = worker.runs.iter().copied().collect();
         let waited = at.now.saturating_duration_since(since) >= self.tuning.vacate_wait;
         let (mut lasting, mut short) = (Vec::new(), false);
@@ -55,10 +54,14 @@
                 false => short = true,
             }
         }
-        if short && !waited {
+        if short && !waited && !was_released {
             return Vacancy::Busy;
         }
         if let Some((task, missing)) = self.over_budget(name, &lasting) {
+            // Other tasks of the step may have been lost since the worker was released.
+            if let Some(worker) = self.workers.get_mut(name) {
+                worker.released = false;
+            }
             self.evict_one(at, name, &lasting);
             let blocked = self.workers.get_mut(name).map(|w| &mut w.blocked);
             if blocked.is_some_and(|b| !std::mem::replace(b, true)) {
@@ -68,6 +71,9 @@
             }
             return Vacancy::Busy;
         }
+        if was_released {
+            return Vacancy::Free;
+        }
         if let Some(worker) = self.workers.get_mut(name) {
             worker.released = true;
         }
--- a/crates/shard/tests/test_shard.rs
+++ b/crates/shard/tests/test_shard.rs
@@ -313,6 +313,35 @@
     assert_eq!(bed.shard.vacate(bed.at, &orders[0].0, true), Vacancy::Free);
 }
 
+/// Guards against an upkeep that ends a task although another one of its step was lost after the
+/// worker had been released.
+#[test]
+fn a_released_worker_is_kept_when_another_task_of_its_step_is_lost() {
+    let workers = ["w1", "w2", "w3"];
+    let mut bed = Bed::new(&workers);
+    bed.contact(&workers);
+    let mut lasting = step(3, &[]);
+    lasting.lasting = true;
+    lasting.spread = Some(1);
+    lasting.may_miss = 1;
+    bed.submit(job(1, vec![lasting]));
+    bed.tick();
+    let orders = starts(&bed.store());
+    for (worker, order) in &orders {
+        bed.started(worker, order.run, StartAnswer::Started(1_000));
+        bed.look(worker, &look(1_100, vec![running(order.run, 100)], vec![]));
+    }
+    let (released, lost) = (&orders[0].0, &orders[1].0);
+    assert_eq!(bed.shard.vacate(bed.at, released, true), Vacancy::Free);
+    bed.shard.look_failed(bed.at, lost, LookFailure::NoAnswer);
+    assert_eq!(bed.shard.vacate(bed.at, released, true), Vacancy::Busy);
+    bed.look(
+        lost,
+        &look(1_200, vec![running(orders[1].1.run, 100)], vec![]),
+    );
+    assert_eq!(bed.shard.vacate(bed.at, released, true), Vacancy::Free);
+}
+
 /// Guards against a task that is started more often than its queue allows.
 #[test]
 fn a_job_fails_after_its_last_attempt() {
