upkeep: count ends that arrive after a worker was taken down

By reading: when an order to a machine ends its worker's life, the owner of the fleet shard tells the owner of the pool, which dropped the worker with its runs. An end that the worker had listed just before, in an answer that the busy owner had not read yet, was then ignored, and the task started again. Now these runs are given up, so that their ends count, and an answer from a life that was ended is read for its ends; the start that was planned meanwhile is not sent.

an_end_that_arrives_after_its_worker_was_taken_down_counts fails without it. The set-up of two tests is one function.

--- a/crates/shard/src/looks.rs
+++ b/crates/shard/src/looks.rs
@@ -129,6 +129,7 @@
     /// Takes in the answer to a look that was sent at `sent`.
     pub fn looked(&mut self, at: Moment, name: &Name, sent: Instant, look: &Look) {
         let Some(worker) = self.workers.get_mut(name) else {
+            self.take_last_ends(at, name, look);
             return;
         };
         worker.looking = false;
@@ -188,6 +189,17 @@
         };
     }
 
+    /// Takes the ends that a worker listed before an order to its machine ended its life.
+    fn take_last_ends(&mut self, at: Moment, name: &Name, look: &Look) {
+        let life = self.ended_lives.get(name);
+        if life.is_none_or(|born| *born != look.born) {
+            return;
+        }
+        for end in &look.ended {
+            self.take_end(at, name, end);
+        }
+    }
+
     fn take_end(&mut self, at: Moment, name: &Name, end: &EndRow) {
         let id = end.run;
         if self.run(id).is_some_and(|r| r.worker == *name) {
--- a/crates/shard/src/upkeep.rs
+++ b/crates/shard/src/upkeep.rs
@@ -83,7 +83,8 @@
         Vacancy::Free
     }
 
-    /// Takes in that a worker's life was ended by an order to its machine.
+    /// Takes in that a worker's life was ended by an order to its machine. An end that it listed just
+    /// before may still arrive with the answer to a look, and counts.
     pub fn worker_ended(&mut self, name: &Name) {
         let Some(worker) = self.workers.remove(name) else {
             return;
@@ -92,7 +93,7 @@
             format!("runs={}", worker.runs.len())
         });
         for id in worker.runs {
-            self.end_run(id);
+            self.give_up(id);
         }
         self.ended_lives
             .insert(Arc::clone(name), worker.listing.born);
--- a/crates/shard/tests/test_shard.rs
+++ b/crates/shard/tests/test_shard.rs
@@ -12,6 +12,7 @@
 use lavenderhollow_shard::Name;
 use lavenderhollow_shard::Resources;
 use lavenderhollow_shard::StartAnswer;
+use lavenderhollow_shard::StartOrder;
 use lavenderhollow_shard::Vacancy;
 
 use crate::support::Bed;
@@ -290,9 +291,8 @@
     assert_eq!(starts(&bed.store()).len(), 3);
 }
 
-/// Guards against an upkeep that ends more tasks of a step than its budget allows.
-#[test]
-fn an_upkeep_waits_for_the_budget() {
+/// Three lasting tasks of one step at work, each on a worker of its own, of which one may be away.
+fn three_lasting_tasks() -> (Bed, Vec<(Name, StartOrder)>) {
     let workers = ["w1", "w2", "w3"];
     let mut bed = Bed::new(&workers);
     bed.contact(&workers);
@@ -308,6 +308,13 @@
         bed.started(worker, order.run, StartAnswer::Started(1_000));
         bed.look(worker, &look(1_100, vec![running(order.run, 100)], vec![]));
     }
+    (bed, orders)
+}
+
+/// Guards against an upkeep that ends more tasks of a step than its budget allows.
+#[test]
+fn an_upkeep_waits_for_the_budget() {
+    let (mut bed, orders) = three_lasting_tasks();
     assert_eq!(bed.shard.vacate(bed.at, &orders[0].0, true), Vacancy::Free);
     assert_eq!(bed.shard.vacate(bed.at, &orders[1].0, true), Vacancy::Busy);
     assert_eq!(bed.shard.vacate(bed.at, &orders[0].0, true), Vacancy::Free);
@@ -317,31 +324,35 @@
 /// worker had been released.
 #[test]
 fn a_released_worker_is_kept_when_another_task_of_its_step_is_lost() {
-    let workers = ["w1", "w2", "w3"];
-    let mut bed = Bed::new(&workers);
-    bed.contact(&workers);
-    let mut lasting = step(3, &[]);
-    lasting.lasting = true;
-    lasting.spread = Some(1);
-    lasting.may_miss = 1;
-    bed.submit(job(1, vec![lasting]));
-    bed.tick();
-    let orders = starts(&bed.store());
-    for (worker, order) in &orders {
-        bed.started(worker, order.run, StartAnswer::Started(1_000));
-        bed.look(worker, &look(1_100, vec![running(order.run, 100)], vec![]));
-    }
+    let (mut bed, orders) = three_lasting_tasks();
     let (released, lost) = (&orders[0].0, &orders[1].0);
     assert_eq!(bed.shard.vacate(bed.at, released, true), Vacancy::Free);
     bed.shard.look_failed(bed.at, lost, LookFailure::NoAnswer);
     assert_eq!(bed.shard.vacate(bed.at, released, true), Vacancy::Busy);
-    bed.look(
-        lost,
-        &look(1_200, vec![running(orders[1].1.run, 100)], vec![]),
-    );
+    let again = running(orders[1].1.run, 100);
+    bed.look(lost, &look(1_200, vec![again], vec![]));
     assert_eq!(bed.shard.vacate(bed.at, released, true), Vacancy::Free);
 }
 
+/// Guards against a task that starts again because its worker was taken down for an upkeep before
+/// the owner had read that the task was done.
+#[test]
+fn an_end_that_arrives_after_its_worker_was_taken_down_counts() {
+    let mut bed = Bed::new(&["w1", "w2"]);
+    bed.contact(&["w1", "w2"]);
+    bed.submit(job(1, vec![step(1, &[])]));
+    bed.tick();
+    let (worker, order) = starts(&bed.store()).remove(0);
+    bed.started(&worker, order.run, StartAnswer::Started(1_000));
+    bed.tick();
+    bed.shard.worker_ended(&worker);
+    let ended = end(1, order.run, EndKind::Done);
+    bed.look(&worker, &look(1_100, vec![], vec![ended]));
+    bed.tick();
+    assert!(starts(&bed.store()).is_empty());
+    assert_eq!(bed.shard.state(JobId(1)), Some(JobState::Completed));
+}
+
 /// Guards against a task that is started more often than its queue allows.
 #[test]
 fn a_job_fails_after_its_last_attempt() {
