--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -55,9 +55,9 @@
 /// The time for a question to the owner of a machine's pool.
 const VACATE_LIMIT: Duration = Duration::from_millis(500);
 
-/// For how long the answer that a machine may go down or leave holds. Its owner places nothing there
-/// for four seconds, and another owner may have followed it; a task that is lost in the meantime
-/// does not count as away within this time.
+/// For how long the answer that a machine may go down or leave is acted on. The pool's owner keeps the
+/// worker free for four seconds, unless another owner follows it, and a task that is lost elsewhere
+/// counts against the budget only after several.
 pub(crate) const VACANCY_LIFE: Duration = Duration::from_secs(1);
 
 /// The time for telling the owner of a pool that a worker's runs are over.
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -44,7 +44,7 @@
     pub automatic: Automatic,
     /// The waves that are not completed, by their numbers.
     pub waves: BTreeMap<u64, WaveView>,
-    /// What the pools reported lately.
+    /// What the pools reported last.
     pub loads: BTreeMap<Name, LoadView>,
     /// How many machines are on their way to another pool.
     pub moving: usize,
--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -316,11 +316,11 @@
 
     /// Tells whether a lasting task runs on a worker.
     fn runs_lasting(&self, worker: &Worker) -> bool {
-        let jobs = worker
+        let mut jobs = worker
             .runs
             .iter()
-            .filter_map(|r| self.jobs.get(&r.task.job));
-        jobs.into_iter().any(|job| job.job.is_lasting())
+            .filter_map(|run| self.jobs.get(&run.task.job));
+        jobs.any(|job| job.job.is_lasting())
     }
 
     /// Tells whether another worker has room for a task now.
