fleet: bound the storing of ages when the shard is given up

Cause, by reading: when the fleet shard is given up, its owner stores the ages of its orders first, and an append waits for as long as the store is silent. A stop during an outage of the store waited for the whole limit of a release, 1.5 s, before the shard was announced as given up. The owner of a pool bounds its last append to 0.6 s; both use the same limit now. The successor goes by the ages that were stored before, which only makes it wait longer. The confirmation and the release share the storing. No test shows the wait: it ends with the release's own limit either way.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -37,6 +37,7 @@
 use crate::message::Question;
 use crate::message::Reply;
 use crate::message::ShardUse;
+use crate::owner::RELEASE_RECORD_LIMIT;
 use crate::recent_orders::RecentOrders;
 use crate::recent_orders::StoredOrders;
 use crate::router::LocalRequest;
@@ -152,7 +153,11 @@
         let result = tokio::select! {
             Some(request) = requests.recv() => match request {
                 LocalRequest::Release(done) => {
-                    fleet.store_ages().await;
+                    let stored = tokio::time::timeout(RELEASE_RECORD_LIMIT, fleet.store_ages());
+                    if !matches!(stored.await, Ok(Ok(()))) {
+                        // The successor goes by the ages that were stored before.
+                        log::info!(token = fleet.token; "order_ages_not_stored");
+                    }
                     break Some(done);
                 }
                 LocalRequest::Ask(question, answer) => fleet.answer(question, answer).await,
@@ -460,26 +465,22 @@
         }
     }
 
-    /// Stores the present ages of the orders, since no further ones follow from this owner.
-    async fn store_ages(&mut self) {
-        if let Some(recent) = self.orders.refresh(self.parts.clock.now())
-            && self.store(ORDERED_KEY.to_owned(), &recent).await.is_err()
-        {
-            // The successor goes by the ages that were stored before.
-            log::info!(token = self.token; "order_ages_not_stored");
+    /// Stores the present ages of the orders if they differ from those that are stored.
+    async fn store_ages(&mut self) -> Result<(), Lost> {
+        match self.orders.refresh(self.parts.clock.now()) {
+            Some(recent) => self.store(ORDERED_KEY.to_owned(), &recent).await,
+            None => Ok(()),
         }
     }
 
-    /// Checks that the shard is still this owner's, with the present ages of the orders if there are
-    /// any; false when the store does not tell.
+    /// Checks that the shard is still this owner's, and stores the ages of the orders; false when the
+    /// store does not tell.
     async fn confirm_with_ages(&mut self) -> Result<bool, Lost> {
-        if !self.confirm().await? {
-            return Ok(false);
-        }
-        if let Some(recent) = self.orders.refresh(self.parts.clock.now()) {
-            self.store(ORDERED_KEY.to_owned(), &recent).await?;
+        let confirmed = self.confirm().await?;
+        if confirmed {
+            self.store_ages().await?;
         }
-        Ok(true)
+        Ok(confirmed)
     }
 
     /// Checks that the shard is still this owner's; false when the store does not tell.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -60,7 +60,7 @@
 const ALLOT_LIMIT: Duration = Duration::from_millis(800);
 
 /// The time for storing that the shard was given up.
-const RELEASE_RECORD_LIMIT: Duration = Duration::from_millis(600);
+pub(crate) const RELEASE_RECORD_LIMIT: Duration = Duration::from_millis(600);
 
 /// What the owner of a shard works with.
 pub(crate) struct OwnerParts {
