shard, cli: remove what the last changes wrote twice

The longest chain of a job was computed twice for its place in the queue, which every open job gets at every decision. The operators' interface returned an address that nobody used. Two tests of lost workers share their loop, four tests of the program the making of a folder. Behaviour and assertions are the same.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -4,6 +4,7 @@
 use std::io::BufReader;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
@@ -37,6 +38,13 @@
     }
 }
 
+/// Creates a folder for a test's files.
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
 async fn status(client: &HttpClient, to: SocketAddr) -> Option<StatusCode> {
     let request = Request::get(format!("http://{to}{ROUTE_PREFIX}0000000000000001"))
         .header("host", ROUTE_HOST)
@@ -55,8 +63,7 @@
 async fn a_blocked_standard_output_does_not_hold_the_process_up() {
     let deployment = Deployment::start(1, Duration::from_millis(10)).await;
     let deployment = deployment.expect("free ports");
-    let folder = std::env::temp_dir().join(format!("node-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("a folder");
+    let folder = folder("node");
     let file = folder.join("node.toml");
     let ports = free_ports();
     std::fs::write(&file, deployment.settings("vm-1", ports)).expect("a file");
@@ -96,8 +103,7 @@
 /// Guards against a process that starts with settings that it can't use.
 #[test]
 fn malformed_settings_are_refused_with_the_cause() {
-    let folder = std::env::temp_dir().join(format!("bad-node-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("a folder");
+    let folder = folder("bad-node");
     let file = folder.join("node.toml");
     std::fs::write(&file, "node_name = 3").expect("a file");
     let output = Command::new(PROGRAM)
@@ -133,8 +139,7 @@
 async fn operators_turn_actions_off_and_see_it() {
     let deployment = Deployment::start(1, Duration::from_millis(10)).await;
     let deployment = deployment.expect("free ports");
-    let folder = std::env::temp_dir().join(format!("operators-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("a folder");
+    let folder = folder("operators");
     let token = |text: &str| std::fs::write(folder.join("token"), text).expect("a file");
     token(&format!("{OPERATOR_TOKEN}\n"));
     let process = Process::start(Path::new(PROGRAM), &deployment, &folder, "vm-1");
@@ -174,8 +179,7 @@
 /// Guards against a process that starts although it can't read who its operators are.
 #[test]
 fn malformed_own_settings_are_refused_with_the_cause() {
-    let folder = std::env::temp_dir().join(format!("bad-own-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("a folder");
+    let folder = folder("bad-own");
     let file = folder.join("own.json");
     std::fs::write(&file, r#"{"operator_tokens":"00"}"#).expect("a file");
     let output = Command::new(PROGRAM)
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -75,12 +75,12 @@
 
 type Request = RequestContext<OperatorParts>;
 
-/// Serves operators until the process ends; returns the address.
+/// Serves operators until the process ends.
 ///
 /// # Errors
 ///
 /// Fails when the address is not free.
-pub(crate) async fn serve(parts: OperatorParts, address: SocketAddr) -> eyre::Result<SocketAddr> {
+pub(crate) async fn serve(parts: OperatorParts, address: SocketAddr) -> eyre::Result<()> {
     let mut api = ApiDescription::new();
     let registered = api
         .register(show_metrics)
@@ -96,9 +96,8 @@
             .config(config)
             .start()
             .wrap_err_with(|| format!("can't listen on {address}"))?;
-    let local = server.local_addr();
     tokio::spawn(server);
-    Ok(local)
+    Ok(())
 }
 
 /// Shows the metrics.
--- a/crates/shard/src/active.rs
+++ b/crates/shard/src/active.rs
@@ -283,6 +283,11 @@
     /// Returns the urgency. A job that can't be completed within its objective any more gives way to
     /// those that can, and what its team sent beyond its share gives way to both.
     pub(crate) fn class(&self, now: Instant) -> Class {
+        self.class_with(now, self.chain_left())
+    }
+
+    /// Returns the urgency, given the longest chain of steps that are not done.
+    fn class_with(&self, now: Instant, chain_left: Duration) -> Class {
         let age = now.saturating_duration_since(self.accepted);
         if self.job.is_lasting() {
             Class::Lasting
@@ -292,7 +297,7 @@
             Class::Worthless
         } else if self.excess {
             Class::Excess
-        } else if age + self.chain_left() <= self.objective {
+        } else if age + chain_left <= self.objective {
             Class::InTime
         } else {
             Class::Late
@@ -304,11 +309,12 @@
     /// are due, jobs of an overloaded pool would all be served at the last moment and miss it.
     pub(crate) fn rank(&self, now: Instant) -> Rank {
         let (all, left) = (self.job.work().max(1), self.work_left());
+        let chain_left = self.chain_left();
         Rank {
-            class: self.class(now),
+            class: self.class_with(now, chain_left),
             priority: self.job.queue.priority,
-            tenths_left: (left.saturating_mul(10)).div_ceil(all),
-            chain_left: self.chain_left(),
+            tenths_left: left.saturating_mul(10).div_ceil(all),
+            chain_left,
             due: self.due(),
         }
     }
--- a/crates/shard/tests/test_shard.rs
+++ b/crates/shard/tests/test_shard.rs
@@ -94,6 +94,23 @@
     assert_matches!(after.as_slice(), [Effect::Look(_, order)] if order.acked == 1);
 }
 
+/// Makes the decisions that are due while a worker is lost: looks at it have no answer, and the others
+/// show at `clock` that nothing runs there.
+fn decide_without(bed: &mut Bed, lost: &Name, clock: u64) -> Vec<Effect> {
+    let mut effects = bed.tick();
+    effects.extend(bed.store());
+    for effect in &effects {
+        match effect {
+            Effect::Look(name, _) if name == lost => {
+                bed.shard.look_failed(bed.at, name, LookFailure::NoAnswer);
+            }
+            Effect::Look(name, _) => bed.look(name, &look(clock, vec![], vec![])),
+            _ => {}
+        }
+    }
+    effects
+}
+
 /// Guards against a lost worker whose runs never count as over, because every failed look grants
 /// a further lease.
 #[test]
@@ -106,17 +123,7 @@
     let mut restarted = None;
     for i in 0..80u64 {
         bed.advance(Duration::from_millis(100));
-        let mut effects = bed.tick();
-        effects.extend(bed.store());
-        for effect in &effects {
-            match effect {
-                Effect::Look(name, _) if *name == lost => {
-                    bed.shard.look_failed(bed.at, name, LookFailure::NoAnswer);
-                }
-                Effect::Look(name, _) => bed.look(name, &look(1_000 + i * 100, vec![], vec![])),
-                _ => {}
-            }
-        }
+        let effects = decide_without(&mut bed, &lost, 1_000 + i * 100);
         if let Some((worker, order)) = starts(&effects).pop() {
             restarted = Some((i, worker, order));
             break;
@@ -143,17 +150,7 @@
         if i % 30 == 0 && i < 120 {
             bed.succeed(&workers);
         }
-        let mut effects = bed.tick();
-        effects.extend(bed.store());
-        for effect in &effects {
-            match effect {
-                Effect::Look(name, _) if *name == lost => {
-                    bed.shard.look_failed(bed.at, name, LookFailure::NoAnswer);
-                }
-                Effect::Look(name, _) => bed.look(name, &look(1_000 + i * 100, vec![], vec![])),
-                _ => {}
-            }
-        }
+        let effects = decide_without(&mut bed, &lost, 1_000 + i * 100);
         if !starts(&effects).is_empty() {
             restarted = Some(i);
             break;
