node, shard: log the load of owners and the delay of processes

Callers of the grown sites were served late or not at all, and the logs could not tell whether an owner lacked processor time, waited for the store or for workers. Each second, an owner logs how long it handled events, made decisions, encoded records and started calls, and how many jobs and workers placement looked at; a process that owns a shard logs how late its tasks ran. The settings have the VM's processor time, and its first log line shows it.

--- a/crates/cli/src/command/node.rs
+++ b/crates/cli/src/command/node.rs
@@ -143,7 +143,7 @@
     .wrap_err("can't listen for callers")?;
     log::info!(
         vm = &*settings.node.vm, callers:display = settings.caller_address,
-        version = env!("CARGO_PKG_VERSION"); "process_started"
+        cpu_limit = settings.node.cpu_limit, version = env!("CARGO_PKG_VERSION"); "process_started"
     );
     tokio::spawn(watch_settings(settings_file.to_owned(), endpoints, hangup));
     tokio::select! {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -21,6 +21,7 @@
 use crate::cluster_config::Wave;
 use crate::current_config::CurrentConfig;
 use crate::job_api::JobApi;
+use crate::load_monitor;
 use crate::operators;
 use crate::operators::OperatorContext;
 use crate::peers;
@@ -66,6 +67,8 @@
     pub maintenance_time: Duration,
     /// How long the move of a machine to another pool takes.
     pub move_time: Duration,
+    /// The processor time that the process may use, in millicores.
+    pub cpu_limit: u64,
 }
 
 /// A running node process: its shards, its configuration and its job API.
@@ -116,6 +119,7 @@
             waves: waves_receiver,
         });
         manager.start();
+        tokio::spawn(load_monitor::run(Arc::clone(&router), Arc::clone(&clock)));
         tokio::spawn(follow_operator_topic(
             platform,
             Arc::clone(&current_config),
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -43,6 +43,8 @@
 use crate::message::ShardResponse;
 use crate::message::ShardUsage;
 use crate::message::TeamReport;
+use crate::owner_load::OwnerLoad;
+use crate::owner_load::Work;
 use crate::router::LocalRequest;
 use crate::router::Router;
 use crate::shard_id::ShardId;
@@ -106,6 +108,7 @@
     suspended: bool,
     /// Set while the shard is being released; receives a message when that is done.
     release_reply: Option<oneshot::Sender<()>>,
+    load: OwnerLoad,
 }
 
 /// Runs the owner of a shard until the shard is released or another process owns it.
@@ -158,21 +161,32 @@
         report_pending: false,
         suspended: false,
         release_reply: None,
+        load: OwnerLoad::new(at.now),
     };
     loop {
         let wait = owner.time_until_tick();
+        let turn_start;
+        let mut handled = 0;
         tokio::select! {
-            Some(request) = requests.recv() => owner.handle_local_request(request),
+            Some(request) = requests.recv() => {
+                turn_start = owner.context.clock.now();
+                handled += 1;
+                owner.handle_local_request(request);
+            }
             Some(event) = incoming.recv() => {
+                turn_start = owner.context.clock.now();
+                handled += 1;
                 if owner.handle_event(event).is_err() {
                     break;
                 }
             }
             Some(list) = worker_updates.recv() => {
                 let at = timestamp(&*owner.context.clock);
+                turn_start = at.now;
+                handled += 1;
                 owner.shard.update_workers(at, list);
             }
-            () = tokio::time::sleep(wait) => {}
+            () = tokio::time::sleep(wait) => turn_start = owner.context.clock.now(),
         }
         let mut lost = false;
         for _ in 0..MAX_EVENT_BATCH {
@@ -183,36 +197,48 @@
             } else {
                 break;
             }
+            handled += 1;
         }
+        let handled_at = owner.context.clock.now();
+        owner.load.add(
+            Work::Events,
+            handled_at.saturating_duration_since(turn_start),
+        );
         if lost || owner.make_decisions().is_err() {
             break;
         }
+        owner.finish_turn(turn_start, handled);
         if owner.release_reply.is_some() && owner.appender.is_some() {
             break;
         }
     }
-    log::info!(
-        shard:display = owner.context.shard_id, token = owner.fencing_token,
-        released = owner.release_reply.is_some(), open_jobs = owner.shard.unfinished_jobs();
-        "shard_owner_stopped"
-    );
-    if let Some(done) = owner.release_reply.take() {
-        if let Some(mut appender) = owner.appender.take() {
-            let records = [claim::release_record(owner.fencing_token)];
-            let appended = appender.append(&records);
-            if tokio::time::timeout(RELEASE_RECORD_TIMEOUT, appended)
-                .await
-                .is_err()
-            {
-                log::warn!(shard:display = owner.context.shard_id; "release_record_timed_out");
+    owner.stop().await;
+}
+
+impl Owner {
+    /// Stores that the shard is released, unless another process owns it.
+    async fn stop(mut self) {
+        log::info!(
+            shard:display = self.context.shard_id, token = self.fencing_token,
+            released = self.release_reply.is_some(), open_jobs = self.shard.unfinished_jobs();
+            "shard_owner_stopped"
+        );
+        if let Some(done) = self.release_reply.take() {
+            if let Some(mut appender) = self.appender.take() {
+                let records = [claim::release_record(self.fencing_token)];
+                let appended = appender.append(&records);
+                if tokio::time::timeout(RELEASE_RECORD_TIMEOUT, appended)
+                    .await
+                    .is_err()
+                {
+                    log::warn!(shard:display = self.context.shard_id; "release_record_timed_out");
+                }
             }
+            // The receiver is dropped only when the process ends.
+            let _ = done.send(());
         }
-        // The receiver is dropped only when the process ends.
-        let _ = done.send(());
     }
-}
 
-impl Owner {
     /// Returns the time until the shard has to make its next decisions.
     fn time_until_tick(&self) -> Duration {
         let now = self.context.clock.now();
@@ -360,7 +386,9 @@
         if self.shard.is_superseded() {
             return Err(OwnershipLost);
         }
+        let decided_at = self.add_work(Work::Decisions, at.now);
         self.store_batch();
+        let encoded_at = self.add_work(Work::Records, decided_at);
         self.check_ownership(at.now, unconfirmed_for);
         self.report_usage(at.now);
         for effect in self.shard.take_effects() {
@@ -373,9 +401,27 @@
             );
         }
         while self.calls.try_join_next().is_some() {}
+        self.add_work(Work::Effects, encoded_at);
         Ok(())
     }
 
+    /// Adds the time since `start` to a part of the work, and returns the current time.
+    fn add_work(&mut self, work: Work, start: Instant) -> Instant {
+        let now = self.context.clock.now();
+        self.load.add(work, now.saturating_duration_since(start));
+        now
+    }
+
+    /// Records the length of a turn of the loop, and logs the load now and then.
+    fn finish_turn(&mut self, start: Instant, handled: u64) {
+        let now = self.context.clock.now();
+        let taken = now.saturating_duration_since(start);
+        metrics::histogram!("owner_turn_seconds").record(taken.as_secs_f64());
+        self.load.count_turn(handled, taken);
+        let (id, token) = (self.context.shard_id, self.fencing_token);
+        self.load.log_if_due(now, id, token, &self.shard);
+    }
+
     /// Starts to append the next records of the shard, unless an append is in progress.
     fn store_batch(&mut self) {
         while self.appender.is_some() {
--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Task placement: which tasks start next, and on which workers.
 
+use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -22,6 +23,17 @@
 use crate::worker::RunId;
 use crate::worker::Worker;
 
+/// How much work placement has done, which grows with the size of the pool and of its queues.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PlacementStats {
+    /// The passes over the unfinished jobs.
+    pub passes: u64,
+    /// The jobs whose tasks were considered for placement.
+    pub jobs: u64,
+    /// The workers that were considered for a task.
+    pub workers: u64,
+}
+
 /// The intermediate results of one placement pass over all unfinished jobs.
 #[derive(Debug, Default)]
 struct PlacementPass {
@@ -31,6 +43,8 @@
     /// For each pool, the last allocation that fit on no worker. Tasks that need at least as much
     /// of every resource are not tried.
     unplaceable: BTreeMap<Name, Resources>,
+    /// The number of workers that were considered for a task.
+    checked_workers: Cell<u64>,
 }
 
 impl Shard {
@@ -74,9 +88,12 @@
         }
         queue.sort_unstable();
         let mut pass = PlacementPass::default();
+        self.placement.passes += 1;
+        self.placement.jobs += queue.len() as u64;
         for (_, id) in queue {
             self.dispatch_job(at, id, &mut pass);
         }
+        self.placement.workers += pass.checked_workers.get();
     }
 
     /// Places the tasks of a job whose dependencies are done and that have no run.
@@ -309,6 +326,8 @@
             .and_then(|t| t.failed_on.clone());
         let needs_ticket = self.needs_ticket(id.job);
         let tickets = self.tickets.get(&StepId::of(id));
+        let checked_workers = pass.checked_workers.get() + self.workers.len() as u64;
+        pass.checked_workers.set(checked_workers);
         let candidates = self.workers.iter().filter(|(name, w)| {
             let ticket = tickets.and_then(|t| t.for_worker(now, name));
             (!needs_ticket || ticket.is_some())
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -26,6 +26,7 @@
 mod worker;
 
 pub use demand::PoolDemand;
+pub use dispatch::PlacementStats;
 pub use drain::DrainStatus;
 pub use job::*;
 pub use lease::Lease;
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -15,6 +15,7 @@
 use std::time::Instant;
 
 use crate::arrivals::Arrivals;
+use crate::dispatch::PlacementStats;
 use crate::job::Job;
 use crate::job::JobId;
 use crate::job::JobState;
@@ -169,6 +170,7 @@
     pub(crate) tickets: BTreeMap<StepId, Tickets>,
     /// The stops that the workers have not confirmed yet.
     pub(crate) stops: BTreeMap<(Name, RunId), PendingStop>,
+    pub(crate) placement: PlacementStats,
     /// Whether a worker reported that it has seen a higher fencing token.
     pub(crate) superseded: bool,
     /// Whether the runs that an earlier owner left on workers unknown to this one are marked as
@@ -204,6 +206,7 @@
             arrivals: Arrivals::default(),
             tickets: BTreeMap::new(),
             stops: BTreeMap::new(),
+            placement: PlacementStats::default(),
             superseded: false,
             orphans_resolved: false,
             effects: Vec::new(),
@@ -369,6 +372,11 @@
         self.superseded
     }
 
+    /// Returns how much work placement has done since this owner started.
+    pub fn placement_stats(&self) -> PlacementStats {
+        self.placement
+    }
+
     /// Returns the number of jobs that are not final.
     pub fn unfinished_jobs(&self) -> usize {
         self.unfinished.len()
