node: count the processor time of VMs when shards are claimed and moved

Four of the five pools had an owner on a VM with 0.12 cores, while VMs with 0.5 cores owned nothing, because claims counted only the shards of a member.

A member's name in the store now carries the processor time of its VM, VM#MILLICORES/STARTED/ADDRESS, and members are compared by their shards for that time. The records of owners keep their form: the name of the VM in them carries the millicores, too, so that an older build finds the owner among the members that it sees. While a member of an older build lives, all VMs count alike and are ranked by the names that the older build sees, so that both builds choose the same member. A released shard goes to the member for which it was released, since both sides ask the same function.

Ruled out: the store and the workers.

--- a/crates/node/src/assignment.rs
+++ b/crates/node/src/assignment.rs
@@ -1,7 +1,9 @@
 //! The assignment of shards to member processes.
 //!
 //! The conditional append of the store decides who owns a shard. This module only prevents several
-//! processes from claiming a shard at the same time and balances the shards over the VMs.
+//! processes from claiming a shard at the same time and balances the shards over the VMs. Loads are
+//! compared relative to the processor time of the VMs, because the owner of a busy pool needs more
+//! of it than a small VM has.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -28,19 +30,31 @@
 
 /// The number of shards that is added to the load of a new member: it is preferred only to members
 /// that own more than this, so that one old member among many new ones does not end up with all
-/// shards.
-const NEW_MEMBER_LOAD: usize = 1;
+/// shards. It counts as on the smallest VM.
+const NEW_MEMBER_LOAD: u64 = 1;
 
 /// How much later than another member a member has to have started to count as new, in
 /// milliseconds. This is more than the clocks of the VMs differ, so that members that start at the
 /// same time are treated alike.
 const NEW_MEMBER_LAG_MS: u64 = 5_000;
 
-/// How many shards more than the least loaded member an owner must have before it releases one.
-const MIN_IMBALANCE: usize = 2;
+/// How many shards more than a member on a VM of equal size an owner must have before it releases
+/// one.
+const MIN_IMBALANCE: u64 = 2;
+
+/// How many times as loaded as a member on a VM of another size, with the shard, an owner must be
+/// before it releases one. A move costs callers a change of owner.
+const MIN_GAIN: u64 = 2;
+
+/// The relative load of one shard on a VM with one millicore.
+const LOAD_UNIT: u64 = 1_000_000_000;
+
+/// Separates the name of a VM from its processor time in the name of a member.
+const CPU_SEPARATOR: char = '#';
 
 /// One process of the system, from its start to its end.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(from = "MemberRecord", into = "MemberRecord")]
 pub struct Member {
     /// The name of the VM.
     pub vm: Name,
@@ -48,15 +62,73 @@
     pub started_ms: u64,
     /// The address on which the process accepts calls of other processes.
     pub address: Name,
+    /// The processor time that the process may use, in millicores; `None` for a process of a build
+    /// that does not publish it.
+    pub cpu_limit: Option<u64>,
+}
+
+/// The stored form of a [`Member`], by field position. A build that does not know the processor time
+/// takes it for a part of the VM's name, and recognizes the member all the same.
+#[derive(Serialize, Deserialize)]
+struct MemberRecord {
+    sized_vm: Name,
+    started_ms: u64,
+    address: Name,
+}
+
+impl From<Member> for MemberRecord {
+    fn from(member: Member) -> Self {
+        Self {
+            sized_vm: member.sized_vm().into(),
+            started_ms: member.started_ms,
+            address: member.address,
+        }
+    }
+}
+
+impl From<MemberRecord> for Member {
+    fn from(record: MemberRecord) -> Self {
+        let (vm, cpu_limit) = split_sized_vm(&record.sized_vm);
+        Self {
+            vm: vm.into(),
+            started_ms: record.started_ms,
+            address: record.address,
+            cpu_limit,
+        }
+    }
+}
+
+/// Splits the name of a VM with its processor time; the second part is `None` if there is none.
+fn split_sized_vm(text: &str) -> (&str, Option<u64>) {
+    let parts = text.rsplit_once(CPU_SEPARATOR);
+    let sized = parts.and_then(|(vm, cpu)| Some((vm, cpu.parse().ok().filter(|&c| c > 0)?)));
+    match sized.filter(|(vm, _)| !vm.is_empty()) {
+        Some((vm, cpu)) => (vm, Some(cpu)),
+        None => (text, None),
+    }
 }
 
 impl fmt::Display for Member {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}/{}", self.vm, self.started_ms, self.address)
+        write!(
+            f,
+            "{}/{}/{}",
+            self.sized_vm(),
+            self.started_ms,
+            self.address
+        )
     }
 }
 
 impl Member {
+    /// Returns the name of the VM with its processor time, which an older build takes for its name.
+    fn sized_vm(&self) -> String {
+        match self.cpu_limit {
+            Some(cpu) => format!("{}{CPU_SEPARATOR}{cpu}", self.vm),
+            None => self.vm.to_string(),
+        }
+    }
+
     /// Returns whether `later` is a later process on the same VM, so that this process has ended.
     pub fn is_superseded_by(&self, later: &Self) -> bool {
         self.vm == later.vm && self.started_ms < later.started_ms
@@ -65,7 +137,7 @@
 
 /// The error for a text that is not the name of a member.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
-#[display("a member has the form VM/STARTED/ADDRESS")]
+#[display("a member has the form VM/STARTED/ADDRESS or VM#MILLICORES/STARTED/ADDRESS")]
 pub struct InvalidMember;
 
 impl FromStr for Member {
@@ -74,10 +146,12 @@
     fn from_str(text: &str) -> Result<Self, InvalidMember> {
         let mut parts = text.splitn(3, '/');
         let mut next = || parts.next().filter(|p| !p.is_empty()).ok_or(InvalidMember);
+        let (vm, cpu_limit) = split_sized_vm(next()?);
         Ok(Self {
-            vm: next()?.into(),
+            vm: vm.into(),
             started_ms: next()?.parse().map_err(|_| InvalidMember)?,
             address: next()?.into(),
+            cpu_limit,
         })
     }
 }
@@ -155,8 +229,9 @@
         owner.is_some_and(|o| !o.released && self.members.contains_key(&o.member))
     }
 
-    fn loads(&self, shards: &BTreeSet<ShardId>) -> BTreeMap<&Member, usize> {
-        let mut loads: BTreeMap<&Member, usize> = self.members.keys().map(|m| (m, 0)).collect();
+    /// Returns the number of shards that each live member owns.
+    fn loads(&self, shards: &BTreeSet<ShardId>) -> BTreeMap<&Member, u64> {
+        let mut loads: BTreeMap<&Member, u64> = self.members.keys().map(|m| (m, 0)).collect();
         for shard in shards {
             if let Some(owner) = self.owners.get(shard)
                 && !owner.released
@@ -168,29 +243,54 @@
         loads
     }
 
-    /// Returns the shards without a live owner that `me` should claim. The member that released a
-    /// shard may be about to stop and is chosen last. New members count as owning more shards than
-    /// they do.
+    /// Returns the processor time of each live member in millicores. All count alike if any member
+    /// publishes none, so that processes of an older build choose the same members.
+    fn sizes(&self) -> BTreeMap<&Member, u64> {
+        let is_known = self.members.keys().all(|m| m.cpu_limit.is_some());
+        let size = |m: &Member| m.cpu_limit.filter(|_| is_known).unwrap_or(1);
+        self.members.keys().map(|m| (m, size(m).max(1))).collect()
+    }
+
+    /// Returns the member that should claim a shard of which `releasing` is the last owner: the one
+    /// with the least load, with the shard, for its size. The member that released a shard may be
+    /// about to stop and is chosen last.
+    fn best_claimant<'a>(
+        &self,
+        now: Instant,
+        shard: ShardId,
+        releasing: Option<&Member>,
+        loads: &BTreeMap<&'a Member, u64>,
+        sizes: &BTreeMap<&Member, u64>,
+    ) -> Option<&'a Member> {
+        let smallest = sizes.values().copied().min()?;
+        let load = |member: &Member, owned: u64| {
+            let handicap = u64::from(self.is_new_member(now, member)) * NEW_MEMBER_LOAD;
+            let size = sizes.get(member).copied().unwrap_or(smallest);
+            relative_load(owned + 1, size) + relative_load(handicap, smallest)
+        };
+        // Processes of an older build rank by this name, too.
+        let rank = |m: &Member| stable_hash(format!("{shard}/{}", m.sized_vm()).as_bytes());
+        loads
+            .iter()
+            .min_by_key(|(m, owned)| (releasing == Some(**m), load(m, **owned), rank(m)))
+            .map(|(&member, _)| member)
+    }
+
+    /// Returns the shards without a live owner that `me` should claim. New members count as owning
+    /// more shards than they do.
     pub fn shards_to_claim(
         &self,
         now: Instant,
         me: &Member,
         shards: &BTreeSet<ShardId>,
     ) -> Vec<ShardId> {
+        let sizes = self.sizes();
         let mut loads = self.loads(shards);
         let mut to_claim = Vec::new();
         for &shard in shards.iter().filter(|s| !self.has_live_owner(**s)) {
             let release = self.owners.get(&shard).filter(|o| o.released);
-            let is_releasing = |m: &Member| release.is_some_and(|o| o.member == *m);
-            let load = |m: &Member, load: usize| {
-                load + usize::from(self.is_new_member(now, m)) * NEW_MEMBER_LOAD
-            };
-            let rank = |member: &Member| stable_hash(format!("{shard}/{}", member.vm).as_bytes());
-            let best = loads
-                .iter()
-                .min_by_key(|(m, owned)| (is_releasing(m), load(m, **owned), rank(m)))
-                .map(|(&member, _)| member);
-            let Some(best) = best else {
+            let releasing = release.map(|o| &o.member);
+            let Some(best) = self.best_claimant(now, shard, releasing, &loads, &sizes) else {
                 break;
             };
             if let Some(load) = loads.get_mut(best) {
@@ -203,21 +303,49 @@
         to_claim
     }
 
-    /// Returns a shard that `me` should release because another member owns fewer; `None` while the
-    /// shards are balanced or any shard has no live owner.
-    pub fn shard_to_release(&self, me: &Member, shards: &BTreeSet<ShardId>) -> Option<ShardId> {
-        let loads = self.loads(shards);
-        let own_load = *loads.get(me)?;
-        let least = loads.values().copied().min()?;
-        if own_load < least + MIN_IMBALANCE || shards.iter().any(|s| !self.has_live_owner(*s)) {
+    /// Returns a shard that `me` should release because the member that would claim it has less load
+    /// for its size; `None` while the shards are balanced or any shard has no live owner.
+    pub fn shard_to_release(
+        &self,
+        now: Instant,
+        me: &Member,
+        shards: &BTreeSet<ShardId>,
+    ) -> Option<ShardId> {
+        if shards.iter().any(|s| !self.has_live_owner(*s)) {
             return None;
         }
+        let (loads, sizes) = (self.loads(shards), self.sizes());
+        let load = |member: &Member| -> Option<(u64, u64)> {
+            Some((*loads.get(member)?, *sizes.get(member)?))
+        };
+        let release = |member: &&Member| -> Option<ShardId> {
+            let owned = |s: &&ShardId| self.owners.get(s).is_some_and(|o| o.member == **member);
+            let shard = shards.iter().rfind(owned).copied()?;
+            // The releasing member still counts with this shard, but is chosen last.
+            let target = self.best_claimant(now, shard, Some(*member), &loads, &sizes)?;
+            gains_by_move(load(member)?, load(target)?).then_some(shard)
+        };
         // Only one of several overloaded members releases a shard at a time.
-        let most_loaded = loads.iter().min_by_key(|(m, load)| (Reverse(**load), *m));
-        if most_loaded.is_none_or(|(m, _)| *m != me) {
-            return None;
-        }
-        let owned = |s: &&ShardId| self.owners.get(s).is_some_and(|o| o.member == *me);
-        shards.iter().rfind(owned).copied()
+        let relative = |m: &Member| load(m).map(|(owned, size)| relative_load(owned, size));
+        let (most_loaded, shard) = loads
+            .keys()
+            .filter_map(|m| Some((*m, release(m)?)))
+            .min_by_key(|(m, _)| (Reverse(relative(m)), *m))?;
+        (most_loaded == me).then_some(shard)
+    }
+}
+
+/// Returns the load of `owned` shards on a VM with `size` millicores.
+fn relative_load(owned: u64, size: u64) -> u64 {
+    owned.saturating_mul(LOAD_UNIT) / size.max(1)
+}
+
+/// Returns whether a shard should move between members, each given by its shards and its size in
+/// millicores.
+fn gains_by_move((owned, size): (u64, u64), (target_owned, target_size): (u64, u64)) -> bool {
+    if size == target_size {
+        return owned >= target_owned + MIN_IMBALANCE;
     }
+    let with_shard = relative_load(target_owned + 1, target_size);
+    relative_load(owned, size) >= with_shard.saturating_mul(MIN_GAIN)
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -100,6 +100,7 @@
             vm: Arc::clone(&settings.vm),
             started_ms: u64::try_from(start_time.as_millis()).unwrap_or(u64::MAX),
             address: settings.peer_address.to_string().into(),
+            cpu_limit: Some(settings.cpu_limit),
         };
         let router = Arc::new(Router::new(me, Arc::clone(&clock)));
         let current_config = Arc::new(CurrentConfig::default());
--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -299,7 +299,11 @@
                 }
             }
             if unchanged_for > REBALANCE_DELAY {
-                let excess = self.context.router.cluster().shard_to_release(me, &shards);
+                let excess = self
+                    .context
+                    .router
+                    .cluster()
+                    .shard_to_release(now, me, &shards);
                 if let Some(shard) = excess {
                     log::info!(shard:display; "shard_rebalanced");
                     *lock(&self.changed_at) = now;
