shard: keep the remaining work and path of a job

Callers of a pool with many open jobs were served late: each placement pass and each admission computed the remaining work and the remaining critical path of every open job anew, by a walk over all its tasks.

A job now keeps both, and computes them when a task is created or done. A step keeps the number of its unfinished tasks, so that whether a step or job is done needs no walk over tasks either. Ranks and urgencies are the same.

--- a/crates/shard/src/admission.rs
+++ b/crates/shard/src/admission.rs
@@ -125,7 +125,7 @@
         }
         let jobs = self.unfinished.iter().filter_map(|id| self.jobs.get(id));
         for job in jobs.filter(|j| j.job.queue.pool == *pool) {
-            if job.job.is_long_running() {
+            if job.long_running {
                 let steps = job.job.steps.iter().filter(|s| !s.best_effort);
                 load.long_running += steps
                     .map(|s| s.resources.cpu * u64::from(s.count))
--- a/crates/shard/src/demand.rs
+++ b/crates/shard/src/demand.rs
@@ -73,7 +73,7 @@
         let mut queued = Resources::default();
         let jobs = self.unfinished.iter().filter_map(|id| self.jobs.get(id));
         for job in jobs.filter(|j| &*j.job.queue.pool == pool && j.urgency(now).needs_capacity()) {
-            match job.job.is_long_running() {
+            match job.long_running {
                 true => long_running.add(job.demand(now, MIN_HORIZON)),
                 false => queued.add(job.demand(now, MIN_HORIZON)),
             }
--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -32,6 +32,8 @@
     pub jobs: u64,
     /// The workers that were considered for a task.
     pub workers: u64,
+    /// The computations of a job's remaining work and critical path.
+    pub estimates: u64,
 }
 
 /// The intermediate results of one placement pass over all unfinished jobs.
@@ -82,7 +84,7 @@
         let mut queue = Vec::with_capacity(self.unfinished.len());
         for &id in &self.unfinished {
             if let Some(job) = self.jobs.get_mut(&id) {
-                job.create_due_tasks(at.unix);
+                job.create_due_tasks(at.unix, &mut self.placement);
                 queue.push((job.rank(at.now), id));
             }
         }
@@ -368,7 +370,7 @@
             .runs
             .iter()
             .filter_map(|run| self.jobs.get(&run.task.job));
-        jobs.any(|job| job.job.is_long_running())
+        jobs.any(|job| job.long_running)
     }
 
     /// Returns whether another worker has room for a task now.
--- a/crates/shard/src/polling.rs
+++ b/crates/shard/src/polling.rs
@@ -7,6 +7,7 @@
 
 use crate::job::JobState;
 use crate::job::Name;
+use crate::job::TaskId;
 use crate::shard::Effect;
 use crate::shard::PollRequest;
 use crate::shard::Shard;
@@ -303,14 +304,16 @@
         if !finished_run.checkpoint.is_empty() {
             task.checkpoint = Some(Arc::clone(&finished_run.checkpoint));
         }
-        match outcome {
-            RunOutcome::Done if !long_running => task.done = true,
-            RunOutcome::Failed if !long_running => {
-                task.failures += 1;
-                task.failed_on = Some(Arc::clone(worker_id));
-            }
-            _ => {}
+        if outcome == RunOutcome::Failed && !long_running {
+            task.failures += 1;
+            task.failed_on = Some(Arc::clone(worker_id));
+        }
+        if outcome == RunOutcome::Done && !long_running {
+            job.mark_done(id.task, &mut self.placement);
         }
+        let Some(task) = job.task(id.task) else {
+            return;
+        };
         let failed = !task.done && task.failures >= max_attempts;
         let remaining_runs: Vec<u32> = match task.done {
             true => task.runs.iter().map(|r| r.number).collect(),
@@ -339,11 +342,11 @@
         let Some(job) = self.jobs.get_mut(&id.task.job) else {
             return;
         };
-        let steps = job.occurrences.get_mut(&id.task.occurrence);
-        if let Some(step) = steps.and_then(|s| s.get_mut(usize::from(id.task.step))) {
-            for task in &mut step.tasks {
-                task.done = true;
-            }
+        let steps = job.occurrences.get(&id.task.occurrence);
+        let step = steps.and_then(|s| s.get(usize::from(id.task.step)));
+        let count = step.map_or(0, |s| s.tasks.len());
+        for index in (0u32..).take(count) {
+            job.mark_done(TaskId { index, ..id.task }, &mut self.placement);
         }
     }
 
--- a/crates/shard/src/recovery.rs
+++ b/crates/shard/src/recovery.rs
@@ -66,7 +66,7 @@
             self.restore_task(at, id, task);
         }
         if let Some(tracked) = self.jobs.get_mut(&id) {
-            tracked.create_due_tasks(at.unix);
+            tracked.create_due_tasks(at.unix, &mut self.placement);
         }
         // Runs of a job in a final state may still be executing.
         if is_final {
@@ -86,11 +86,13 @@
         let Some(tracked) = self.jobs.get_mut(&id) else {
             return;
         };
-        tracked.occurrence_tasks(stored.occurrence);
+        tracked.create_occurrence(stored.occurrence, &mut self.placement);
+        if stored.done {
+            tracked.mark_done(task_id, &mut self.placement);
+        }
         let Some(task) = tracked.task_mut(task_id) else {
             return;
         };
-        task.done = stored.done;
         task.failures = stored.failures;
         task.last_run = stored.last_run;
         task.lost_runs.clone_from(&stored.lost_runs);
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -245,7 +245,7 @@
         }
         let mut tracked = TrackedJob::new(Arc::new(job), at.now, at.unix);
         tracked.over_share = over_share.is_some();
-        tracked.create_due_tasks(at.unix);
+        tracked.create_due_tasks(at.unix, &mut self.placement);
         self.log_event("job_accepted", id, || {
             format!(
                 "queue={} team={} excess={} steps={} objective_ms={}",
--- a/crates/shard/src/tracked_job.rs
+++ b/crates/shard/src/tracked_job.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::dispatch::PlacementStats;
 use crate::job::Job;
 use crate::job::JobState;
 use crate::job::Name;
@@ -124,11 +125,20 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepTasks {
     pub(crate) tasks: Vec<Task>,
+    /// The number of tasks that are not done.
+    unfinished: u32,
 }
 
 impl StepTasks {
+    fn new(count: u32) -> Self {
+        Self {
+            tasks: vec![Task::default(); count as usize],
+            unfinished: count,
+        }
+    }
+
     pub(crate) fn is_done(&self) -> bool {
-        self.tasks.iter().all(|t| t.done)
+        self.unfinished == 0
     }
 }
 
@@ -152,6 +162,16 @@
     pub(crate) occurrences: BTreeMap<u32, Vec<StepTasks>>,
     /// The result of [`Job::objective`].
     pub(crate) objective: Duration,
+    /// The result of [`Job::is_long_running`].
+    pub(crate) long_running: bool,
+    /// The result of [`Job::work`].
+    work: u64,
+    /// The processor time of the tasks that are not done, in core-milliseconds.
+    remaining_work: u64,
+    /// The estimated run time of the longest chain of dependent steps that are not done.
+    remaining_path: Duration,
+    /// The occurrences before this one exist.
+    next_occurrence: u32,
     /// Whether the job was over its team's share when it was submitted.
     pub(crate) over_share: bool,
     /// Whether the job's own record is stored or in a batch that is being stored.
@@ -162,6 +182,11 @@
     pub(crate) fn new(job: Arc<Job>, now: Instant, unix: Duration) -> Self {
         Self {
             objective: job.objective(),
+            long_running: job.is_long_running(),
+            work: job.work(),
+            remaining_work: 0,
+            remaining_path: Duration::ZERO,
+            next_occurrence: 0,
             job,
             state: JobState::Queued,
             stored_state: JobState::Queued,
@@ -191,28 +216,65 @@
     }
 
     /// Creates the tasks of the occurrences that are due.
-    pub(crate) fn create_due_tasks(&mut self, unix: Duration) {
+    pub(crate) fn create_due_tasks(&mut self, unix: Duration, stats: &mut PlacementStats) {
         if self.state.is_final() {
             return;
         }
-        for occurrence in 0..self.occurrence_count() {
-            if self.scheduled_unix(occurrence) > unix {
-                break;
-            }
-            self.occurrence_tasks(occurrence);
+        while self.next_occurrence < self.occurrence_count()
+            && self.scheduled_unix(self.next_occurrence) <= unix
+        {
+            self.create_occurrence(self.next_occurrence, stats);
+            self.next_occurrence += 1;
         }
     }
 
-    /// Returns the tasks of an occurrence, creating them if they don't exist yet.
-    pub(crate) fn occurrence_tasks(&mut self, occurrence: u32) -> &mut Vec<StepTasks> {
-        let job = &self.job;
-        self.occurrences.entry(occurrence).or_insert_with(|| {
-            let tasks = |count: u32| vec![Task::default(); count as usize];
-            let steps = job.steps.iter().map(|s| StepTasks {
-                tasks: tasks(s.count),
-            });
-            steps.collect()
-        })
+    /// Creates the tasks of an occurrence unless they exist.
+    pub(crate) fn create_occurrence(&mut self, occurrence: u32, stats: &mut PlacementStats) {
+        if self.occurrences.contains_key(&occurrence) {
+            return;
+        }
+        let steps = self.job.steps.iter().map(|s| StepTasks::new(s.count));
+        self.occurrences.insert(occurrence, steps.collect());
+        self.update_remaining(stats);
+    }
+
+    /// Marks a task as done. Has no effect on an unknown task.
+    pub(crate) fn mark_done(&mut self, id: TaskId, stats: &mut PlacementStats) {
+        let Some(task) = self.task_mut(id).filter(|t| !t.done) else {
+            return;
+        };
+        task.done = true;
+        let steps = self.occurrences.get_mut(&id.occurrence);
+        if let Some(step) = steps.and_then(|s| s.get_mut(usize::from(id.step))) {
+            step.unfinished -= 1;
+        }
+        self.update_remaining(stats);
+    }
+
+    /// Computes the remaining work and the remaining critical path anew, after a task was created
+    /// or done.
+    fn update_remaining(&mut self, stats: &mut PlacementStats) {
+        stats.estimates += 1;
+        let (mut work, mut path) = (0u64, Duration::ZERO);
+        for steps in self.occurrences.values() {
+            let mut finish_times: Vec<Duration> = Vec::with_capacity(steps.len());
+            for (step, tasks) in self.job.steps.iter().zip(steps) {
+                let estimate = u64::try_from(step.estimate.as_millis()).unwrap_or(u64::MAX);
+                let per_task = step.resources.cpu.saturating_mul(estimate) / 1_000;
+                work = work.saturating_add(per_task.saturating_mul(tasks.unfinished.into()));
+                let ready_times = step
+                    .depends_on
+                    .iter()
+                    .filter_map(|&a| finish_times.get(usize::from(a)));
+                let start = ready_times.max().copied().unwrap_or_default();
+                finish_times.push(match tasks.is_done() {
+                    true => start,
+                    false => start + step.estimate,
+                });
+            }
+            path = path.max(finish_times.into_iter().max().unwrap_or_default());
+        }
+        (self.remaining_work, self.remaining_path) = (work, path);
     }
 
     pub(crate) fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
@@ -236,21 +298,13 @@
                 .all(|steps| steps.iter().all(StepTasks::is_done))
     }
 
-    /// Returns the processor time of the tasks that are not done, in core-milliseconds.
+    /// Returns the processor time of the tasks that are not done, in core-milliseconds; zero for a
+    /// final job and for one with long-running tasks.
     pub(crate) fn remaining_work(&self) -> u64 {
-        if self.state.is_final() || self.job.is_long_running() {
-            return 0;
+        match self.state.is_final() || self.long_running {
+            true => 0,
+            false => self.remaining_work,
         }
-        let mut remaining = 0u64;
-        for steps in self.occurrences.values() {
-            for (step, tasks) in self.job.steps.iter().zip(steps) {
-                let unfinished = tasks.tasks.iter().filter(|t| !t.done).count() as u64;
-                let estimate = u64::try_from(step.estimate.as_millis()).unwrap_or(u64::MAX);
-                let per_task = step.resources.cpu.saturating_mul(estimate) / 1_000;
-                remaining = remaining.saturating_add(per_task.saturating_mul(unfinished));
-            }
-        }
-        remaining
     }
 
     /// Returns the resources that the job needs to complete by its deadline.
@@ -270,8 +324,8 @@
             .max(min_horizon);
         for steps in self.occurrences.values() {
             for (step, tasks) in self.job.steps.iter().zip(steps) {
-                let unfinished = tasks.tasks.iter().filter(|t| !t.done).count();
-                let allocation = step.allocation().scaled(unfinished as f64);
+                let unfinished = tasks.unfinished;
+                let allocation = step.allocation().scaled(f64::from(unfinished));
                 if step.long_running {
                     long_running.add(allocation);
                 } else {
@@ -291,43 +345,13 @@
         self.accepted_at + self.objective
     }
 
-    /// Returns the estimated run time of the longest chain of dependent steps that are not done.
-    pub(crate) fn remaining_path(&self) -> Duration {
-        let paths = self.occurrences.values().map(|steps| {
-            let mut finish_times: Vec<Duration> = Vec::with_capacity(steps.len());
-            for (step, tasks) in self.job.steps.iter().zip(steps) {
-                let ready_times = step
-                    .depends_on
-                    .iter()
-                    .filter_map(|&a| finish_times.get(usize::from(a)));
-                let start = ready_times.max().copied().unwrap_or_default();
-                let unfinished = !tasks.is_done();
-                finish_times.push(
-                    start
-                        + if unfinished {
-                            step.estimate
-                        } else {
-                            Duration::ZERO
-                        },
-                );
-            }
-            finish_times.into_iter().max().unwrap_or_default()
-        });
-        paths.max().unwrap_or_default()
-    }
-
     /// Returns the urgency of the job.
     ///
     /// A job that can't be completed within its objective any more is placed after those that can,
     /// and a job over its team's share after both.
     pub(crate) fn urgency(&self, now: Instant) -> Urgency {
-        self.urgency_with(now, self.remaining_path())
-    }
-
-    /// Returns the urgency, given the result of [`Self::remaining_path`].
-    fn urgency_with(&self, now: Instant, remaining_path: Duration) -> Urgency {
         let age = now.saturating_duration_since(self.accepted_at);
-        if self.job.is_long_running() {
+        if self.long_running {
             Urgency::LongRunning
         } else if self.job.repeat.is_some() {
             Urgency::OnTime
@@ -335,7 +359,7 @@
             Urgency::Expired
         } else if self.over_share {
             Urgency::OverShare
-        } else if age + remaining_path <= self.objective {
+        } else if age + self.remaining_path <= self.objective {
             Urgency::OnTime
         } else {
             Urgency::Late
@@ -348,13 +372,12 @@
     /// first, then the one with the shorter remaining critical path. With ordering by deadline, all
     /// jobs of an overloaded pool would be served at the last moment and miss their deadlines.
     pub(crate) fn rank(&self, now: Instant) -> Rank {
-        let (total, remaining) = (self.job.work().max(1), self.remaining_work());
-        let remaining_path = self.remaining_path();
+        let remaining = self.remaining_work().saturating_mul(10);
         Rank {
-            urgency: self.urgency_with(now, remaining_path),
+            urgency: self.urgency(now),
             priority: self.job.queue.priority,
-            remaining_tenths: remaining.saturating_mul(10).div_ceil(total),
-            remaining_path,
+            remaining_tenths: remaining.div_ceil(self.work.max(1)),
+            remaining_path: self.remaining_path,
             deadline: self.deadline(),
         }
     }
