node: decode a worker's registration once for each change

One of the costs was the workers' topic: each owner read it every 300 ms and decoded all of its about 350 registrations, although few change, and compared two lists of its workers. A process that owns several shards did so for each of them.

One registry per process now reads the topic while the process owns a shard of a pool. It decodes the records that a read returned as changed, and notifies an owner only if a worker of its shard has changed; heartbeats that differ only in their sequence number no longer reach the owners. The latest list replaces one that an owner has not taken yet, so a slow owner does not delay the others. What an owner receives is the same as before.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,6 +28,7 @@
 mod status;
 mod topic_cache;
 mod wave;
+mod worker_registry;
 
 pub use appender::Appender;
 pub use appender::OwnershipLost;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -18,7 +18,6 @@
 use lavenderhollow_shard::StartOutcome;
 use lavenderhollow_shard::StepId;
 use lavenderhollow_shard::Timings;
-use lavenderhollow_shard::WorkerInfo;
 use lavenderhollow_shard::WorkerReport;
 use lavenderhollow_shard::decode_record;
 use lavenderhollow_types::Clock;
@@ -48,6 +47,7 @@
 use crate::router::LocalRequest;
 use crate::router::Router;
 use crate::shard_id::ShardId;
+use crate::worker_registry::WorkerUpdates;
 
 /// The maximum number of requests and events that are handled before decisions are made.
 const MAX_EVENT_BATCH: usize = 64;
@@ -116,7 +116,7 @@
     context: OwnerContext,
     claimed: ClaimedShard,
     mut requests: mpsc::Receiver<LocalRequest>,
-    mut worker_updates: mpsc::Receiver<Vec<WorkerInfo>>,
+    mut worker_updates: WorkerUpdates,
 ) {
     let (events, mut incoming) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let at = timestamp(&*context.clock);
@@ -180,11 +180,13 @@
                     break;
                 }
             }
-            Some(list) = worker_updates.recv() => {
+            Ok(()) = worker_updates.changed() => {
                 let at = timestamp(&*owner.context.clock);
                 turn_start = at.now;
                 handled += 1;
-                owner.shard.update_workers(at, list);
+                if let Some(list) = &*worker_updates.borrow_and_update() {
+                    owner.shard.update_workers(at, list.clone());
+                }
             }
             () = tokio::time::sleep(wait) => turn_start = owner.context.clock.now(),
         }
--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -8,7 +8,6 @@
 use std::time::Instant;
 
 use lavenderhollow_shard::Timings;
-use lavenderhollow_shard::WorkerInfo;
 use lavenderhollow_types::Clock;
 use rand::seq::IteratorRandom;
 use tokio::sync::mpsc;
@@ -18,7 +17,6 @@
 use crate::assignment::Member;
 use crate::assignment::Ownership;
 use crate::backend::Platform;
-use crate::backend::Store;
 use crate::backend::Topic;
 use crate::claim;
 use crate::claim::ClaimedShard;
@@ -31,6 +29,7 @@
 use crate::router::Router;
 use crate::shard_id::ShardId;
 use crate::topic_cache::TopicCache;
+use crate::worker_registry::WorkerRegistry;
 
 /// How often the process renews its membership in the store; several times per [`MEMBER_TTL`].
 const JOIN_INTERVAL: Duration = Duration::from_millis(400);
@@ -59,10 +58,6 @@
 /// How long one read of the owners' topic waits for new records.
 const OWNERS_READ_WAIT: Duration = Duration::from_secs(1);
 
-/// The interval between reads of the workers' topic. It is short enough because a worker that leaves
-/// announces this some seconds before.
-const WORKERS_READ_INTERVAL: Duration = Duration::from_millis(300);
-
 /// The delay before a failed call to the store is repeated.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -90,6 +85,7 @@
 /// Claims and releases shards, and runs their owners.
 pub(crate) struct ShardManager {
     context: ManagerContext,
+    registry: Arc<WorkerRegistry>,
     /// The shards that are being claimed.
     claiming: Mutex<BTreeSet<ShardId>>,
     stopping: watch::Sender<bool>,
@@ -104,6 +100,7 @@
         let now = context.clock.now();
         Arc::new(Self {
             context,
+            registry: Arc::default(),
             claiming: Mutex::default(),
             stopping: watch::Sender::new(false),
             joined_at: Mutex::new(None),
@@ -111,10 +108,13 @@
         })
     }
 
-    /// Starts the background tasks that maintain the membership, watch the owners and claim shards.
+    /// Starts the background tasks that maintain the membership, watch the owners and the workers,
+    /// and claim shards.
     pub(crate) fn start(self: &Arc<Self>) {
         tokio::spawn(Arc::clone(self).maintain_membership());
         tokio::spawn(Arc::clone(self).watch_owners());
+        let registry = Arc::clone(&self.registry);
+        tokio::spawn(registry.run(self.context.platform.clone()));
         tokio::spawn(Arc::clone(self).claim_periodically());
     }
 
@@ -372,7 +372,7 @@
         claim::publish_owner(&self.context.platform, shard, &ownership).await;
     }
 
-    /// Runs the owner of a shard, and the task that sends it updates, until the owner ends.
+    /// Runs the owner of a shard until the owner ends.
     async fn run_owner(
         &self,
         shard: ShardId,
@@ -404,8 +404,7 @@
             watcher.abort();
             return;
         }
-        let (updates, worker_updates) = mpsc::channel(4);
-        let watcher = tokio::spawn(watch_workers(context.platform.clone(), shard, updates));
+        let worker_updates = self.registry.subscribe(shard);
         let owner_context = owner::OwnerContext {
             shard_id: shard,
             platform: context.platform.clone(),
@@ -415,7 +414,6 @@
             timings: context.timings,
         };
         owner::run(owner_context, claimed, incoming, worker_updates).await;
-        watcher.abort();
     }
 
     /// Stops the owner of a shard and publishes the shard as released.
@@ -459,35 +457,6 @@
     }
 }
 
-/// Watches the workers' topic and sends the list of a shard's workers whenever it changes.
-async fn watch_workers(platform: Platform, shard: ShardId, updates: mpsc::Sender<Vec<WorkerInfo>>) {
-    let store: &dyn Store = &*platform.store;
-    let mut cache = TopicCache::new(Topic::Workers);
-    let mut last: Option<Vec<WorkerInfo>> = None;
-    loop {
-        match cache.sync(store, Duration::ZERO).await {
-            Ok(_) => {
-                let all = cache.records();
-                let workers = all.filter_map(|(id, value)| platform.codec.worker_info(id, value));
-                let workers: Vec<WorkerInfo> = workers
-                    .filter(|worker| ShardId::of_pool(&worker.pool) == shard)
-                    .collect();
-                if last.as_ref() != Some(&workers) {
-                    last = Some(workers.clone());
-                    if updates.send(workers).await.is_err() {
-                        return;
-                    }
-                }
-                tokio::time::sleep(WORKERS_READ_INTERVAL).await;
-            }
-            Err(error) => {
-                log::warn!(shard:display, error:display; "workers_read_failed");
-                tokio::time::sleep(STORE_RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
