shard: admit a job without a walk over the open jobs

Callers of a pool at its peak were answered late: for each submission the owner looked at all workers and all open jobs to find out whether the pool is full, most of the time that it spent on events.

The capacity and the usage of the schedulable workers, and the queued work, are now sums for each pool. A worker that was accessed for a change is counted anew when the sums are read next, so that no change can be missed; one with a backoff is counted anew when that ends. A job is counted anew when it is added, a task of it is done, it is final, or it expires.

--- a/crates/shard/src/admission.rs
+++ b/crates/shard/src/admission.rs
@@ -12,7 +12,7 @@
 use std::time::Instant;
 
 use crate::job::Job;
-use crate::job::Name;
+use crate::job::JobId;
 use crate::shard::Shard;
 use crate::tracked_job::EXPIRY_FACTOR;
 
@@ -31,18 +31,18 @@
 const MIN_FREE_FRACTION: f64 = 0.02;
 
 /// The load of a pool, counted in processor time only.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct PoolLoad {
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PoolLoad {
     /// The capacity of the schedulable workers, in millicores.
-    pub(crate) capacity: u64,
+    pub capacity: u64,
     /// The allocation of the tasks that run on these workers, in millicores.
-    pub(crate) used: u64,
+    pub used: u64,
     /// The processor time requested by jobs with long-running tasks, without their best-effort
     /// steps, in millicores.
-    long_running: u64,
+    pub long_running: u64,
     /// The remaining work of the jobs that neither have expired nor are over their team's share, in
     /// core-milliseconds.
-    queued_work: u64,
+    pub queued_work: u64,
 }
 
 impl PoolLoad {
@@ -115,25 +115,25 @@
     }
 
     /// Returns the load of a pool of this shard.
-    pub(crate) fn pool_load(&self, now: Instant, pool: &Name) -> PoolLoad {
-        let mut load = PoolLoad::default();
-        for worker in self.workers.values() {
-            if worker.info.pool == *pool && worker.is_schedulable(now) {
-                load.capacity += worker.info.capacity.cpu;
-                load.used += worker.used.cpu;
-            }
+    pub fn pool_load(&mut self, now: Instant, pool: &str) -> PoolLoad {
+        self.workers.update(now, &mut self.placement);
+        while let Some(id) = self.backlog.next_expired(now) {
+            self.count_job(now, id);
         }
-        let jobs = self.unfinished.iter().filter_map(|id| self.jobs.get(id));
-        for job in jobs.filter(|j| j.job.queue.pool == *pool) {
-            if job.long_running {
-                let steps = job.job.steps.iter().filter(|s| !s.best_effort);
-                load.long_running += steps
-                    .map(|s| s.resources.cpu * u64::from(s.count))
-                    .sum::<u64>();
-            } else if job.urgency(now).needs_capacity() {
-                load.queued_work += job.remaining_work();
-            }
+        let (workers, jobs) = (self.workers.capacity(pool), self.backlog.load(pool));
+        PoolLoad {
+            capacity: workers.capacity,
+            used: workers.used,
+            long_running: jobs.long_running,
+            queued_work: u64::try_from(jobs.queued_work).unwrap_or(u64::MAX),
+        }
+    }
+
+    /// Counts a job anew in the load of its pool, after it was added or has changed.
+    pub(crate) fn count_job(&mut self, now: Instant, id: JobId) {
+        if let Some(job) = self.jobs.get(&id) {
+            self.placement.counted += 1;
+            self.backlog.count(job, now);
         }
-        load
     }
 }
--- a/crates/shard/src/demand.rs
+++ b/crates/shard/src/demand.rs
@@ -58,7 +58,7 @@
     /// Returns the demand of a pool of this shard, and the capacity of the pool's workers.
     pub fn pool_demand(&self, now: Instant, pool: &str) -> PoolDemand {
         let mut demand = PoolDemand::default();
-        for (name, worker) in &self.workers {
+        for (name, worker) in self.workers.iter() {
             if &*worker.info.pool != pool || !worker.is_schedulable(now) {
                 continue;
             }
--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -34,6 +34,8 @@
     pub workers: u64,
     /// The computations of a job's remaining work and critical path.
     pub estimates: u64,
+    /// The jobs and workers that were counted or looked at for the load of a pool.
+    pub counted: u64,
 }
 
 /// The intermediate results of one placement pass over all unfinished jobs.
@@ -84,7 +86,10 @@
         let mut queue = Vec::with_capacity(self.unfinished.len());
         for &id in &self.unfinished {
             if let Some(job) = self.jobs.get_mut(&id) {
-                job.create_due_tasks(at.unix, &mut self.placement);
+                if job.create_due_tasks(at.unix, &mut self.placement) {
+                    self.placement.counted += 1;
+                    self.backlog.count(job, at.now);
+                }
                 queue.push((job.rank(at.now), id));
             }
         }
@@ -328,7 +333,7 @@
             .and_then(|t| t.failed_on.clone());
         let needs_ticket = self.needs_ticket(id.job);
         let tickets = self.tickets.get(&StepId::of(id));
-        let checked_workers = pass.checked_workers.get() + self.workers.len() as u64;
+        let checked_workers = pass.checked_workers.get() + self.workers.iter().count() as u64;
         pass.checked_workers.set(checked_workers);
         let candidates = self.workers.iter().filter(|(name, w)| {
             let ticket = tickets.and_then(|t| t.for_worker(now, name));
--- a/crates/shard/src/drain.rs
+++ b/crates/shard/src/drain.rs
@@ -116,22 +116,26 @@
     }
 
     /// Returns whether a worker has no drain in progress and belongs to a pool under high load.
-    fn should_defer_drain(&self, now: Instant, worker_id: &Name) -> bool {
+    fn should_defer_drain(&mut self, now: Instant, worker_id: &Name) -> bool {
         let Some(worker) = self.workers.get(worker_id) else {
             return false;
         };
-        let load = self.pool_load(now, &worker.info.pool);
+        let (pool, draining) = (Arc::clone(&worker.info.pool), worker.drain_since.is_some());
+        let load = self.pool_load(now, &pool);
         let used = load.used as f64;
-        worker.drain_since.is_none() && used > load.capacity as f64 * HIGH_LOAD_RATIO
+        !draining && used > load.capacity as f64 * HIGH_LOAD_RATIO
     }
 
     /// Ends the drains that were not requested again within `drain_ttl`, so that their workers get
     /// tasks again.
     pub(crate) fn expire_drains(&mut self, now: Instant) {
         let ttl: Duration = self.timings.drain_ttl;
-        for worker in self.workers.values_mut() {
-            let is_expired = now.saturating_duration_since(worker.drain_requested) > ttl;
-            if worker.drain_since.is_some() && is_expired {
+        let expired = self.workers.iter().filter(|(_, w)| {
+            w.drain_since.is_some() && now.saturating_duration_since(w.drain_requested) > ttl
+        });
+        let expired: Vec<Name> = expired.map(|(id, _)| Arc::clone(id)).collect();
+        for id in expired {
+            if let Some(worker) = self.workers.get_mut(&id) {
                 worker.drain_since = None;
                 worker.drain_granted = false;
                 worker.budget_blocked = false;
--- /dev/null
+++ b/crates/shard/src/inspect.rs
@@ -0,0 +1,62 @@
+//! Views of a shard's jobs and workers, with which tests check the sums that the shard keeps.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::job::Job;
+use crate::job::Resources;
+use crate::records::JobProgress;
+use crate::shard::Shard;
+use crate::worker::WorkerInfo;
+
+/// A job that is not final.
+#[derive(Clone, Debug)]
+pub struct JobView {
+    /// The job as it was submitted.
+    pub job: Arc<Job>,
+    /// The progress as it is stored next.
+    pub progress: JobProgress,
+    /// The number of occurrences that have become due.
+    pub occurrences: u32,
+    /// The time since the job was accepted.
+    pub age: Duration,
+    /// Whether the job was over its team's share when it was submitted.
+    pub over_share: bool,
+}
+
+/// A worker, as placement sees it.
+#[derive(Clone, Debug)]
+pub struct WorkerView {
+    /// The latest registration.
+    pub info: WorkerInfo,
+    /// The resources allocated to tasks.
+    pub used: Resources,
+    /// Whether tasks may be placed on the worker.
+    pub schedulable: bool,
+}
+
+impl Shard {
+    /// Returns the jobs that are not final.
+    pub fn job_views(&self, now: Instant) -> Vec<JobView> {
+        let jobs = self.unfinished.iter().filter_map(|id| self.jobs.get(id));
+        let views = jobs.map(|j| JobView {
+            job: Arc::clone(&j.job),
+            progress: j.progress(),
+            occurrences: u32::try_from(j.occurrences.len()).unwrap_or(u32::MAX),
+            age: now.saturating_duration_since(j.accepted_at),
+            over_share: j.over_share,
+        });
+        views.collect()
+    }
+
+    /// Returns the workers in the order of their ids.
+    pub fn worker_views(&self, now: Instant) -> Vec<WorkerView> {
+        let views = self.workers.values().map(|w| WorkerView {
+            info: w.info.clone(),
+            used: w.used,
+            schedulable: w.is_schedulable(now),
+        });
+        views.collect()
+    }
+}
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -8,9 +8,11 @@
 
 mod admission;
 mod arrivals;
+mod backlog;
 mod demand;
 mod dispatch;
 mod drain;
+mod inspect;
 mod interference;
 mod job;
 mod lease;
@@ -24,10 +26,14 @@
 mod timings;
 mod tracked_job;
 mod worker;
+mod workers;
 
+pub use admission::PoolLoad;
 pub use demand::PoolDemand;
 pub use dispatch::PlacementStats;
 pub use drain::DrainStatus;
+pub use inspect::JobView;
+pub use inspect::WorkerView;
 pub use job::*;
 pub use lease::Lease;
 pub use policy::StepId;
--- a/crates/shard/src/polling.rs
+++ b/crates/shard/src/polling.rs
@@ -60,8 +60,7 @@
                 });
                 let id = Arc::clone(&info.id);
                 let incarnation = info.incarnation;
-                self.workers
-                    .insert(Arc::clone(&id), Worker::new(info, at.now));
+                self.workers.insert(Worker::new(info, at.now));
                 self.attach_recovered_runs(&id, incarnation);
                 continue;
             };
@@ -80,20 +79,33 @@
                 worker.info = info;
             }
         }
-        for worker in self.workers.values_mut() {
-            worker.registered = registered_ids.contains(&worker.info.id);
+        let is_changed = |(id, w): &(&Name, &Worker)| w.registered != registered_ids.contains(*id);
+        let changed = self.workers.iter().filter(is_changed);
+        let changed: Vec<Name> = changed.map(|(id, _)| Arc::clone(id)).collect();
+        for id in changed {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.registered = registered_ids.contains(&id);
+            }
+        }
+        let unused = self.workers.iter().filter(|(_, w)| {
+            !(w.registered || w.reachable || !w.runs.is_empty() || w.poll_pending)
+        });
+        let unused: Vec<Name> = unused.map(|(id, _)| Arc::clone(id)).collect();
+        for id in unused {
+            self.workers.remove(&id);
         }
-        self.workers
-            .retain(|_, w| w.registered || w.reachable || !w.runs.is_empty() || w.poll_pending);
     }
 
     /// Sends the polls that are due.
     pub(crate) fn send_polls(&mut self, now: Instant) {
         let timings = self.timings;
-        for (worker_id, worker) in &mut self.workers {
-            if worker.poll_pending || worker.next_poll > now {
+        let due = self.workers.iter();
+        let due = due.filter(|(_, w)| !w.poll_pending && w.next_poll <= now);
+        let due: Vec<Name> = due.map(|(id, _)| Arc::clone(id)).collect();
+        for worker_id in due {
+            let Some(worker) = self.workers.get_mut(&worker_id) else {
                 continue;
-            }
+            };
             let busy = !worker.runs.is_empty();
             // An unreachable worker is granted no new deadline: the poll may not arrive, and a
             // later deadline would delay the time from which the runs of a lost worker are
@@ -114,8 +126,7 @@
                     Duration::ZERO
                 },
             };
-            self.effects
-                .push(Effect::Poll(Arc::clone(worker_id), request));
+            self.effects.push(Effect::Poll(worker_id, request));
         }
     }
 
@@ -310,6 +321,8 @@
         }
         if outcome == RunOutcome::Done && !long_running {
             job.mark_done(id.task, &mut self.placement);
+            self.placement.counted += 1;
+            self.backlog.count(job, at.now);
         }
         let Some(task) = job.task(id.task) else {
             return;
@@ -321,6 +334,7 @@
         };
         if gang && outcome == RunOutcome::Done {
             self.complete_gang(id);
+            self.count_job(at.now, id.task.job);
         }
         for number in remaining_runs {
             self.request_stop(RunId {
@@ -539,7 +553,7 @@
             for run in self.runs_of(id) {
                 let is_orphaned = self
                     .run(run)
-                    .is_some_and(|r| !self.workers.contains_key(&r.worker));
+                    .is_some_and(|r| !self.workers.contains(&r.worker));
                 if is_orphaned {
                     runs.push(run);
                 }
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -15,6 +15,7 @@
 use std::time::Instant;
 
 use crate::arrivals::Arrivals;
+use crate::backlog::Backlog;
 use crate::dispatch::PlacementStats;
 use crate::job::Job;
 use crate::job::JobId;
@@ -33,7 +34,7 @@
 use crate::tracked_job::Phase;
 use crate::tracked_job::TrackedJob;
 use crate::worker::RunId;
-use crate::worker::Worker;
+use crate::workers::Workers;
 
 /// The current time on the two clocks that decisions depend on.
 #[derive(Clone, Copy, Debug)]
@@ -159,7 +160,9 @@
     pub(crate) jobs: HashMap<JobId, TrackedJob>,
     /// The jobs that are not final.
     pub(crate) unfinished: BTreeSet<JobId>,
-    pub(crate) workers: BTreeMap<Name, Worker>,
+    pub(crate) workers: Workers,
+    /// The load of the unfinished jobs on each pool.
+    pub(crate) backlog: Backlog,
     /// The workers that were terminated by a command to their machine, with the terminated
     /// incarnation.
     pub(crate) terminated_incarnations: BTreeMap<Name, u64>,
@@ -199,7 +202,8 @@
             owned_since: now,
             jobs: HashMap::new(),
             unfinished: BTreeSet::new(),
-            workers: BTreeMap::new(),
+            workers: Workers::default(),
+            backlog: Backlog::default(),
             terminated_incarnations: BTreeMap::new(),
             teams: BTreeMap::new(),
             share_limiter: ShareLimiter::default(),
@@ -261,6 +265,7 @@
         }
         self.jobs.insert(id, tracked);
         self.unfinished.insert(id);
+        self.count_job(at.now, id);
         self.mark_dirty(id);
         self.pending_batch
             .effects
@@ -488,6 +493,7 @@
         let age = at.now.saturating_duration_since(job.accepted_at);
         let objective = job.objective;
         self.unfinished.remove(&id);
+        self.count_job(at.now, id);
         self.tickets.retain(|step, _| step.job != id);
         let runs = self.runs_of(id);
         for run in runs {
--- a/crates/shard/src/tracked_job.rs
+++ b/crates/shard/src/tracked_job.rs
@@ -215,10 +215,11 @@
         }
     }
 
-    /// Creates the tasks of the occurrences that are due.
-    pub(crate) fn create_due_tasks(&mut self, unix: Duration, stats: &mut PlacementStats) {
+    /// Creates the tasks of the occurrences that are due, and returns whether there were any.
+    pub(crate) fn create_due_tasks(&mut self, unix: Duration, stats: &mut PlacementStats) -> bool {
+        let first = self.next_occurrence;
         if self.state.is_final() {
-            return;
+            return false;
         }
         while self.next_occurrence < self.occurrence_count()
             && self.scheduled_unix(self.next_occurrence) <= unix
@@ -226,6 +227,7 @@
             self.create_occurrence(self.next_occurrence, stats);
             self.next_occurrence += 1;
         }
+        self.next_occurrence > first
     }
 
     /// Creates the tasks of an occurrence unless they exist.
@@ -345,6 +347,12 @@
         self.accepted_at + self.objective
     }
 
+    /// Returns after which time the job has expired, `None` if it can't expire.
+    pub(crate) fn expiry(&self) -> Option<Instant> {
+        let expires = !self.long_running && self.job.repeat.is_none();
+        expires.then(|| self.accepted_at + self.objective * EXPIRY_FACTOR)
+    }
+
     /// Returns the urgency of the job.
     ///
     /// A job that can't be completed within its objective any more is placed after those that can,
--- /dev/null
+++ b/crates/shard/src/workers.rs
@@ -0,0 +1,163 @@
+//! The workers of a shard's pools, with sums for each pool that are kept up to date.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::mem;
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::dispatch::PlacementStats;
+use crate::job::Name;
+use crate::job::Resources;
+use crate::worker::Worker;
+
+/// The processor time of a pool's schedulable workers, in millicores.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct PoolCapacity {
+    /// What the workers offer.
+    pub(crate) capacity: u64,
+    /// What is allocated to tasks.
+    pub(crate) used: u64,
+}
+
+/// What a schedulable worker adds to the sums of its pool.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Entry {
+    pool: Name,
+    capacity: Resources,
+    used: Resources,
+}
+
+impl Entry {
+    fn of(worker: &Worker) -> Self {
+        Self {
+            pool: Arc::clone(&worker.info.pool),
+            capacity: worker.info.capacity,
+            used: worker.used,
+        }
+    }
+}
+
+/// A worker, and what the sums contain of it.
+#[derive(Debug)]
+struct Slot {
+    worker: Worker,
+    /// Whether the worker is in the list of changed ones.
+    changed: bool,
+    /// Absent while the worker is not schedulable.
+    entry: Option<Entry>,
+}
+
+/// The workers by id.
+///
+/// A worker that was accessed for a change is counted anew by the next [`Workers::update`], so that
+/// the sums need no walk over all workers.
+#[derive(Debug, Default)]
+pub(crate) struct Workers {
+    slots: BTreeMap<Name, Slot>,
+    changed: Vec<Name>,
+    /// When the backoff of a worker ends that is not schedulable before.
+    backoffs: BTreeSet<(Instant, Name)>,
+    pools: HashMap<Name, PoolCapacity>,
+}
+
+impl Workers {
+    pub(crate) fn get(&self, id: &str) -> Option<&Worker> {
+        self.slots.get(id).map(|s| &s.worker)
+    }
+
+    /// Returns a worker for a change.
+    pub(crate) fn get_mut(&mut self, id: &str) -> Option<&mut Worker> {
+        let slot = self.slots.get_mut(id)?;
+        if !mem::replace(&mut slot.changed, true) {
+            self.changed.push(Arc::clone(&slot.worker.info.id));
+        }
+        Some(&mut slot.worker)
+    }
+
+    pub(crate) fn contains(&self, id: &str) -> bool {
+        self.slots.contains_key(id)
+    }
+
+    /// Returns all workers in the order of their ids.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&Name, &Worker)> {
+        self.slots.iter().map(|(id, slot)| (id, &slot.worker))
+    }
+
+    pub(crate) fn values(&self) -> impl Iterator<Item = &Worker> {
+        self.slots.values().map(|slot| &slot.worker)
+    }
+
+    /// Adds a worker under its id.
+    pub(crate) fn insert(&mut self, worker: Worker) {
+        let id = Arc::clone(&worker.info.id);
+        self.remove(&id);
+        self.changed.push(Arc::clone(&id));
+        let slot = Slot {
+            worker,
+            changed: true,
+            entry: None,
+        };
+        self.slots.insert(id, slot);
+    }
+
+    pub(crate) fn remove(&mut self, id: &str) -> Option<Worker> {
+        let mut slot = self.slots.remove(id)?;
+        if let Some(entry) = slot.entry.take() {
+            self.uncount(&entry);
+        }
+        Some(slot.worker)
+    }
+
+    /// Counts the workers anew that have changed or whose backoff has ended.
+    pub(crate) fn update(&mut self, now: Instant, stats: &mut PlacementStats) {
+        while let Some((until, _)) = self.backoffs.first()
+            && *until <= now
+            && let Some((_, id)) = self.backoffs.pop_first()
+        {
+            self.changed.push(id);
+        }
+        while let Some(id) = self.changed.pop() {
+            stats.counted += 1;
+            self.count(now, &id);
+        }
+    }
+
+    /// Returns the sums of a pool as of the last [`Workers::update`].
+    pub(crate) fn capacity(&self, pool: &str) -> PoolCapacity {
+        self.pools.get(pool).copied().unwrap_or_default()
+    }
+
+    /// Counts a worker anew.
+    fn count(&mut self, now: Instant, id: &Name) {
+        let Some(slot) = self.slots.get_mut(id) else {
+            return;
+        };
+        slot.changed = false;
+        if let Some(until) = slot.worker.backoff_until.filter(|until| *until > now) {
+            self.backoffs.insert((until, Arc::clone(id)));
+        }
+        let schedulable = slot.worker.is_schedulable(now);
+        let entry = schedulable.then(|| Entry::of(&slot.worker));
+        if entry == slot.entry {
+            return;
+        }
+        let previous = mem::replace(&mut slot.entry, entry.clone());
+        if let Some(previous) = previous {
+            self.uncount(&previous);
+        }
+        if let Some(entry) = entry {
+            let sums = self.pools.entry(entry.pool).or_default();
+            sums.capacity += entry.capacity.cpu;
+            sums.used += entry.used.cpu;
+        }
+    }
+
+    fn uncount(&mut self, entry: &Entry) {
+        if let Some(sums) = self.pools.get_mut(&entry.pool) {
+            sums.capacity -= entry.capacity.cpu;
+            sums.used -= entry.used.cpu;
+        }
+    }
+}
--- a/crates/shard/tests/support/mod.rs
+++ b/crates/shard/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! Builders for jobs, workers and worker reports, and a test harness for one shard.
 
+pub(crate) mod pool_load;
 pub(crate) mod simulation;
 
 use std::collections::BTreeMap;
@@ -175,6 +176,7 @@
     /// Runs one scheduling pass and returns its effects.
     pub(crate) fn tick(&mut self) -> Vec<Effect> {
         self.shard.tick(self.at);
+        pool_load::check(&mut self.shard, self.at.now);
         self.shard.take_effects()
     }
 
--- a/crates/shard/tests/support/simulation.rs
+++ b/crates/shard/tests/support/simulation.rs
@@ -32,6 +32,7 @@
 
 use super::CAPACITY;
 use super::job;
+use super::pool_load;
 use super::step;
 use super::timings;
 use super::worker_info;
@@ -376,6 +377,7 @@
         if let Some(shard) = &mut self.shard {
             shard.update_workers(at, worker_infos);
             shard.tick(at);
+            pool_load::check(shard, at.now);
         }
         self.write_batch();
         self.execute_effects();
--- a/crates/shard/tests/test_cost.rs
+++ b/crates/shard/tests/test_cost.rs
@@ -42,3 +42,33 @@
     harness.tick();
     assert_eq!(harness.shard.placement_stats().estimates, before + 1);
 }
+
+/// Guards against a walk over the open jobs and the workers for each submission.
+#[test]
+fn admission_does_not_look_at_every_open_job() {
+    let mut harness = backlog(200);
+    harness.tick();
+    let before = harness.shard.placement_stats().counted;
+    for id in 1_000..1_010 {
+        harness.submit(job(id, vec![step(1, &[])]));
+    }
+    let counted = harness.shard.placement_stats().counted - before;
+    assert!(
+        counted <= 20,
+        "{counted} jobs and workers for ten submissions"
+    );
+}
+
+/// Guards against a job that stays in the queued work of its pool after it has expired.
+#[test]
+fn an_expired_job_is_not_counted_as_queued_work() {
+    let mut harness = backlog(3);
+    harness.tick();
+    let queued = |h: &mut Harness| h.shard.pool_load(h.at.now, "pool").queued_work;
+    assert_eq!(queued(&mut harness), 3_000);
+    // Three times the objective of twice 1 s and 1 s more.
+    harness.advance(Duration::from_secs(9));
+    assert_eq!(queued(&mut harness), 3_000);
+    harness.advance(Duration::from_millis(1));
+    assert_eq!(queued(&mut harness), 0);
+}
