node, platform: read the list of machines when a decision needs it

The owner of the fleet shard read the whole list of about 350 machines before each decision: every 300 ms, and up to every 60 ms while pools reported that they lack capacity. On a VM with a link of 10 Mbit/s and 0.12 cores these reads delay the usage reports of all pools, which the same task answers.

The list is now kept. While waves or moves are in progress or a pool lacks capacity it is at most 300 ms old, otherwise at most a second. Decisions are still made as often as before, on the kept list: the moves and waves that this owner has requested are tracked apart from it. Moves that were planned from an older list are planned again from one that is at most 300 ms old before anything is requested, and the list is read again after each maintenance command, which takes a machine down.

The ends of moved workers and the arrival of repaired machines are now noticed up to 300 ms after they are listed in a shortage, as otherwise, instead of up to 60 ms.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -32,6 +32,7 @@
 use crate::claim::ClaimedShard;
 use crate::cluster_config::Wave;
 use crate::current_config::CurrentConfig;
+use crate::machine_list::MachineList;
 use crate::message::ShardRequest;
 use crate::message::ShardResponse;
 use crate::message::ShardUsage;
@@ -54,6 +55,13 @@
 /// capacity.
 const SHORTAGE_INTERVAL: Duration = Duration::from_millis(60);
 
+/// The maximum age of the list of machines that commands are based on, and of the list while waves
+/// or moves are in progress or a pool lacks capacity.
+const MAX_LIST_AGE: Duration = Duration::from_millis(300);
+
+/// The maximum age of the list of machines while there is nothing to do with it.
+const MAX_IDLE_LIST_AGE: Duration = Duration::from_secs(1);
+
 /// The timeout of a drain request to the owner of a machine's pool.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -102,6 +110,7 @@
     active_waves: BTreeMap<u64, ActiveWave>,
     completed_waves: BTreeSet<u64>,
     rebalancer: Rebalancer,
+    list: MachineList,
     commands: RecentCommands,
     automatic: FleetSwitches,
     /// The machines whose origin pools are stored.
@@ -125,6 +134,7 @@
     let now = context.clock.now();
     let mut fleet = Fleet {
         rebalancer: Rebalancer::new(context.move_time),
+        list: MachineList::default(),
         commands: RecentCommands::new(context.takeover_delay),
         automatic: FleetSwitches::default(),
         stored_origins: BTreeSet::new(),
@@ -367,8 +377,13 @@
         let Some(machines) = self.context.platform.machines.clone() else {
             return Ok(());
         };
-        let Some(list) = machines.list().await else {
-            log::warn!("machine_list_unavailable");
+        let max_age = if self.needs_recent_list(now) {
+            MAX_LIST_AGE
+        } else {
+            MAX_IDLE_LIST_AGE
+        };
+        let clock = &*self.context.clock;
+        let Some(list) = self.list.get(&*machines, clock, max_age).await else {
             return Ok(());
         };
         if now.saturating_duration_since(self.owned_since) < self.context.takeover_delay {
@@ -382,6 +397,15 @@
         self.rebalance(&*machines, &list).await
     }
 
+    /// Returns whether waves or moves are in progress or a pool lacks capacity.
+    fn needs_recent_list(&self, now: Instant) -> bool {
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < moves::REPORT_TTL;
+        let mut demands = self.demands.values();
+        !self.active_waves.is_empty()
+            || self.rebalancer.moving_count() > 0
+            || demands.any(|(at, demand)| is_recent(at) && demand.is_short())
+    }
+
     /// Drains the next machines of a wave and requests maintenance for those that are drained.
     async fn advance_wave(
         &mut self,
@@ -561,6 +585,7 @@
             wave.mark_requested(now, name, worker);
         }
         let answer = machines.start_maintenance(&holder, name, number).await;
+        self.list.invalidate();
         self.commands.mark_finished(self.context.clock.now(), name);
         log::info!(
             wave = number, machine = &**name, token = self.fencing_token, answer:display;
--- a/crates/node/src/fleet/moves.rs
+++ b/crates/node/src/fleet/moves.rs
@@ -12,6 +12,7 @@
 
 use super::DRAIN_GRANT_TTL;
 use super::Fleet;
+use super::MAX_LIST_AGE;
 use crate::appender::OwnershipLost;
 use crate::automatic::FleetAction;
 use crate::backend::Machine;
@@ -26,7 +27,7 @@
 pub(super) const ORIGIN_PREFIX: &str = "m";
 
 /// The time after which the report of a pool is ignored, because several later reports are missing.
-const REPORT_TTL: Duration = Duration::from_millis(1_500);
+pub(super) const REPORT_TTL: Duration = Duration::from_millis(1_500);
 
 /// The timeout of a request to the owner of a pool to release a worker.
 const WORKER_RELEASE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -45,9 +46,13 @@
         if self.commands.all_blocked(now) {
             return Ok(());
         }
-        let mut moves = self.rebalancer.unconfirmed();
-        if self.automatic.is_enabled(FleetAction::Moves) {
-            moves.extend(self.planned_moves(now, list));
+        let mut moves = self.wanted_moves(now, list);
+        if !moves.is_empty() && !self.list.is_recent(now, MAX_LIST_AGE) {
+            let clock = &*self.context.clock;
+            let Some(list) = self.list.get(machines, clock, MAX_LIST_AGE).await else {
+                return Ok(());
+            };
+            moves = self.wanted_moves(self.context.clock.now(), &list);
         }
         if moves.is_empty() {
             return Ok(());
@@ -74,6 +79,15 @@
         Ok(())
     }
 
+    /// Returns the moves whose command got no response, and those that the demands call for.
+    fn wanted_moves(&self, now: Instant, list: &[Machine]) -> Vec<PlannedMove> {
+        let mut moves = self.rebalancer.unconfirmed();
+        if self.automatic.is_enabled(FleetAction::Moves) {
+            moves.extend(self.planned_moves(now, list));
+        }
+        moves
+    }
+
     /// Plans moves from the recent reports. Machines of waves, and those to which an earlier owner
     /// recently sent a command, are excluded.
     fn planned_moves(&self, now: Instant, list: &[Machine]) -> Vec<PlannedMove> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod fleet;
 mod job_api;
 mod load_monitor;
+mod machine_list;
 mod message;
 mod node;
 mod operators;
