fleet: send the moves of a peak at the same time

At a peak, callers' jobs were late because machines arrived in their pool slowly. The owner of the fleet shard sent the moves one after the other, 16 ms each, about 55 a second, and planned and released far more of them than it could send. Those that were a second old expired, and their workers stayed out of use until their release ended. While it sent, it handled no usage reports, so that owners got no quotas in time.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -31,6 +31,7 @@
 use crate::backend::Topic;
 use crate::claim::ClaimedShard;
 use crate::cluster_config::Wave;
+use crate::command_budget::CommandBudget;
 use crate::current_config::CurrentConfig;
 use crate::machine_list::MachineList;
 use crate::message::ShardRequest;
@@ -97,6 +98,8 @@
     pub(crate) maintenance_time: Duration,
     /// How long the platform takes to move a machine to another pool.
     pub(crate) move_time: Duration,
+    /// How many commands per second the machine interface accepts.
+    pub(crate) command_rate: f64,
 }
 
 /// The state of the task that owns the fleet shard.
@@ -112,6 +115,7 @@
     rebalancer: Rebalancer,
     list: MachineList,
     commands: RecentCommands,
+    command_budget: CommandBudget,
     automatic: FleetSwitches,
     /// The machines whose origin pools are stored.
     stored_origins: BTreeSet<Name>,
@@ -136,6 +140,7 @@
         rebalancer: Rebalancer::new(context.move_time),
         list: MachineList::default(),
         commands: RecentCommands::new(context.takeover_delay),
+        command_budget: CommandBudget::new(now, context.command_rate),
         automatic: FleetSwitches::default(),
         stored_origins: BTreeSet::new(),
         demands: BTreeMap::new(),
@@ -584,6 +589,7 @@
         if let Some(wave) = self.active_waves.get_mut(&number) {
             wave.mark_requested(now, name, worker);
         }
+        self.command_budget.take(now, 1);
         let answer = machines.start_maintenance(&holder, name, number).await;
         self.list.invalidate();
         self.commands.mark_finished(self.context.clock.now(), name);
--- a/crates/node/src/fleet/moves.rs
+++ b/crates/node/src/fleet/moves.rs
@@ -54,6 +54,12 @@
             };
             moves = self.wanted_moves(self.context.clock.now(), &list);
         }
+        let available = self.command_budget.available(now);
+        if moves.len() > available {
+            // The rest is planned again soon. Its workers stay in use meanwhile.
+            moves.truncate(available);
+            self.has_shortage = true;
+        }
         if moves.is_empty() {
             return Ok(());
         }
@@ -62,21 +68,15 @@
         self.store_origins(&moves).await?;
         let names: Vec<Name> = moves.iter().map(|m| Arc::clone(&m.machine)).collect();
         self.record_commands(&names).await?;
-        for planned in moves {
-            let age = self
-                .context
-                .clock
-                .now()
-                .saturating_duration_since(requested_at);
-            if age > DRAIN_GRANT_TTL {
-                log::info!(
-                    machine = &*planned.machine, age_ms = age.as_millis() as u64; "move_expired"
-                );
-                continue;
-            }
-            self.request_move(machines, &planned).await?;
+        let now = self.context.clock.now();
+        let age = now.saturating_duration_since(requested_at);
+        if age > DRAIN_GRANT_TTL {
+            log::info!(
+                machines = moves.len(), age_ms = age.as_millis() as u64; "moves_expired"
+            );
+            return Ok(());
         }
-        Ok(())
+        self.request_moves(now, machines, &moves).await
     }
 
     /// Returns the moves whose command got no response, and those that the demands call for.
@@ -168,16 +168,37 @@
         Ok(())
     }
 
-    /// Sends the move command for a machine and records its response.
-    async fn request_move(
+    /// Sends the move commands at the same time and records their responses. One after the other,
+    /// the commands of a peak would take seconds.
+    async fn request_moves(
         &mut self,
+        now: Instant,
         machines: &dyn Machines,
+        moves: &[PlannedMove],
+    ) -> Result<(), OwnershipLost> {
+        self.command_budget.take(now, moves.len());
+        for planned in moves {
+            self.rebalancer.mark_requested(now, planned);
+        }
+        let holder = self.holder();
+        let commands = moves
+            .iter()
+            .map(|planned| machines.move_to(&holder, &planned.machine, &planned.to));
+        let answers = futures::future::join_all(commands).await;
+        let mut result = Ok(());
+        for (planned, answer) in moves.iter().zip(answers) {
+            result = result.and(self.record_answer(planned, answer));
+        }
+        result
+    }
+
+    /// Records the response to a move command.
+    fn record_answer(
+        &mut self,
         planned: &PlannedMove,
+        answer: MachineResponse,
     ) -> Result<(), OwnershipLost> {
         let name = &planned.machine;
-        self.rebalancer
-            .mark_requested(self.context.clock.now(), planned);
-        let answer = machines.move_to(&self.holder(), name, &planned.to).await;
         self.commands.mark_finished(self.context.clock.now(), name);
         metrics::counter!("machine_moves_total", "outcome" => answer.to_string()).increment(1);
         log::info!(
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -67,6 +67,8 @@
     pub maintenance_time: Duration,
     /// How long the move of a machine to another pool takes.
     pub move_time: Duration,
+    /// How many commands per second the machine interface accepts.
+    pub command_rate: f64,
     /// The processor time that the process may use, in millicores.
     pub cpu_limit: u64,
 }
@@ -116,6 +118,7 @@
             timings: Timings::new(settings.max_lease, settings.job_retention),
             maintenance_time: settings.maintenance_time,
             move_time: settings.move_time,
+            command_rate: settings.command_rate,
             takeover_delay: settings.takeover_delay,
             waves: waves_receiver,
         });
--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -77,6 +77,8 @@
     pub(crate) timings: Timings,
     pub(crate) maintenance_time: Duration,
     pub(crate) move_time: Duration,
+    /// How many commands per second the machine interface accepts.
+    pub(crate) command_rate: f64,
     /// How long an earlier owner of the fleet shard may still send commands.
     pub(crate) takeover_delay: Duration,
     pub(crate) waves: watch::Receiver<Vec<Wave>>,
@@ -399,6 +401,7 @@
                 takeover_delay: context.takeover_delay,
                 maintenance_time: context.maintenance_time,
                 move_time: context.move_time,
+                command_rate: context.command_rate,
             };
             fleet::run(fleet_context, claimed, incoming, wave_updates).await;
             watcher.abort();
--- a/crates/node/tests/runner.rs
+++ b/crates/node/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod test_assignment;
 mod test_automatic;
+mod test_command_budget;
 mod test_rebalancer;
 mod test_recent_commands;
 mod test_shard_quotas;
--- a/crates/testing/src/fakes/machines.rs
+++ b/crates/testing/src/fakes/machines.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use http::Method;
@@ -33,6 +34,17 @@
 pub(super) struct Machines {
     pub(super) machines: Mutex<BTreeMap<String, Machine>>,
     maintained: Mutex<BTreeSet<(u64, String)>>,
+    pub(super) calls: Mutex<CommandCalls>,
+}
+
+/// The commands that are being answered.
+#[derive(Debug, Default)]
+pub(super) struct CommandCalls {
+    /// How long each command takes.
+    pub(super) delay: Duration,
+    current: usize,
+    /// The most commands that were answered at the same time.
+    pub(super) peak: usize,
 }
 
 impl Machines {
@@ -40,6 +52,23 @@
         self.machines.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the commands that are being answered.
+    pub(super) fn calls(&self) -> MutexGuard<'_, CommandCalls> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits for as long as a command takes.
+    async fn delay_command(&self) {
+        let delay = {
+            let mut calls = self.calls();
+            calls.current += 1;
+            calls.peak = calls.peak.max(calls.current);
+            calls.delay
+        };
+        tokio::time::sleep(delay).await;
+        self.calls().current -= 1;
+    }
+
     /// Returns the machines that had maintenance, each with the number of its wave.
     pub(super) fn maintained(&self) -> BTreeSet<(u64, String)> {
         self.maintained
@@ -124,6 +153,9 @@
 #[async_trait]
 impl Handler for MachinesHandler {
     async fn handle(&self, request: HttpRequest) -> Option<HttpResponse> {
+        if request.method == Method::POST {
+            self.0.delay_command().await;
+        }
         Some(match (&request.method, request.path.as_str()) {
             (&Method::GET, "/api/machines") => self.0.list(),
             (&Method::POST, "/api/machine-upkeep") => self.0.start_maintenance(&request),
--- a/crates/testing/src/fakes/platform.rs
+++ b/crates/testing/src/fakes/platform.rs
@@ -205,6 +205,16 @@
         }
     }
 
+    /// Sets how long the machine interface takes to answer a command.
+    pub fn set_command_delay(&self, delay: Duration) {
+        self.machines.calls().delay = delay;
+    }
+
+    /// Returns the most commands to machines that were answered at the same time.
+    pub fn concurrent_commands(&self) -> usize {
+        self.machines.calls().peak
+    }
+
     /// Returns how many different tasks were started on the worker with this index.
     pub fn start_count(&self, worker: usize) -> usize {
         let worker = self.workers.get(worker);
