shard: consider a waiting task only after a change

A step now keeps the tasks that are not done and have no run, a job the steps of which such tasks are ready, and the shard the jobs with such steps; a pass ranks these alone. There is no pass if the last one placed nothing and nothing has changed since: no task became ready or free, no worker gained or lost room or became schedulable, and no quota, label or ticket changed. Time alone changes only the order of jobs none of which fits: long-running jobs, which alone reserve workers, come first whatever their age. A pass that placed something, undid a gang or asks the policy service is repeated. The tasks of repeated jobs are created from an index of their times.

--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -4,6 +4,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::mem;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -19,6 +20,7 @@
 use crate::shard::StartRequest;
 use crate::shard::Timestamp;
 use crate::tracked_job::Phase;
+use crate::tracked_job::Rank;
 use crate::tracked_job::Run;
 use crate::worker::RunId;
 use crate::worker::Worker;
@@ -26,9 +28,9 @@
 /// How much work placement has done, which grows with the size of the pool and of its queues.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PlacementStats {
-    /// The passes over the unfinished jobs.
+    /// The passes over the jobs with waiting tasks.
     pub passes: u64,
-    /// The jobs whose tasks were considered for placement.
+    /// The jobs with waiting tasks that were considered for placement.
     pub jobs: u64,
     /// The workers that were considered for a task.
     pub workers: u64,
@@ -78,21 +80,54 @@
             .clamp(now, now + MAX_TICK_INTERVAL)
     }
 
-    /// Runs a placement pass over all unfinished jobs in the order of their ranks.
+    /// Creates the tasks of the occurrences that are due.
+    fn create_due_tasks(&mut self, at: Timestamp) {
+        while let Some(&(due, id)) = self.due.first()
+            && due <= at.unix
+        {
+            self.due.pop_first();
+            let job = self.jobs.get_mut(&id).filter(|j| !j.state.is_final());
+            let Some(job) = job else {
+                continue;
+            };
+            job.create_due_tasks(at.unix, &mut self.placement);
+            self.due.extend(job.next_due().map(|due| (due, id)));
+            self.count_job(at.now, id);
+            self.update_waiting(id);
+        }
+    }
+
+    /// Updates whether a job has tasks that wait for a place, after its tasks have changed. The
+    /// next tick makes a placement pass.
+    pub(crate) fn update_waiting(&mut self, id: JobId) {
+        let job = self.jobs.get(&id);
+        let waits = job.is_some_and(|j| !j.state.is_final() && !j.waiting.is_empty());
+        match waits {
+            true => self.waiting.insert(id),
+            false => self.waiting.remove(&id),
+        };
+        self.settled = false;
+    }
+
+    /// Runs a placement pass over the jobs with waiting tasks, in the order of their ranks.
+    ///
+    /// There is none if the last one placed nothing and nothing has changed since: the time alone
+    /// makes no room, and changes only the order of jobs none of which fits. A worker whose backoff
+    /// or drain ends is a change. Requests to the policy service are repeated with time, so that a
+    /// pass with one is repeated.
     fn dispatch(&mut self, at: Timestamp) {
+        self.create_due_tasks(at);
+        self.workers.update(at.now, &mut self.placement);
+        let unchanged = !self.workers.take_change();
+        if mem::replace(&mut self.settled, true) && unchanged {
+            return;
+        }
         for team in self.teams.values_mut() {
             team.pending = Resources::default();
         }
-        let mut queue = Vec::with_capacity(self.unfinished.len());
-        for &id in &self.unfinished {
-            if let Some(job) = self.jobs.get_mut(&id) {
-                if job.create_due_tasks(at.unix, &mut self.placement) {
-                    self.placement.counted += 1;
-                    self.backlog.count(job, at.now);
-                }
-                queue.push((job.rank(at.now), id));
-            }
-        }
+        let jobs = self.waiting.iter();
+        let jobs = jobs.filter_map(|id| Some((self.jobs.get(id)?.rank(at.now), *id)));
+        let mut queue: Vec<(Rank, JobId)> = jobs.collect();
         queue.sort_unstable();
         let mut pass = PlacementPass::default();
         self.placement.passes += 1;
@@ -109,48 +144,45 @@
             return;
         };
         let job = Arc::clone(&tracked.job);
-        let mut ready = Vec::new();
-        for (&occurrence, steps) in &tracked.occurrences {
-            for (i, step) in (0u16..).zip(&job.steps) {
-                let is_done = |a: &u16| steps.get(usize::from(*a)).is_some_and(|s| s.is_done());
-                let Some(tasks) = steps.get(usize::from(i)) else {
-                    continue;
-                };
-                if !step.depends_on.iter().all(is_done) {
-                    continue;
-                }
-                let unplaced =
-                    |(_, t): &(u32, &crate::tracked_job::Task)| !t.done && t.runs.is_empty();
-                let unplaced = (0u32..).zip(&tasks.tasks).filter(unplaced);
-                let unplaced: Vec<u32> = unplaced.map(|(index, _)| index).collect();
-                let step_id = StepId {
-                    job: id,
-                    occurrence,
-                    step: i,
-                };
-                if !unplaced.is_empty() {
-                    ready.push((step_id, unplaced));
-                }
-            }
-        }
-        for (step_id, unplaced) in ready {
-            let Some(step) = job.steps.get(usize::from(step_id.step)) else {
+        let steps: Vec<(u32, u16)> = tracked.waiting.iter().copied().collect();
+        for (occurrence, index) in steps {
+            let Some(step) = job.steps.get(usize::from(index)) else {
                 continue;
             };
+            let step_id = StepId {
+                job: id,
+                occurrence,
+                step: index,
+            };
             let pool = &job.queue.pool;
-            match step.gang {
-                true => self.place_gang(at, step_id, step, pool, &unplaced, pass),
-                false => {
-                    for index in unplaced {
-                        if !self.place_task(at, step_id.task(index), step, pool, pass) {
-                            break;
-                        }
-                    }
+            if step.gang {
+                let unplaced: Vec<u32> = self.unplaced(step_id, 0).collect();
+                self.place_gang(at, step_id, step, pool, &unplaced, pass);
+                continue;
+            }
+            let mut next = 0;
+            loop {
+                let first = self.unplaced(step_id, next).next();
+                let Some(index) = first else {
+                    break;
+                };
+                if !self.place_task(at, step_id.task(index), step, pool, pass) {
+                    break;
                 }
+                next = index + 1;
             }
         }
     }
 
+    /// Returns the indexes, from `first` on, of a step's tasks that are not done and have no run.
+    fn unplaced(&self, id: StepId, first: u32) -> impl Iterator<Item = u32> {
+        let steps = self.jobs.get(&id.job);
+        let steps = steps.and_then(|j| j.occurrences.get(&id.occurrence));
+        let step = steps.and_then(|s| s.get(usize::from(id.step)));
+        step.into_iter()
+            .flat_map(move |s| s.unplaced.range(first..).copied())
+    }
+
     /// Places one task. Returns `false` if there is no room for it on a worker or in the team's
     /// quota, in which case there is none for another task of the step either.
     fn place_task(
@@ -166,6 +198,7 @@
         }
         let Some(worker) = self.select_worker(at.now, id, step, pool, pass) else {
             if self.needs_ticket(id.job) {
+                self.settled = false;
                 self.query_policy(at.now, StepId::of(id), pool);
             } else if step.long_running {
                 self.reserve_worker(at.now, id, step, pool, pass);
--- a/crates/shard/src/policy.rs
+++ b/crates/shard/src/policy.rs
@@ -119,6 +119,7 @@
         let Some((allowed, ttl)) = decision else {
             return;
         };
+        self.settled = false;
         // If no worker is allowed, the next query waits for `QUERY_RETRY`.
         if !allowed.is_empty() {
             tickets.queried_at = None;
--- a/crates/shard/src/polling.rs
+++ b/crates/shard/src/polling.rs
@@ -71,6 +71,8 @@
                 worker.next_poll = at.now;
             }
             worker.registered = true;
+            // Sums and indexes of the workers don't show a change of the labels.
+            self.settled &= worker.info.labels == info.labels;
             if info.incarnation > worker.info.incarnation {
                 let (id, incarnation) = (Arc::clone(&info.id), info.incarnation);
                 worker.info = info;
@@ -342,6 +344,7 @@
                 number,
             });
         }
+        self.update_waiting(id.task.job);
         self.mark_dirty(id.task.job);
         if failed {
             self.finish(at, id.task.job, JobState::Failed);
--- a/crates/shard/src/recovery.rs
+++ b/crates/shard/src/recovery.rs
@@ -67,8 +67,10 @@
         }
         if let Some(tracked) = self.jobs.get_mut(&id) {
             tracked.create_due_tasks(at.unix, &mut self.placement);
+            self.due.extend(tracked.next_due().map(|due| (due, id)));
         }
         self.count_job(at.now, id);
+        self.update_waiting(id);
         // Runs of a job in a final state may still be executing.
         if is_final {
             for run in self.runs_of(id) {
--- a/crates/shard/src/runs.rs
+++ b/crates/shard/src/runs.rs
@@ -227,6 +227,7 @@
             task.last_run = task.last_run.max(run.number);
             task.runs.push(run);
         }
+        job.update_unplaced(task_id);
         if let Some(worker) = self.workers.get_mut(&worker) {
             worker.used.add(allocation);
             worker.runs.insert(id);
@@ -235,6 +236,7 @@
         if let Some(team) = team {
             self.teams.entry(team).or_default().used.add(resources);
         }
+        self.update_waiting(task_id.job);
     }
 
     /// Removes a run from its task, and its resources from the usage of its worker and its team.
@@ -254,6 +256,7 @@
             return;
         };
         let run = task.runs.remove(position);
+        job.update_unplaced(id.task);
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.used.sub(allocation);
             worker.runs.remove(&id);
@@ -262,6 +265,7 @@
             team.used.sub(resources);
         }
         self.stops.remove(&(run.worker, id));
+        self.update_waiting(id.task.job);
         self.mark_dirty(id.task.job);
         self.drop_tasks(id.task.job);
     }
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -160,6 +160,12 @@
     pub(crate) jobs: HashMap<JobId, TrackedJob>,
     /// The jobs that are not final.
     pub(crate) unfinished: BTreeSet<JobId>,
+    /// The unfinished jobs with tasks that wait for a place.
+    pub(crate) waiting: BTreeSet<JobId>,
+    /// When the next occurrence of an unfinished job is due, as time since the Unix epoch.
+    pub(crate) due: BTreeSet<(Duration, JobId)>,
+    /// Whether the last placement pass placed nothing and its inputs are unchanged since.
+    pub(crate) settled: bool,
     pub(crate) workers: Workers,
     /// The load of the unfinished jobs on each pool.
     pub(crate) backlog: Backlog,
@@ -202,6 +208,9 @@
             owned_since: now,
             jobs: HashMap::new(),
             unfinished: BTreeSet::new(),
+            waiting: BTreeSet::new(),
+            due: BTreeSet::new(),
+            settled: false,
             workers: Workers::default(),
             backlog: Backlog::default(),
             terminated_incarnations: BTreeMap::new(),
@@ -250,6 +259,7 @@
         let mut tracked = TrackedJob::new(Arc::new(job), at.now, at.unix);
         tracked.over_share = over_share.is_some();
         tracked.create_due_tasks(at.unix, &mut self.placement);
+        self.due.extend(tracked.next_due().map(|due| (due, id)));
         self.log_event("job_accepted", id, || {
             format!(
                 "queue={} team={} excess={} steps={} objective_ms={}",
@@ -266,6 +276,7 @@
         self.jobs.insert(id, tracked);
         self.unfinished.insert(id);
         self.count_job(at.now, id);
+        self.update_waiting(id);
         self.mark_dirty(id);
         self.pending_batch
             .effects
@@ -389,6 +400,7 @@
 
     /// Sets the quotas of the teams on this shard. Teams without an entry can't start tasks.
     pub fn set_quotas(&mut self, quotas: &BTreeMap<Name, Resources>) {
+        self.settled = false;
         for (name, team) in &mut self.teams {
             team.quota = quotas.get(name).copied();
         }
@@ -494,6 +506,7 @@
         let objective = job.objective;
         self.unfinished.remove(&id);
         self.count_job(at.now, id);
+        self.update_waiting(id);
         self.tickets.retain(|step, _| step.job != id);
         let runs = self.runs_of(id);
         for run in runs {
--- a/crates/shard/src/tracked_job.rs
+++ b/crates/shard/src/tracked_job.rs
@@ -1,6 +1,7 @@
 //! The in-memory state of a job: its tasks, their runs and the job's rank in the placement order.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -127,6 +128,8 @@
     pub(crate) tasks: Vec<Task>,
     /// The number of tasks that are not done.
     unfinished: u32,
+    /// The indexes of the tasks that are not done and have no run.
+    pub(crate) unplaced: BTreeSet<u32>,
 }
 
 impl StepTasks {
@@ -134,6 +137,7 @@
         Self {
             tasks: vec![Task::default(); count as usize],
             unfinished: count,
+            unplaced: (0..count).collect(),
         }
     }
 
@@ -172,6 +176,8 @@
     remaining_path: Duration,
     /// The occurrences before this one exist.
     next_occurrence: u32,
+    /// The steps with unplaced tasks whose dependencies are done, as occurrence and step.
+    pub(crate) waiting: BTreeSet<(u32, u16)>,
     /// Whether the job was over its team's share when it was submitted.
     pub(crate) over_share: bool,
     /// Whether the job's own record is stored or in a batch that is being stored.
@@ -187,6 +193,7 @@
             remaining_work: 0,
             remaining_path: Duration::ZERO,
             next_occurrence: 0,
+            waiting: BTreeSet::new(),
             job,
             state: JobState::Queued,
             stored_state: JobState::Queued,
@@ -215,11 +222,10 @@
         }
     }
 
-    /// Creates the tasks of the occurrences that are due, and returns whether there were any.
-    pub(crate) fn create_due_tasks(&mut self, unix: Duration, stats: &mut PlacementStats) -> bool {
-        let first = self.next_occurrence;
+    /// Creates the tasks of the occurrences that are due.
+    pub(crate) fn create_due_tasks(&mut self, unix: Duration, stats: &mut PlacementStats) {
         if self.state.is_final() {
-            return false;
+            return;
         }
         while self.next_occurrence < self.occurrence_count()
             && self.scheduled_unix(self.next_occurrence) <= unix
@@ -227,7 +233,6 @@
             self.create_occurrence(self.next_occurrence, stats);
             self.next_occurrence += 1;
         }
-        self.next_occurrence > first
     }
 
     /// Creates the tasks of an occurrence unless they exist.
@@ -237,6 +242,7 @@
         }
         let steps = self.job.steps.iter().map(|s| StepTasks::new(s.count));
         self.occurrences.insert(occurrence, steps.collect());
+        self.update_waiting(occurrence);
         self.update_remaining(stats);
     }
 
@@ -250,9 +256,46 @@
         if let Some(step) = steps.and_then(|s| s.get_mut(usize::from(id.step))) {
             step.unfinished -= 1;
         }
+        self.update_unplaced(id);
         self.update_remaining(stats);
     }
 
+    /// Updates whether a task and its step wait for a place, after a run was added to the task or
+    /// removed, or the task is done.
+    pub(crate) fn update_unplaced(&mut self, id: TaskId) {
+        let steps = self.occurrences.get_mut(&id.occurrence);
+        let Some(step) = steps.and_then(|s| s.get_mut(usize::from(id.step))) else {
+            return;
+        };
+        let task = step.tasks.get(id.index as usize);
+        match task.is_some_and(|t| !t.done && t.runs.is_empty()) {
+            true => step.unplaced.insert(id.index),
+            false => step.unplaced.remove(&id.index),
+        };
+        self.update_waiting(id.occurrence);
+    }
+
+    /// Updates which steps of an occurrence have tasks that wait for a place.
+    fn update_waiting(&mut self, occurrence: u32) {
+        let Some(steps) = self.occurrences.get(&occurrence) else {
+            return;
+        };
+        let is_done = |a: &u16| steps.get(usize::from(*a)).is_some_and(StepTasks::is_done);
+        for ((index, step), tasks) in (0u16..).zip(&self.job.steps).zip(steps) {
+            match !tasks.unplaced.is_empty() && step.depends_on.iter().all(is_done) {
+                true => self.waiting.insert((occurrence, index)),
+                false => self.waiting.remove(&(occurrence, index)),
+            };
+        }
+    }
+
+    /// Returns when the next occurrence is due, as time since the Unix epoch, `None` after the
+    /// last.
+    pub(crate) fn next_due(&self) -> Option<Duration> {
+        let remains = self.next_occurrence < self.occurrence_count();
+        remains.then(|| self.scheduled_unix(self.next_occurrence))
+    }
+
     /// Computes the remaining work and the remaining critical path anew, after a task was created
     /// or done.
     fn update_remaining(&mut self, stats: &mut PlacementStats) {
--- a/crates/shard/src/workers.rs
+++ b/crates/shard/src/workers.rs
@@ -60,9 +60,17 @@
     /// When the backoff of a worker ends that is not schedulable before.
     backoffs: BTreeSet<(Instant, Name)>,
     pools: HashMap<Name, PoolCapacity>,
+    /// Whether an entry has changed since [`Workers::take_change`].
+    entry_changed: bool,
 }
 
 impl Workers {
+    /// Returns whether a schedulable worker or its usage has changed since the last call, as of the
+    /// last [`Workers::update`].
+    pub(crate) fn take_change(&mut self) -> bool {
+        mem::take(&mut self.entry_changed)
+    }
+
     pub(crate) fn get(&self, id: &str) -> Option<&Worker> {
         self.slots.get(id).map(|s| &s.worker)
     }
@@ -105,6 +113,7 @@
     pub(crate) fn remove(&mut self, id: &str) -> Option<Worker> {
         let mut slot = self.slots.remove(id)?;
         if let Some(entry) = slot.entry.take() {
+            self.entry_changed = true;
             self.uncount(&entry);
         }
         Some(slot.worker)
@@ -143,6 +152,7 @@
         if entry == slot.entry {
             return;
         }
+        self.entry_changed = true;
         let previous = mem::replace(&mut slot.entry, entry.clone());
         if let Some(previous) = previous {
             self.uncount(&previous);
--- a/crates/shard/tests/support/simulation.rs
+++ b/crates/shard/tests/support/simulation.rs
@@ -201,6 +201,10 @@
     /// How many runs of each task ended `failed` and were acknowledged by an owner.
     acked_failed: BTreeMap<TaskId, u32>,
     random_state: u64,
+    /// Whether the owner makes a placement pass in each tick.
+    pub(crate) repeats_passes: bool,
+    /// The runs whose start was sent, with the tick and the index of the worker.
+    pub(crate) starts: Vec<(u64, usize, RunId)>,
 }
 
 impl Simulation {
@@ -229,6 +233,8 @@
             acked_done: BTreeMap::new(),
             acked_failed: BTreeMap::new(),
             random_state: 1,
+            repeats_passes: false,
+            starts: Vec::new(),
         };
         simulation.tick();
         simulation
@@ -376,6 +382,10 @@
         let worker_infos = self.worker_infos();
         if let Some(shard) = &mut self.shard {
             shard.update_workers(at, worker_infos);
+            if self.repeats_passes {
+                // No job has a team, so that new quotas change nothing but cause a pass.
+                shard.set_quotas(&BTreeMap::new());
+            }
             shard.tick(at);
             pool_load::check(shard, at.now);
         }
@@ -482,6 +492,9 @@
     /// Puts a call in flight, with the faults of its worker. A call that gets no response is
     /// reported to the owner as failed after 30 ticks.
     fn send(&mut self, worker_index: usize, call: Call) {
+        if let Call::Start(request) = &call {
+            self.starts.push((self.ticks, worker_index, request.run));
+        }
         let sent = self.timestamp().now;
         let worker = &self.workers[worker_index];
         let (partitioned, delayed) = (worker.partition_ticks > 0, worker.delay_ticks > 0);
--- a/crates/shard/tests/test_cost.rs
+++ b/crates/shard/tests/test_cost.rs
@@ -4,13 +4,25 @@
 use std::time::Duration;
 
 use lavenderhollow_shard::RunOutcome;
+use proptest::collection::vec;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
 
 use crate::support::Harness;
 use crate::support::finished_run;
 use crate::support::job;
 use crate::support::report;
+use crate::support::simulation::Op;
+use crate::support::simulation::Simulation;
 use crate::support::starts;
 use crate::support::step;
+use crate::test_simulation::WORKERS;
+use crate::test_simulation::op;
+
+/// The seed of the random cases, fixed so that every run has the same verdict.
+const SEED: u64 = 20_261_205;
 
 /// Returns the owner of a pool with one worker that has room for four tasks, and `jobs` open jobs
 /// of two steps.
@@ -72,3 +84,61 @@
     harness.advance(Duration::from_millis(1));
     assert_eq!(queued(&mut harness), 0);
 }
+
+/// Guards against a placement pass in each tick although nothing has changed.
+#[test]
+fn a_tick_without_a_change_considers_no_job() {
+    let mut harness = backlog(100);
+    for _ in 0..3 {
+        harness.tick();
+        harness.store_batch();
+    }
+    let before = harness.shard.placement_stats();
+    for _ in 0..10 {
+        harness.advance(Duration::from_millis(10));
+        harness.tick();
+    }
+    let after = harness.shard.placement_stats();
+    assert_eq!((after.passes, after.jobs), (before.passes, before.jobs));
+}
+
+/// Guards against a placement pass that is left out although it would place a task.
+#[test]
+fn no_pass_is_left_out_that_would_place_a_task() {
+    let config = Config {
+        cases: 60,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let mut bytes = [0u8; 32];
+    bytes[..8].copy_from_slice(&SEED.to_le_bytes());
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
+    let starts_of = |ops: &[Op], repeats_passes: bool| {
+        let mut simulation = Simulation::new(WORKERS);
+        simulation.repeats_passes = repeats_passes;
+        for &op in ops {
+            simulation.apply(op);
+        }
+        simulation.run_to_completion();
+        simulation.starts
+    };
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let result = runner.run(&vec(op(), 1..40), |ops| {
+        assert_eq!(starts_of(&ops, false), starts_of(&ops, true));
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
+
+/// Guards against ranking the jobs all of whose ready tasks have a run.
+#[test]
+fn a_pass_considers_only_jobs_with_waiting_tasks() {
+    let mut harness = backlog(4);
+    harness.tick();
+    let before = harness.shard.placement_stats().jobs;
+    harness.submit(job(5, vec![step(1, &[])]));
+    harness.tick();
+    assert_eq!(harness.shard.placement_stats().jobs, before + 1);
+}
--- a/crates/shard/tests/test_simulation.rs
+++ b/crates/shard/tests/test_simulation.rs
@@ -21,9 +21,9 @@
 const SEED: u64 = 20_261_204;
 const CASES: u32 = 150;
 
-const WORKERS: usize = 3;
+pub(crate) const WORKERS: usize = 3;
 
-fn op() -> impl Strategy<Value = Op> {
+pub(crate) fn op() -> impl Strategy<Value = Op> {
     prop_oneof![
         6 => (1u8..5, 1u8..4).prop_map(|(a, b)| Op::Submit(a, b)),
         1 => (0u8..8).prop_map(Op::Resubmit),
