node: open one connection for all calls to a peer

While an owner was slow, the processes that route callers' requests to it opened many connections to it: calls that found no open connection each opened their own, of which only the last was kept, and each call that timed out closed the current connection, also if it had been made on an earlier one. Accepting connections and reading from many at once cost the owner processor time that it lacked.

Calls to a peer now wait for the same attempt to connect, and a failed call closes only the connection that it was made on.

With an owner that never responds, 20 simultaneous calls opened 20 connections and open 1 now; calls that fail one after the other closed the newer connection, which made 8 connections instead of 2. Both tests of crates/node/tests/test_peers.rs fail without the change.

--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -5,13 +5,17 @@
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
 use derive_more::Display;
 use derive_more::Error;
+use futures::FutureExt;
 use futures::StreamExt;
+use futures::future::BoxFuture;
+use futures::future::Shared;
 use lavenderhollow_shard::Name;
 use lavenderhollow_trace::Span;
 use lavenderhollow_trace::SpanContext;
@@ -54,10 +58,13 @@
     },
 }
 
-/// The open connections to peers, by address. A connection is opened on its first use.
+/// A connection that is open or being opened. All calls that need it wait for the same attempt.
+type Connection = Shared<BoxFuture<'static, Result<PeerClient, String>>>;
+
+/// The connections to peers, by address. A connection is opened on its first use.
 #[derive(Default)]
 pub(crate) struct Peers {
-    clients: Mutex<BTreeMap<Name, PeerClient>>,
+    connections: Mutex<BTreeMap<Name, Connection>>,
 }
 
 impl Peers {
@@ -76,11 +83,12 @@
         timeout: Duration,
     ) -> Result<ShardResponse, PeerError> {
         let span = parent.map(|context| Span::child("peer", context));
-        let client = self.client(address).await?;
+        let connection = self.connection(address);
+        let client = self.client(address, &connection).await?;
         let context = span.as_ref().map(Span::context);
         let call = client.send(rpc_context(timeout), context, shard, request);
         let result = call.await;
-        self.handle_result(address, result)
+        self.handle_result(address, &connection, result)
     }
 
     /// Asks a peer for the shard owners that it knows.
@@ -93,56 +101,81 @@
         address: &Name,
         timeout: Duration,
     ) -> Result<Vec<(ShardId, Ownership)>, PeerError> {
-        let client = self.client(address).await?;
+        let connection = self.connection(address);
+        let client = self.client(address, &connection).await?;
         let result = client.owners(rpc_context(timeout)).await;
-        self.handle_result(address, result)
+        self.handle_result(address, &connection, result)
     }
 
     /// Drops the connection and counts an error if a call failed.
     fn handle_result<T>(
         &self,
         address: &Name,
+        connection: &Connection,
         result: Result<T, RpcError>,
     ) -> Result<T, PeerError> {
         result.map_err(|error| {
             // A connection on which a call got no response may never work again, so the next call
             // opens a new one.
-            self.lock().remove(address);
-            metrics::counter!("peer_errors_total").increment(1);
+            self.remove(address, connection);
             PeerError::OutcomeUnknown {
                 detail: error.to_string(),
             }
         })
     }
 
-    /// Returns the open connection to an address, or opens one.
-    async fn client(&self, address: &Name) -> Result<PeerClient, PeerError> {
-        if let Some(client) = self.lock().get(address) {
-            return Ok(client.clone());
-        }
-        let not_sent = |detail: String| {
-            metrics::counter!("peer_errors_total").increment(1);
+    /// Returns the connection to an address, which is opened if there is none.
+    fn connection(&self, address: &Name) -> Connection {
+        let mut connections = self.lock();
+        let connection = connections
+            .entry(Arc::clone(address))
+            .or_insert_with(|| connect(Arc::clone(address)).boxed().shared());
+        connection.clone()
+    }
+
+    /// Waits until a connection is open.
+    async fn client(
+        &self,
+        address: &Name,
+        connection: &Connection,
+    ) -> Result<PeerClient, PeerError> {
+        connection.clone().await.map_err(|detail| {
+            self.remove(address, connection);
             PeerError::NotSent { detail }
-        };
-        let socket: SocketAddr = address
-            .parse()
-            .map_err(|_| not_sent("invalid peer address".into()))?;
-        let mut connect = tcp::connect(socket, Bincode::default);
-        connect.config_mut().max_frame_length(MAX_MESSAGE_BYTES);
-        let transport = tokio::time::timeout(CONNECT_TIMEOUT, connect)
-            .await
-            .map_err(|_| not_sent("connect timed out".into()))?
-            .map_err(|e| not_sent(e.to_string()))?;
-        let client = PeerClient::new(client::Config::default(), transport).spawn();
-        self.lock().insert(Arc::clone(address), client.clone());
-        Ok(client)
+        })
+    }
+
+    /// Removes a failed connection, unless a newer one has replaced it, and counts the error.
+    fn remove(&self, address: &Name, failed: &Connection) {
+        metrics::counter!("peer_errors_total").increment(1);
+        let mut connections = self.lock();
+        if connections
+            .get(address)
+            .is_some_and(|current| current.ptr_eq(failed))
+        {
+            connections.remove(address);
+        }
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<Name, PeerClient>> {
-        self.clients.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<Name, Connection>> {
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+/// Opens a connection to the peer at an address.
+async fn connect(address: Name) -> Result<PeerClient, String> {
+    let socket: SocketAddr = address.parse().map_err(|_| "invalid peer address")?;
+    let mut connect = tcp::connect(socket, Bincode::default);
+    connect.config_mut().max_frame_length(MAX_MESSAGE_BYTES);
+    let transport = tokio::time::timeout(CONNECT_TIMEOUT, connect)
+        .await
+        .map_err(|_| "connect timed out")?
+        .map_err(|error| error.to_string())?;
+    Ok(PeerClient::new(client::Config::default(), transport).spawn())
+}
+
 /// Returns the context of a call that times out after `timeout`.
 fn rpc_context(timeout: Duration) -> context::Context {
     let mut context = context::current();
--- a/crates/node/tests/runner.rs
+++ b/crates/node/tests/runner.rs
@@ -1,8 +1,9 @@
-//! Tests of the decision logic of a node, without a store, workers or other processes.
+//! Tests of the parts of a node, without a store, workers or other processes.
 
 mod test_assignment;
 mod test_automatic;
 mod test_command_budget;
+mod test_peers;
 mod test_rebalancer;
 mod test_recent_commands;
 mod test_shard_quotas;
