trace, cli: limit the lines that libraries write to the log

Of libraries only warnings and errors are logged, at most five lines a second; the next line after such a second is preceded by library_lines_dropped with the count of the others. The project's own lines are not limited. The level of the log facade is set to info, so that libraries no longer build the spans and debug lines that were filtered out afterwards.

--- a/crates/cli/src/command/node.rs
+++ b/crates/cli/src/command/node.rs
@@ -111,7 +111,7 @@
 
 fn init_logging(traces: bool) -> eyre::Result<()> {
     // tarpc logs several lines for each call, which were hundreds per second with nine entry VMs.
-    let filter = RustLogFilterBuilder::from_spec("info")
+    let filter = RustLogFilterBuilder::from_spec("warn,lavenderhollow=info")
         .filter_module("tarpc", LevelFilter::MoreSevereEqual(Level::Error))
         .build();
     let stdout = NonBlockingStdout::start().wrap_err("can't start the log writer thread")?;
@@ -121,6 +121,8 @@
     logforth::starter_log::builder()
         .dispatch(|dispatch| dispatch.filter(filter).append(stdout))
         .apply();
+    // Libraries skip the spans of each call only if their level is disabled here.
+    log::set_max_level(log::LevelFilter::Info);
     Ok(())
 }
 
--- a/crates/cli/src/logging.rs
+++ b/crates/cli/src/logging.rs
@@ -4,20 +4,26 @@
 use std::io;
 use std::io::Write;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::TrySendError;
 use std::sync::mpsc::sync_channel;
+use std::time::Instant;
+use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use lavenderhollow_trace::LineLimiter;
 use logforth::Append;
 use logforth::Diagnostic;
 use logforth::Error;
 use logforth::kv::KeyView;
 use logforth::kv::ValueView;
 use logforth::kv::Visitor;
+use logforth::record::Level;
 use logforth::record::Record;
 use serde_json::Map;
 use serde_json::Value;
@@ -25,12 +31,20 @@
 /// The number of lines that are queued for a slow reader; further lines are dropped and counted.
 const QUEUE_CAPACITY: usize = 8_192;
 
+/// The most lines of libraries that are written in a second. A library may log each of the hundreds
+/// of calls that fail in a second while a peer is slow, and the project logs them itself.
+const MAX_LIBRARY_LINES: u32 = 5;
+
+/// The start of the targets of the project's own lines.
+const OWN_TARGET: &str = "lavenderhollow";
+
 /// Writes lines to standard output on a separate thread, and drops lines when the reader is too
 /// slow.
 #[derive(Clone)]
 pub(crate) struct NonBlockingStdout {
     sender: SyncSender<Vec<u8>>,
     dropped: Arc<AtomicU64>,
+    library_lines: Arc<Mutex<LineLimiter>>,
 }
 
 impl fmt::Debug for NonBlockingStdout {
@@ -53,6 +67,10 @@
         Ok(Self {
             sender,
             dropped: Arc::default(),
+            library_lines: Arc::new(Mutex::new(LineLimiter::new(
+                Instant::now(),
+                MAX_LIBRARY_LINES,
+            ))),
         })
     }
 }
@@ -89,16 +107,26 @@
 
 /// Encodes a log record as one line of JSON: the time, the level, the event and its fields.
 fn encode_line(record: &Record) -> Result<Vec<u8>, Error> {
-    let since_epoch = record.time().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let mut map = line_fields(record.time(), record.level(), &record.payload().to_string());
+    record.key_values().visit(&mut FieldCollector(&mut map))?;
+    encode_fields(&map)
+}
+
+/// Returns the fields that all lines have.
+fn line_fields(time: SystemTime, level: Level, event: &str) -> Map<String, Value> {
+    let since_epoch = time.duration_since(UNIX_EPOCH).unwrap_or_default();
     let mut map = Map::new();
     map.insert(
         "unix_ms".to_owned(),
         (since_epoch.as_millis() as u64).into(),
     );
-    map.insert("level".to_owned(), record.level().name().into());
-    map.insert("event".to_owned(), record.payload().to_string().into());
-    record.key_values().visit(&mut FieldCollector(&mut map))?;
-    let mut line = serde_json::to_vec(&map).map_err(|e| Error::new(e.to_string()))?;
+    map.insert("level".to_owned(), level.name().into());
+    map.insert("event".to_owned(), event.into());
+    map
+}
+
+fn encode_fields(map: &Map<String, Value>) -> Result<Vec<u8>, Error> {
+    let mut line = serde_json::to_vec(map).map_err(|e| Error::new(e.to_string()))?;
     line.push(b'\n');
     Ok(line)
 }
@@ -117,11 +145,35 @@
         }
         Ok(())
     }
+
+    /// Returns whether a line is written, and writes how many lines of libraries were dropped.
+    fn admit(&self, record: &Record) -> Result<bool, Error> {
+        let is_own = record.target().starts_with(OWN_TARGET);
+        let (dropped, admitted) = {
+            let mut limiter = self
+                .library_lines
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            (
+                limiter.take_dropped(Instant::now()),
+                is_own || limiter.admit(),
+            )
+        };
+        if let Some(count) = dropped {
+            let mut map = line_fields(record.time(), Level::Warn, "library_lines_dropped");
+            map.insert("count".to_owned(), count.into());
+            self.send(encode_fields(&map)?)?;
+        }
+        Ok(admitted)
+    }
 }
 
 impl Append for NonBlockingStdout {
     fn append(&self, record: &Record, _: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
-        self.send(encode_line(record)?)
+        match self.admit(record)? {
+            true => self.send(encode_line(record)?),
+            false => Ok(()),
+        }
     }
 
     fn flush(&self) -> Result<(), Error> {
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -1,8 +1,11 @@
-//! Spans that trace a request through processes, written as lines of JSON.
+//! Spans that trace a request through processes, written as lines of JSON, and a limit on lines of
+//! the log.
 //!
 //! The usual tracing libraries calibrate the CPU's cycle counter before `main`, which takes seconds
 //! on a VM with a fraction of a core. This crate reads only the clocks of the operating system.
 
+mod line_limiter;
+
 use std::borrow::Cow;
 use std::io::Write;
 use std::sync::Mutex;
@@ -16,6 +19,8 @@
 use serde::Serialize;
 use serde_json::json;
 
+pub use line_limiter::LineLimiter;
+
 type Sink = Mutex<Box<dyn Write + Send>>;
 
 static SINK: OnceLock<Sink> = OnceLock::new();
--- a/crates/trace/tests/runner.rs
+++ b/crates/trace/tests/runner.rs
@@ -1,5 +1,7 @@
 //! Tests of the spans that are written to the sink.
 
+mod test_line_limiter;
+
 use std::io;
 use std::io::Write;
 use std::sync::Arc;
