node: renew the membership without waiting for responses

Long-running tasks of callers were away for too long (AVAIL) while two processes claimed a shard from each other. A call to the store may also take as long as the membership lasts, 1.5 s, so one lost response ended it.

Renewals are now sent at fixed times, up to four at once, and a task of its own reads the members. The generation that the latest renewal returned counts, since responses may overtake each other. A process that stops waits for its last renewals before it leaves.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 mod job_api;
 mod load_monitor;
 mod machine_list;
+mod membership;
 mod message;
 mod node;
 mod operators;
--- /dev/null
+++ b/crates/node/src/membership.rs
@@ -0,0 +1,250 @@
+//! Keeps this process a live member, and follows the other members.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use lavenderhollow_types::Clock;
+use tokio::sync::watch;
+
+use crate::assignment::Member;
+use crate::backend::Store;
+use crate::router::Router;
+use crate::shard_manager::lock;
+
+/// How often the process renews its membership in the store; several times per [`MEMBER_TTL`].
+const JOIN_INTERVAL: Duration = Duration::from_millis(400);
+
+/// How often a process that has just become a member renews its membership until it may claim
+/// shards. The responses show whether there are other new members.
+const INITIAL_JOIN_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The time after which a membership that is not renewed expires. A process that pauses for this
+/// long loses its shards to other members.
+const MEMBER_TTL: Duration = Duration::from_millis(1_500);
+
+/// The number of renewals that may wait for a response at the same time. It spans the time after
+/// which the store's client gives a call up.
+const MAX_PENDING: usize = 4;
+
+/// How long a process that stops waits for its last renewals, which would make it a member again if
+/// they arrived after it left.
+const LEAVE_DELAY: Duration = Duration::from_millis(500);
+
+/// The delay before a failed read of the members is repeated.
+const READ_RETRY_DELAY: Duration = Duration::from_millis(250);
+
+/// How long the members have to be unchanged before a process that has just started claims shards,
+/// so that processes that start at the same time see each other first.
+const SETTLE_TIME: Duration = Duration::from_millis(350);
+
+/// The time after which a process claims shards even if the members keep changing.
+const MAX_SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// What the store said about the set of members.
+#[derive(Debug, Default)]
+struct Generation {
+    /// The number of the renewal whose response was used last.
+    renewal: u64,
+    /// The number that changes with the set of members.
+    value: u64,
+}
+
+/// The membership of this process, and the members that it sees.
+pub(crate) struct Membership {
+    store: Arc<dyn Store>,
+    router: Arc<Router>,
+    clock: Arc<dyn Clock>,
+    generation: Mutex<Generation>,
+    /// The generation to read the members of; `None` after a failed renewal.
+    current: watch::Sender<Option<u64>>,
+    /// The number of renewals that have no response yet.
+    pending: watch::Sender<usize>,
+    stopping: watch::Sender<bool>,
+    /// When this process became a member.
+    joined_at: watch::Sender<Option<Instant>>,
+    /// When the live members last changed or this process last released a shard to rebalance.
+    changed_at: Mutex<Instant>,
+}
+
+impl Membership {
+    pub(crate) fn new(store: Arc<dyn Store>, router: Arc<Router>, clock: Arc<dyn Clock>) -> Self {
+        let now = clock.now();
+        Self {
+            store,
+            router,
+            clock,
+            generation: Mutex::default(),
+            current: watch::Sender::new(None),
+            pending: watch::Sender::new(0),
+            stopping: watch::Sender::new(false),
+            joined_at: watch::Sender::new(None),
+            changed_at: Mutex::new(now),
+        }
+    }
+
+    /// Starts the background tasks that renew the membership and read the members.
+    pub(crate) fn start(self: &Arc<Self>) {
+        tokio::spawn(Arc::clone(self).renew_periodically());
+        tokio::spawn(Arc::clone(self).follow_members());
+    }
+
+    /// Renews the membership at fixed times. A renewal waits for nothing else: neither for the
+    /// response to the one before nor for the list of members, which may take longer than
+    /// [`MEMBER_TTL`] while the store is slow or the process lacks processor time.
+    async fn renew_periodically(self: Arc<Self>) {
+        let mut joined = self.joined_at.subscribe();
+        let mut next = tokio::time::Instant::now();
+        let mut renewal = 0;
+        while !*self.stopping.borrow() {
+            if *self.pending.borrow() < MAX_PENDING {
+                renewal += 1;
+                self.pending.send_modify(|n| *n += 1);
+                tokio::spawn(Arc::clone(&self).renew(renewal));
+            }
+            let has_joined = joined.borrow_and_update().is_some();
+            let is_settling = has_joined && !self.is_settled(self.clock.now());
+            next += match is_settling {
+                true => INITIAL_JOIN_INTERVAL,
+                false => JOIN_INTERVAL,
+            };
+            next = next.max(tokio::time::Instant::now());
+            tokio::select! {
+                () = tokio::time::sleep_until(next) => {}
+                // The first response starts the time in which the members have to be unchanged.
+                _ = joined.changed(), if !has_joined => {
+                    next = tokio::time::Instant::now() + INITIAL_JOIN_INTERVAL;
+                    tokio::time::sleep_until(next).await;
+                }
+            }
+        }
+    }
+
+    /// Renews the membership once and notes the generation of the members.
+    async fn renew(self: Arc<Self>, renewal: u64) {
+        let me = self.router.me.to_string();
+        // The store moves partitions to new members only after this member has reported the
+        // generation of the change.
+        let known = lock(&self.generation).value;
+        let result = self.store.join(&me, MEMBER_TTL, known).await;
+        match result {
+            Ok(value) => {
+                let mut generation = lock(&self.generation);
+                // Responses may overtake each other.
+                if renewal > generation.renewal {
+                    *generation = Generation { renewal, value };
+                    let is_other =
+                        |current: &mut Option<u64>| current.replace(value) != Some(value);
+                    self.current.send_if_modified(is_other);
+                }
+                let now = self.clock.now();
+                self.joined_at.send_if_modified(|at| {
+                    let is_first = at.is_none();
+                    at.get_or_insert(now);
+                    is_first
+                });
+            }
+            Err(error) => {
+                log::warn!(error:display; "join_failed");
+                self.current.send_replace(None);
+            }
+        }
+        self.pending.send_modify(|n| *n -= 1);
+    }
+
+    /// Reads the members again whenever their generation changes, and after failed renewals.
+    async fn follow_members(self: Arc<Self>) {
+        let mut current = self.current.subscribe();
+        while current.changed().await.is_ok() && !*self.stopping.borrow() {
+            let is_known = current.borrow_and_update().is_some();
+            if is_known && !self.refresh().await {
+                tokio::time::sleep(READ_RETRY_DELAY).await;
+                current.mark_changed();
+            }
+        }
+    }
+
+    /// Reads the live members from the store; returns whether that succeeded.
+    async fn refresh(&self) -> bool {
+        let members = match self.store.members().await {
+            Ok(members) => members,
+            Err(error) => {
+                log::warn!(error:display; "members_read_failed");
+                return false;
+            }
+        };
+        let members: Vec<Member> = members.iter().filter_map(|m| m.parse().ok()).collect();
+        self.remove_stale_members(&members).await;
+        let (before, after): (Vec<Member>, Vec<Member>) = {
+            let mut cluster = self.router.cluster();
+            let before = cluster.members().cloned().collect();
+            cluster.set_members(self.clock.now(), members);
+            (before, cluster.members().cloned().collect())
+        };
+        if before != after {
+            self.mark_changed();
+            let names = |a: &[Member], b: &[Member]| {
+                let only = a.iter().filter(|m| !b.contains(m));
+                only.map(ToString::to_string).collect::<Vec<_>>().join(",")
+            };
+            let (gone, new) = (names(&before, &after), names(&after, &before));
+            log::info!(
+                members = after.len(), gone = gone.as_str(), new = new.as_str(); "members_changed"
+            );
+        }
+        true
+    }
+
+    /// Removes earlier processes on this VM from the members. Otherwise the store keeps partitions
+    /// for them until their membership expires, and new members are not listed before they get a
+    /// partition.
+    async fn remove_stale_members(&self, members: &[Member]) {
+        let me = &self.router.me;
+        for member in members.iter().filter(|m| m.is_superseded_by(me)) {
+            match self.store.leave(&member.to_string()).await {
+                Ok(()) => log::info!(member:display; "stale_member_removed"),
+                Err(error) => {
+                    log::warn!(member:display, error:display; "stale_member_removal_failed");
+                }
+            }
+        }
+    }
+
+    /// Starts the time anew for which the members are unchanged.
+    pub(crate) fn mark_changed(&self) {
+        *lock(&self.changed_at) = self.clock.now();
+    }
+
+    /// Returns for how long the members are unchanged.
+    pub(crate) fn unchanged_for(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(*lock(&self.changed_at))
+    }
+
+    /// Returns whether the process has been a member for long enough to claim shards.
+    pub(crate) fn is_settled(&self, now: Instant) -> bool {
+        let joined = *self.joined_at.borrow();
+        joined.is_some_and(|at| {
+            now >= at + MAX_SETTLE_TIME
+                || (now >= at + SETTLE_TIME && self.unchanged_for(now) >= SETTLE_TIME)
+        })
+    }
+
+    /// Ends the renewals, once the shards of this process are about to be released.
+    pub(crate) fn stop(&self) {
+        self.stopping.send_replace(true);
+    }
+
+    /// Ends the membership after [`Self::stop`].
+    pub(crate) async fn leave(&self) {
+        let mut pending = self.pending.subscribe();
+        let ended = pending.wait_for(|&n| n == 0);
+        if tokio::time::timeout(LEAVE_DELAY, ended).await.is_err() {
+            log::warn!("renewals_pending");
+        }
+        let me = self.router.me.to_string();
+        if let Err(error) = self.store.leave(&me).await {
+            log::warn!(error:display; "leave_failed");
+        }
+    }
+}
--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -1,11 +1,10 @@
-//! Keeps this process a live member, and claims and releases shards.
+//! Claims and releases shards, and runs their owners.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
-use std::time::Instant;
 
 use lavenderhollow_shard::Timings;
 use lavenderhollow_types::Clock;
@@ -14,7 +13,6 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
-use crate::assignment::Member;
 use crate::assignment::Ownership;
 use crate::backend::Platform;
 use crate::backend::Topic;
@@ -23,6 +21,7 @@
 use crate::cluster_config::Wave;
 use crate::current_config::CurrentConfig;
 use crate::fleet;
+use crate::membership::Membership;
 use crate::owner;
 use crate::router::LocalRequest;
 use crate::router::OWNER_QUEUE_CAPACITY;
@@ -31,24 +30,6 @@
 use crate::topic_cache::TopicCache;
 use crate::worker_registry::WorkerRegistry;
 
-/// How often the process renews its membership in the store; several times per [`MEMBER_TTL`].
-const JOIN_INTERVAL: Duration = Duration::from_millis(400);
-
-/// How often a process that has just become a member renews its membership until it may claim
-/// shards. The responses show whether there are other new members.
-const INITIAL_JOIN_INTERVAL: Duration = Duration::from_millis(100);
-
-/// The time after which a membership that is not renewed expires. A process that pauses for this
-/// long loses its shards to other members.
-const MEMBER_TTL: Duration = Duration::from_millis(1_500);
-
-/// How long the members have to be unchanged before a process that has just started claims shards,
-/// so that processes that start at the same time see each other first.
-const SETTLE_TIME: Duration = Duration::from_millis(350);
-
-/// The time after which a process claims shards even if the members keep changing.
-const MAX_SETTLE_TIME: Duration = Duration::from_secs(3);
-
 /// How often the process checks whether it should claim shards.
 const CLAIM_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -91,29 +72,29 @@
     /// The shards that are being claimed.
     claiming: Mutex<BTreeSet<ShardId>>,
     stopping: watch::Sender<bool>,
-    /// When this process became a member.
-    joined_at: Mutex<Option<Instant>>,
-    /// When the live members last changed or this process last released a shard to rebalance.
-    changed_at: Mutex<Instant>,
+    membership: Arc<Membership>,
 }
 
 impl ShardManager {
     pub(crate) fn new(context: ManagerContext) -> Arc<Self> {
-        let now = context.clock.now();
+        let membership = Membership::new(
+            Arc::clone(&context.platform.store),
+            Arc::clone(&context.router),
+            Arc::clone(&context.clock),
+        );
         Arc::new(Self {
             context,
             registry: Arc::default(),
             claiming: Mutex::default(),
             stopping: watch::Sender::new(false),
-            joined_at: Mutex::new(None),
-            changed_at: Mutex::new(now),
+            membership: Arc::new(membership),
         })
     }
 
     /// Starts the background tasks that maintain the membership, watch the owners and the workers,
     /// and claim shards.
     pub(crate) fn start(self: &Arc<Self>) {
-        tokio::spawn(Arc::clone(self).maintain_membership());
+        self.membership.start();
         tokio::spawn(Arc::clone(self).watch_owners());
         let registry = Arc::clone(&self.registry);
         tokio::spawn(registry.run(self.context.platform.clone()));
@@ -125,86 +106,6 @@
         *self.stopping.borrow()
     }
 
-    /// Renews the membership and reads the members again when they change.
-    async fn maintain_membership(self: Arc<Self>) {
-        let me = self.context.router.me.to_string();
-        // The store moves partitions to new members only after this member has reported the
-        // generation of the change.
-        let mut generation = 0;
-        let mut refreshed_generation = None;
-        while !self.is_stopping() {
-            let store = &self.context.platform.store;
-            match store.join(&me, MEMBER_TTL, generation).await {
-                Ok(current) => {
-                    let now = self.context.clock.now();
-                    lock(&self.joined_at).get_or_insert(now);
-                    generation = current;
-                    if refreshed_generation != Some(current) && self.refresh_members().await {
-                        refreshed_generation = Some(current);
-                    }
-                }
-                Err(error) => {
-                    log::warn!(error:display; "join_failed");
-                    refreshed_generation = None;
-                }
-            }
-            let joined = lock(&self.joined_at).is_some();
-            let is_settling = joined && !self.is_settled(self.context.clock.now());
-            let interval = if is_settling {
-                INITIAL_JOIN_INTERVAL
-            } else {
-                JOIN_INTERVAL
-            };
-            tokio::time::sleep(interval).await;
-        }
-    }
-
-    /// Reads the live members from the store; returns whether that succeeded.
-    async fn refresh_members(&self) -> bool {
-        let members = match self.context.platform.store.members().await {
-            Ok(members) => members,
-            Err(error) => {
-                log::warn!(error:display; "members_read_failed");
-                return false;
-            }
-        };
-        let members: Vec<Member> = members.iter().filter_map(|m| m.parse().ok()).collect();
-        self.remove_stale_members(&members).await;
-        let (before, after): (Vec<Member>, Vec<Member>) = {
-            let mut cluster = self.context.router.cluster();
-            let before = cluster.members().cloned().collect();
-            cluster.set_members(self.context.clock.now(), members);
-            (before, cluster.members().cloned().collect())
-        };
-        if before != after {
-            *lock(&self.changed_at) = self.context.clock.now();
-            let names = |a: &[Member], b: &[Member]| {
-                let only = a.iter().filter(|m| !b.contains(m));
-                only.map(ToString::to_string).collect::<Vec<_>>().join(",")
-            };
-            let (gone, new) = (names(&before, &after), names(&after, &before));
-            log::info!(
-                members = after.len(), gone = gone.as_str(), new = new.as_str(); "members_changed"
-            );
-        }
-        true
-    }
-
-    /// Removes earlier processes on this VM from the members. Otherwise the store keeps partitions
-    /// for them until their membership expires, and new members are not listed before they get a
-    /// partition.
-    async fn remove_stale_members(&self, members: &[Member]) {
-        let me = &self.context.router.me;
-        for member in members.iter().filter(|m| m.is_superseded_by(me)) {
-            match self.context.platform.store.leave(&member.to_string()).await {
-                Ok(()) => log::info!(member:display; "stale_member_removed"),
-                Err(error) => {
-                    log::warn!(member:display, error:display; "stale_member_removal_failed");
-                }
-            }
-        }
-    }
-
     /// Updates the cluster state from the owners' topic.
     async fn watch_owners(self: Arc<Self>) {
         let mut cache = TopicCache::new(Topic::Owners);
@@ -266,15 +167,6 @@
         }
     }
 
-    /// Returns whether the process has been a member for long enough to claim shards.
-    fn is_settled(&self, now: Instant) -> bool {
-        let joined = *lock(&self.joined_at);
-        let unchanged_for = now.saturating_duration_since(*lock(&self.changed_at));
-        joined.is_some_and(|at| {
-            now >= at + MAX_SETTLE_TIME || (now >= at + SETTLE_TIME && unchanged_for >= SETTLE_TIME)
-        })
-    }
-
     /// Claims shards that need an owner and releases a shard while this process owns too many.
     async fn claim_periodically(self: Arc<Self>) {
         loop {
@@ -283,10 +175,9 @@
                 return;
             }
             let now = self.context.clock.now();
-            if !self.is_settled(now) {
+            if !self.membership.is_settled(now) {
                 continue;
             }
-            let unchanged_for = now.saturating_duration_since(*lock(&self.changed_at));
             let shards = self.context.current_config.load().shards();
             let me = &self.context.router.me;
             let to_claim = self
@@ -300,7 +191,7 @@
                     tokio::spawn(Arc::clone(&self).claim(shard));
                 }
             }
-            if unchanged_for > REBALANCE_DELAY {
+            if self.membership.unchanged_for(now) > REBALANCE_DELAY {
                 let excess = self
                     .context
                     .router
@@ -308,7 +199,7 @@
                     .shard_to_release(now, me, &shards);
                 if let Some(shard) = excess {
                     log::info!(shard:display; "shard_rebalanced");
-                    *lock(&self.changed_at) = now;
+                    self.membership.mark_changed();
                     self.release(shard).await;
                 }
             }
@@ -450,16 +341,14 @@
     /// Releases every shard of this process and ends its membership.
     pub(crate) async fn stop(&self) {
         self.stopping.send_replace(true);
+        self.membership.stop();
         let shards: Vec<ShardId> = self.context.router.local_owners().keys().copied().collect();
         let releases = shards.into_iter().map(|shard| self.release(shard));
         futures::future::join_all(releases).await;
-        let me = self.context.router.me.to_string();
-        if let Err(error) = self.context.platform.store.leave(&me).await {
-            log::warn!(error:display; "leave_failed");
-        }
+        self.membership.leave().await;
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- /dev/null
+++ b/crates/node/tests/memory_store.rs
@@ -0,0 +1,304 @@
+//! A store in memory with delays, and a node that uses it, in simulated time.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use async_trait::async_trait;
+use lavenderhollow_node::ClusterConfig;
+use lavenderhollow_node::Node;
+use lavenderhollow_node::NodeSettings;
+use lavenderhollow_node::Wave;
+use lavenderhollow_node::backend::Codec;
+use lavenderhollow_node::backend::Entry;
+use lavenderhollow_node::backend::Page;
+use lavenderhollow_node::backend::Platform;
+use lavenderhollow_node::backend::PollError;
+use lavenderhollow_node::backend::Store;
+use lavenderhollow_node::backend::StoreError;
+use lavenderhollow_node::backend::Target;
+use lavenderhollow_node::backend::Topic;
+use lavenderhollow_node::backend::Workers;
+use lavenderhollow_shard::Name;
+use lavenderhollow_shard::PollRequest;
+use lavenderhollow_shard::Record;
+use lavenderhollow_shard::RunId;
+use lavenderhollow_shard::StartOutcome;
+use lavenderhollow_shard::StartRequest;
+use lavenderhollow_shard::WorkerInfo;
+use lavenderhollow_shard::WorkerReport;
+use lavenderhollow_types::Clock;
+use tokio::time::Instant;
+
+/// The time that a call takes unless it is set otherwise.
+const CALL_TIME: Duration = Duration::from_millis(4);
+
+/// The interval at which a read that waits looks for new records.
+const READ_INTERVAL: Duration = Duration::from_millis(10);
+
+/// What the store holds, and what it was asked.
+#[derive(Default)]
+pub(crate) struct State {
+    /// The records of each topic.
+    pub(crate) topics: HashMap<Topic, Vec<Record>>,
+    /// The members, with the time at which they expire.
+    pub(crate) members: BTreeMap<String, Instant>,
+    pub(crate) generation: u64,
+    /// When a call to join was sent.
+    pub(crate) joins: Vec<Instant>,
+    /// How long a call to join takes; it takes effect after half of it.
+    pub(crate) join_time: Duration,
+    /// How long the response with the members takes.
+    pub(crate) members_time: Duration,
+}
+
+impl State {
+    /// Adds a member or renews its membership.
+    pub(crate) fn join(&mut self, member: &str, ttl: Duration) {
+        let expires_at = Instant::now() + ttl;
+        if self.members.insert(member.to_owned(), expires_at).is_none() {
+            self.generation += 1;
+        }
+    }
+
+    /// Removes the members whose time has passed.
+    pub(crate) fn expire(&mut self) {
+        let before = self.members.len();
+        self.members.retain(|_, at| *at > Instant::now());
+        self.generation += u64::from(self.members.len() != before);
+    }
+
+    /// Appends a record.
+    pub(crate) fn put(&mut self, topic: Topic, key: &str, value: &[u8]) {
+        self.topics.entry(topic).or_default().push(Record {
+            key: key.to_owned(),
+            value: Some(value.to_vec()),
+        });
+    }
+}
+
+/// A store in memory.
+#[derive(Default)]
+pub(crate) struct MemoryStore(Mutex<State>);
+
+impl MemoryStore {
+    /// Creates a store with a configuration that has no pools.
+    pub(crate) fn new() -> Arc<Self> {
+        let store = Arc::new(Self::default());
+        store.state().put(Topic::Operator, "config", b"");
+        store.state().join_time = CALL_TIME;
+        store.state().members_time = CALL_TIME;
+        store
+    }
+
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Starts a node on a VM.
+    pub(crate) async fn start_node(self: &Arc<Self>, vm: &str) -> Node {
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let settings = NodeSettings {
+            vm: vm.into(),
+            peer_address: address,
+            operator_address: address,
+            operator_token: None,
+            max_lease: Duration::from_secs(6),
+            job_retention: Duration::from_secs(120),
+            key_revocation: Duration::from_secs(5),
+            takeover_delay: Duration::from_secs(3),
+            maintenance_time: Duration::from_secs(2),
+            move_time: Duration::from_secs(2),
+            command_rate: 200.0,
+            cpu_limit: 120,
+        };
+        let platform = Platform {
+            store: Arc::clone(self) as Arc<dyn Store>,
+            workers: Arc::new(NoWorkers),
+            machines: None,
+            policy: None,
+            codec: Arc::new(EmptyCodec),
+        };
+        let node = Node::start(settings, platform, Arc::new(SimulatedClock), None).await;
+        node.expect("a free port")
+    }
+}
+
+#[async_trait]
+impl Store for MemoryStore {
+    async fn append(
+        &self,
+        topic: Topic,
+        expected_end: Option<u64>,
+        records: &[Record],
+    ) -> Result<u64, StoreError> {
+        let result = {
+            let mut state = self.state();
+            let log = state.topics.entry(topic).or_default();
+            let end_offset = log.len() as u64;
+            match expected_end.is_none_or(|end| end == end_offset) {
+                true => {
+                    log.extend_from_slice(records);
+                    Ok(end_offset)
+                }
+                false => Err(StoreError::OffsetMismatch { end_offset }),
+            }
+        };
+        tokio::time::sleep(CALL_TIME).await;
+        result
+    }
+
+    async fn read(&self, topic: Topic, from: u64, wait: Duration) -> Result<Page, StoreError> {
+        let deadline = Instant::now() + wait;
+        tokio::time::sleep(CALL_TIME).await;
+        loop {
+            let page = {
+                let mut state = self.state();
+                let log = state.topics.entry(topic).or_default();
+                let entries = (0..).zip(log.iter()).filter(|(offset, _)| *offset >= from);
+                Page {
+                    entries: entries.map(entry).collect(),
+                    end_offset: log.len() as u64,
+                    has_more: false,
+                }
+            };
+            if !page.entries.is_empty() || Instant::now() >= deadline {
+                return Ok(page);
+            }
+            tokio::time::sleep(READ_INTERVAL).await;
+        }
+    }
+
+    async fn read_latest(&self, topic: Topic, after: Option<&str>) -> Result<Page, StoreError> {
+        tokio::time::sleep(CALL_TIME).await;
+        let mut state = self.state();
+        let log = state.topics.entry(topic).or_default();
+        let latest: BTreeMap<&str, (u64, &Record)> = (0..)
+            .zip(log.iter())
+            .map(|(offset, r)| (r.key.as_str(), (offset, r)))
+            .collect();
+        let listed = latest
+            .into_iter()
+            .filter(|(key, (_, r))| after.is_none_or(|a| *key > a) && r.value.is_some());
+        Ok(Page {
+            entries: listed.map(|(_, row)| entry(row)).collect(),
+            end_offset: log.len() as u64,
+            has_more: false,
+        })
+    }
+
+    async fn join(&self, member: &str, ttl: Duration, _: u64) -> Result<u64, StoreError> {
+        let delay = {
+            let mut state = self.state();
+            state.joins.push(Instant::now());
+            state.join_time / 2
+        };
+        tokio::time::sleep(delay).await;
+        self.state().join(member, ttl);
+        tokio::time::sleep(delay).await;
+        let mut state = self.state();
+        state.expire();
+        Ok(state.generation)
+    }
+
+    async fn leave(&self, member: &str) -> Result<(), StoreError> {
+        {
+            let mut state = self.state();
+            state.members.remove(member);
+            state.generation += 1;
+        }
+        tokio::time::sleep(CALL_TIME).await;
+        Ok(())
+    }
+
+    async fn members(&self) -> Result<Vec<Name>, StoreError> {
+        let (members, delay) = {
+            let mut state = self.state();
+            state.expire();
+            let members = state.members.keys().map(|m| m.as_str().into()).collect();
+            (members, state.members_time)
+        };
+        tokio::time::sleep(delay).await;
+        Ok(members)
+    }
+}
+
+fn entry((offset, record): (u64, &Record)) -> Entry {
+    Entry {
+        offset,
+        key: record.key.clone(),
+        value: record.value.clone(),
+    }
+}
+
+/// The time of the paused runtime.
+struct SimulatedClock;
+
+impl Clock for SimulatedClock {
+    fn now(&self) -> std::time::Instant {
+        Instant::now().into_std()
+    }
+
+    fn wall_time(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+/// Workers that do not respond.
+struct NoWorkers;
+
+#[async_trait]
+impl Workers for NoWorkers {
+    async fn start(&self, _: &Target, _: &StartRequest) -> StartOutcome {
+        StartOutcome::Unknown
+    }
+
+    async fn stop(&self, _: &Target, _: RunId) -> bool {
+        false
+    }
+
+    async fn poll(&self, _: &Target, _: PollRequest) -> Result<WorkerReport, PollError> {
+        Err(PollError::NoResponse)
+    }
+
+    async fn throttle(&self, _: &Target, _: RunId, _: u32) -> bool {
+        false
+    }
+}
+
+/// Decodes any configuration as one without pools.
+struct EmptyCodec;
+
+impl Codec for EmptyCodec {
+    fn config(&self, _: &[u8]) -> Result<ClusterConfig, String> {
+        Ok(ClusterConfig {
+            version: 1,
+            ..ClusterConfig::default()
+        })
+    }
+
+    fn worker_info(&self, _: &str, _: &[u8]) -> Option<WorkerInfo> {
+        None
+    }
+
+    fn wave(&self, _: &str, _: &[u8]) -> Option<Wave> {
+        None
+    }
+
+    fn config_key(&self) -> &'static str {
+        "config"
+    }
+
+    fn wave_status(&self, wave: u64, _: bool) -> Record {
+        Record {
+            key: wave.to_string(),
+            value: None,
+        }
+    }
+}
--- a/crates/node/tests/runner.rs
+++ b/crates/node/tests/runner.rs
@@ -1,8 +1,10 @@
 //! Tests of the parts of a node, without a store, workers or other processes.
 
+mod memory_store;
 mod test_assignment;
 mod test_automatic;
 mod test_command_budget;
+mod test_membership;
 mod test_peers;
 mod test_rebalancer;
 mod test_recent_commands;
