shard: keep the sums of pools in ordered maps

The sums were in hash maps, and each new hash map shifts the seeds of those made after it, such as that from which a new owner restores its jobs. A pool has few entries, so that an ordered map costs no more.

--- a/crates/shard/src/backlog.rs
+++ b/crates/shard/src/backlog.rs
@@ -1,7 +1,7 @@
 //! The load of the open jobs on each pool, as sums that are kept up to date.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -39,8 +39,8 @@
 /// The open jobs as they are counted in the sums of their pools.
 #[derive(Debug, Default)]
 pub(crate) struct Backlog {
-    counted: HashMap<JobId, JobLoad>,
-    pools: HashMap<Name, JobLoad>,
+    counted: BTreeMap<JobId, JobLoad>,
+    pools: BTreeMap<Name, JobLoad>,
     /// After which time a job counts as expired.
     expiries: BTreeSet<(Instant, JobId)>,
 }
--- a/crates/shard/src/workers.rs
+++ b/crates/shard/src/workers.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::collections::btree_map::Entry;
 use std::mem;
 use std::sync::Arc;
@@ -73,7 +72,7 @@
     changed: Vec<Name>,
     /// When the backoff of a worker ends that is not schedulable before.
     backoffs: BTreeSet<(Instant, Name)>,
-    pools: HashMap<Name, PoolWorkers>,
+    pools: BTreeMap<Name, PoolWorkers>,
     /// Whether an entry has changed since [`Workers::take_change`].
     entry_changed: bool,
 }
