http: test that a late process reads responses that arrived in time

It was suspected that calls time out on VMs with 0.12 cores although their responses have arrived, since the timer of a call and its response are noticed in the same turn of the runtime. The test keeps the only thread busy beyond the timeouts of 20 calls whose responses arrive meanwhile; all of them are read. It passes without any change and rules the suspicion out.

--- a/crates/http/tests/test_client.rs
+++ b/crates/http/tests/test_client.rs
@@ -1,5 +1,7 @@
 //! Tests of the errors that a call returns.
 
+use std::io::Read;
+use std::io::Write;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -150,3 +152,45 @@
     );
     Ok(())
 }
+
+/// Starts a server in threads of its own, which responds to each request after `delay`.
+fn start_threaded_server(delay: Duration) -> std::io::Result<SocketAddr> {
+    let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    let address = listener.local_addr()?;
+    std::thread::spawn(move || {
+        for connection in listener.incoming().flatten() {
+            std::thread::spawn(move || respond_after(delay, connection));
+        }
+    });
+    Ok(address)
+}
+
+fn respond_after(delay: Duration, mut connection: std::net::TcpStream) -> std::io::Result<()> {
+    let mut request = [0; 4096];
+    while connection.read(&mut request)? > 0 {
+        std::thread::sleep(delay);
+        connection.write_all(response("in time").as_bytes())?;
+    }
+    Ok(())
+}
+
+/// Guards against calls that time out although their responses have arrived, because the process
+/// got no processor time until after their timeout.
+#[tokio::test]
+async fn responses_that_arrived_in_time_are_read_by_a_late_process() -> eyre::Result<()> {
+    let address = start_threaded_server(LIMITS.timeout / 10)?;
+    let client = client();
+    let calls: Vec<_> = (0..20)
+        .map(|_| {
+            let client = client.clone();
+            tokio::spawn(async move { call(&client, address).await })
+        })
+        .collect();
+    tokio::time::sleep(LIMITS.timeout / 20).await;
+    // The only thread of the runtime does nothing else meanwhile.
+    std::thread::sleep(LIMITS.timeout);
+    for call in calls {
+        assert_matches!(call.await?, Ok(response) if response.body() == "in time");
+    }
+    Ok(())
+}
