node: read the members and the owners before a claim

In the log of the claimant saw the owner back among the members at 11.74 s and had the shard at 11.88 s; the same again at 16.22 and 16.61 s. A claim that had begun went on although the owner was a member again, and one that met an append of the owner was repeated after 0.25 s until it met a moment without one.

A claim now reads where the partition ends, then the members and the owners' topic, and goes on only if the shard still has no live owner and this process should claim it. The append is conditional on the end that was read first, so it fails if anyone has appended since. After that the claimant waits a second: an owner that appends works, and has renewed its membership by then. This also keeps a process whose copy of the owners' topic is old from claiming the shard of a live owner. Reading the end no longer transfers the first 500 records of the shard.

Ruled out: a second claim of the claimant itself; its log has one claim at a time.

Without the change the three tests see a claim from the owner that is back, a claim from an owner published since, and 16 claims in 5 s.

--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -19,6 +19,9 @@
 /// The key of the last record of an owner that releases its shard.
 const RELEASE_KEY: &str = "released";
 
+/// Sorts after the keys of all records of a shard.
+const LAST_KEY: &str = "~";
+
 /// Returns the last record of an owner that releases its shard.
 pub(crate) fn release_record(fencing_token: u64) -> Record {
     Record {
@@ -37,20 +40,33 @@
     pub(crate) entries: Vec<Entry>,
 }
 
-/// Claims a shard and reads the records of its earlier owners. After the claim no other process can
-/// append to the shard's partition without a new claim, so the pages that are read are a snapshot.
+/// Returns the offset at which the partition of a shard ends. Reads no records, since those of a
+/// busy shard take longer than all else before a claim.
+///
+/// # Errors
+///
+/// Returns the error of a failed read.
+pub(crate) async fn end_offset(platform: &Platform, shard: ShardId) -> Result<u64, StoreError> {
+    let topic = Topic::Shard(shard);
+    let page = platform.store.read_latest(topic, Some(LAST_KEY)).await?;
+    Ok(page.end_offset)
+}
+
+/// Claims a shard if its partition ends at `end_offset`, and reads the records of its earlier owners.
+/// After the claim no other process can append to the shard's partition without a new claim, so the
+/// pages that are read are a snapshot.
 ///
 /// # Errors
 ///
-/// Returns the error of a failed read, and [`StoreError::OffsetMismatch`] if another process claimed
-/// the shard.
+/// Returns the error of a failed read, and [`StoreError::OffsetMismatch`] if another process has
+/// appended.
 pub(crate) async fn claim(
     platform: &Platform,
     shard: ShardId,
     me: &Member,
+    end_offset: u64,
 ) -> Result<ClaimedShard, StoreError> {
     let topic = Topic::Shard(shard);
-    let end_offset = platform.store.read_latest(topic, None).await?.end_offset;
     let mut appender = Appender::new(platform.store.clone(), topic, end_offset);
     let record = Record {
         key: CLAIM_KEY.to_owned(),
@@ -102,6 +118,31 @@
     }
 }
 
+/// Reads the published owners of all shards.
+///
+/// # Errors
+///
+/// Returns the error of a failed read.
+pub(crate) async fn read_owners(
+    platform: &Platform,
+) -> Result<Vec<(ShardId, Ownership)>, StoreError> {
+    let mut owners = Vec::new();
+    let mut after: Option<String> = None;
+    loop {
+        let page = platform.store.read_latest(Topic::Owners, after.as_deref());
+        let page = page.await?;
+        after = page.entries.last().map(|e| e.key.clone());
+        let decoded = page
+            .entries
+            .iter()
+            .filter_map(|e| decode_owner(&e.key, e.value.as_deref()?));
+        owners.extend(decoded);
+        if !page.has_more || after.is_none() {
+            return Ok(owners);
+        }
+    }
+}
+
 /// Decodes a record of the owners' topic; `None` if it is not valid.
 pub(crate) fn decode_owner(key: &str, value: &[u8]) -> Option<(ShardId, Ownership)> {
     let shard = ShardId(key.parse().ok()?);
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -10,6 +10,7 @@
 
 use crate::assignment::Member;
 use crate::backend::Store;
+use crate::backend::StoreError;
 use crate::router::Router;
 use crate::shard_manager::lock;
 
@@ -59,6 +60,8 @@
     generation: Mutex<Generation>,
     /// The generation to read the members of; `None` after a failed renewal.
     current: watch::Sender<Option<u64>>,
+    /// Locked while the members are read.
+    refreshing: tokio::sync::Mutex<()>,
     /// The number of renewals that have no response yet.
     pending: watch::Sender<usize>,
     stopping: watch::Sender<bool>,
@@ -77,6 +80,7 @@
             clock,
             generation: Mutex::default(),
             current: watch::Sender::new(None),
+            refreshing: tokio::sync::Mutex::default(),
             pending: watch::Sender::new(0),
             stopping: watch::Sender::new(false),
             joined_at: watch::Sender::new(None),
@@ -158,22 +162,23 @@
         let mut current = self.current.subscribe();
         while current.changed().await.is_ok() && !*self.stopping.borrow() {
             let is_known = current.borrow_and_update().is_some();
-            if is_known && !self.refresh().await {
+            if is_known && let Err(error) = self.refresh().await {
+                log::warn!(error:display; "members_read_failed");
                 tokio::time::sleep(READ_RETRY_DELAY).await;
                 current.mark_changed();
             }
         }
     }
 
-    /// Reads the live members from the store; returns whether that succeeded.
-    async fn refresh(&self) -> bool {
-        let members = match self.store.members().await {
-            Ok(members) => members,
-            Err(error) => {
-                log::warn!(error:display; "members_read_failed");
-                return false;
-            }
-        };
+    /// Reads the live members from the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of a failed read.
+    pub(crate) async fn refresh(&self) -> Result<(), StoreError> {
+        // Responses may overtake each other, and an older list must not replace a newer one.
+        let _guard = self.refreshing.lock().await;
+        let members = self.store.members().await?;
         let members: Vec<Member> = members.iter().filter_map(|m| m.parse().ok()).collect();
         self.remove_stale_members(&members).await;
         let (before, after): (Vec<Member>, Vec<Member>) = {
@@ -193,7 +198,7 @@
                 members = after.len(), gone = gone.as_str(), new = new.as_str(); "members_changed"
             );
         }
-        true
+        Ok(())
     }
 
     /// Removes earlier processes on this VM from the members. Otherwise the store keeps partitions
--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -15,6 +15,7 @@
 
 use crate::assignment::Ownership;
 use crate::backend::Platform;
+use crate::backend::StoreError;
 use crate::backend::Topic;
 use crate::claim;
 use crate::claim::ClaimedShard;
@@ -42,6 +43,10 @@
 /// The delay before a failed call to the store is repeated.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// The delay before a shard is claimed again after its owner has appended during a claim. That owner
+/// still works, and is likely to have renewed its membership by then.
+const PROGRESS_DELAY: Duration = Duration::from_secs(1);
+
 /// The timeout of a request to a peer for the owners that it knows.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -208,18 +213,50 @@
 
     /// Claims a shard and starts its owner.
     async fn claim(self: Arc<Self>, shard: ShardId) {
-        let result = claim::claim(&self.context.platform, shard, &self.context.router.me).await;
-        match result {
-            Ok(claimed) if !self.is_stopping() => self.start_owner(shard, claimed).await,
+        match self.try_claim(shard).await {
+            Ok(Some(claimed)) if !self.is_stopping() => self.start_owner(shard, claimed).await,
             Ok(_) => {}
             Err(error) => {
                 log::info!(shard:display, error:display; "claim_failed");
-                tokio::time::sleep(STORE_RETRY_DELAY).await;
+                let delay = match error {
+                    StoreError::OffsetMismatch { .. } => PROGRESS_DELAY,
+                    _ => STORE_RETRY_DELAY,
+                };
+                tokio::time::sleep(delay).await;
             }
         }
         lock(&self.claiming).remove(&shard);
     }
 
+    /// Claims a shard unless it has an owner by now or another member should claim it. What this
+    /// process knows of the members and the owners may be old, so it reads both before the claim,
+    /// and the claim fails if anyone has appended since before that.
+    async fn try_claim(&self, shard: ShardId) -> Result<Option<ClaimedShard>, StoreError> {
+        let platform = &self.context.platform;
+        let end_offset = claim::end_offset(platform, shard).await?;
+        let (members, owners) =
+            futures::join!(self.membership.refresh(), claim::read_owners(platform));
+        members?;
+        let owners = owners?;
+        let now = self.context.clock.now();
+        let shards = self.context.current_config.load().shards();
+        let me = &self.context.router.me;
+        let to_claim = {
+            let mut cluster = self.context.router.cluster();
+            for (shard, owner) in owners {
+                cluster.update_owner(shard, owner);
+            }
+            cluster.shards_to_claim(now, me, &shards)
+        };
+        if !to_claim.contains(&shard) {
+            log::info!(shard:display; "claim_abandoned");
+            return Ok(None);
+        }
+        claim::claim(platform, shard, me, end_offset)
+            .await
+            .map(Some)
+    }
+
     /// Runs the owner of a claimed shard in the background and publishes it.
     async fn start_owner(self: &Arc<Self>, shard: ShardId, claimed: ClaimedShard) {
         let ownership = Ownership {
--- a/crates/node/tests/memory_store.rs
+++ b/crates/node/tests/memory_store.rs
@@ -56,6 +56,14 @@
     pub(crate) join_time: Duration,
     /// How long the response with the members takes.
     pub(crate) members_time: Duration,
+    /// How many responses with the members were sent.
+    pub(crate) member_lists: usize,
+    /// Whether reads of the owners' topic that wait for a record get no response.
+    pub(crate) owners_hang: bool,
+    /// Whether someone else appends to a shard after each read of its end.
+    pub(crate) rival_appends: bool,
+    /// How many appends failed because the topic ended elsewhere.
+    pub(crate) mismatches: usize,
 }
 
 impl State {
@@ -81,6 +89,15 @@
             value: Some(value.to_vec()),
         });
     }
+
+    /// Returns the values of the records of a key, in the order of their offsets.
+    pub(crate) fn values(&self, topic: Topic, key: &str) -> Vec<String> {
+        let records = self.topics.get(&topic).into_iter().flatten();
+        let values = records.filter(|r| r.key == key).flat_map(|r| &r.value);
+        values
+            .map(|v| String::from_utf8_lossy(v).into_owned())
+            .collect()
+    }
 }
 
 /// A store in memory.
@@ -142,12 +159,12 @@
             let mut state = self.state();
             let log = state.topics.entry(topic).or_default();
             let end_offset = log.len() as u64;
-            match expected_end.is_none_or(|end| end == end_offset) {
-                true => {
-                    log.extend_from_slice(records);
-                    Ok(end_offset)
-                }
-                false => Err(StoreError::OffsetMismatch { end_offset }),
+            if expected_end.is_none_or(|end| end == end_offset) {
+                log.extend_from_slice(records);
+                Ok(end_offset)
+            } else {
+                state.mismatches += 1;
+                Err(StoreError::OffsetMismatch { end_offset })
             }
         };
         tokio::time::sleep(CALL_TIME).await;
@@ -157,6 +174,9 @@
     async fn read(&self, topic: Topic, from: u64, wait: Duration) -> Result<Page, StoreError> {
         let deadline = Instant::now() + wait;
         tokio::time::sleep(CALL_TIME).await;
+        while topic == Topic::Owners && !wait.is_zero() && self.state().owners_hang {
+            tokio::time::sleep(READ_INTERVAL).await;
+        }
         loop {
             let page = {
                 let mut state = self.state();
@@ -186,11 +206,15 @@
         let listed = latest
             .into_iter()
             .filter(|(key, (_, r))| after.is_none_or(|a| *key > a) && r.value.is_some());
-        Ok(Page {
+        let page = Page {
             entries: listed.map(|(_, row)| entry(row)).collect(),
             end_offset: log.len() as u64,
             has_more: false,
-        })
+        };
+        if state.rival_appends && matches!(topic, Topic::Shard(_)) {
+            state.put(topic, "j1", b"progress");
+        }
+        Ok(page)
     }
 
     async fn join(&self, member: &str, ttl: Duration, _: u64) -> Result<u64, StoreError> {
@@ -225,6 +249,7 @@
             (members, state.members_time)
         };
         tokio::time::sleep(delay).await;
+        self.state().member_lists += 1;
         Ok(members)
     }
 }
--- a/crates/node/tests/runner.rs
+++ b/crates/node/tests/runner.rs
@@ -3,6 +3,7 @@
 mod memory_store;
 mod test_assignment;
 mod test_automatic;
+mod test_claim;
 mod test_command_budget;
 mod test_membership;
 mod test_peers;
--- /dev/null
+++ b/crates/node/tests/test_claim.rs
@@ -0,0 +1,112 @@
+//! Tests of when a process claims a shard that has an owner.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lavenderhollow_node::Member;
+use lavenderhollow_node::Node;
+use lavenderhollow_node::Ownership;
+use lavenderhollow_node::ShardId;
+use lavenderhollow_node::backend::Topic;
+
+use crate::memory_store::MemoryStore;
+
+const FLEET: Topic = Topic::Shard(ShardId::FLEET);
+
+/// A time to live that no test reaches.
+const LONG: Duration = Duration::from_secs(1_000);
+
+fn member(vm: &str, cpu_limit: u64) -> Member {
+    Member {
+        vm: vm.into(),
+        started_ms: 1,
+        address: "127.0.0.1:9".into(),
+        cpu_limit: Some(cpu_limit),
+    }
+}
+
+fn publish(store: &MemoryStore, owner: &Member, fencing_token: u64) {
+    let ownership = Ownership {
+        member: owner.clone(),
+        fencing_token,
+        released: false,
+    };
+    let value = postcard::to_allocvec(&ownership).expect("a valid owner");
+    let mut state = store.state();
+    state.put(FLEET, "owner", owner.to_string().as_bytes());
+    state.put(Topic::Owners, &ShardId::FLEET.to_string(), &value);
+}
+
+fn remove(store: &MemoryStore, member: &Member) {
+    let mut state = store.state();
+    state.members.remove(&member.to_string());
+    state.generation += 1;
+}
+
+fn claimants(store: &MemoryStore) -> Vec<String> {
+    store.state().values(FLEET, "owner")
+}
+
+/// Starts a node beside an owner of the fleet shard that is a live member.
+async fn start_beside(store: &Arc<MemoryStore>, owner: &Member) -> Node {
+    store.state().join(&owner.to_string(), LONG);
+    publish(store, owner, 1);
+    let node = store.start_node("vm-1").await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    assert_eq!(claimants(store), [owner.to_string()]);
+    node
+}
+
+/// Guards against a claim from an owner that has renewed its membership since the claimant read the
+/// members.
+#[tokio::test(start_paused = true)]
+async fn a_shard_is_not_claimed_from_an_owner_that_is_back() {
+    let store = MemoryStore::new();
+    let owner = member("vm-2", 120);
+    let _node = start_beside(&store, &owner).await;
+    for _ in 0..20 {
+        let lists = store.state().member_lists;
+        remove(&store, &owner);
+        while store.state().member_lists == lists {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        store.state().join(&owner.to_string(), LONG);
+        tokio::time::sleep(Duration::from_millis(2_030)).await;
+    }
+    assert_eq!(claimants(&store), [owner.to_string()]);
+    remove(&store, &owner);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(claimants(&store).len(), 2);
+}
+
+/// Guards against a claim from a new owner that the claimant has not heard of.
+#[tokio::test(start_paused = true)]
+async fn a_shard_is_not_claimed_from_an_owner_published_since() {
+    let store = MemoryStore::new();
+    let (first, second) = (member("vm-2", 120), member("vm-3", 60));
+    store.state().join(&second.to_string(), LONG);
+    let _node = start_beside(&store, &first).await;
+    store.state().owners_hang = true;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    publish(&store, &second, 2);
+    remove(&store, &first);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(claimants(&store), [first, second].map(|m| m.to_string()));
+}
+
+/// Guards against claims in quick succession from an owner that is no member but still works, one
+/// of which meets a moment without an append.
+#[tokio::test(start_paused = true)]
+async fn an_owner_that_appends_is_left_alone_for_a_while() {
+    let store = MemoryStore::new();
+    let owner = member("vm-2", 120);
+    let _node = start_beside(&store, &owner).await;
+    store.state().rival_appends = true;
+    remove(&store, &owner);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let mismatches = store.state().mismatches;
+    assert!((1..=5).contains(&mismatches), "{mismatches}");
+    store.state().rival_appends = false;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(claimants(&store).len(), 2);
+}
