shard: pass over waiting steps that fit nowhere at once

For each job a pass read the job, its steps, its team and its queue.

What a pass reads of a waiting job is now kept together, and updated when the tasks of the job change. A step that can only wait, because it is no gang, is not long-running and needs no tickets, is passed over if an earlier one of the pass that needs no more fits nowhere. Its team's quota is checked as before, so that the pending resources are the same.

--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -22,6 +22,7 @@
 use crate::tracked_job::Phase;
 use crate::tracked_job::Rank;
 use crate::tracked_job::Run;
+use crate::waiting::WaitingJob;
 use crate::worker::RunId;
 use crate::worker::Worker;
 
@@ -34,6 +35,8 @@
     pub jobs: u64,
     /// The workers that were considered for a task.
     pub workers: u64,
+    /// The steps of these jobs that were not passed over at once.
+    pub steps: u64,
     /// The computations of a job's remaining work and critical path.
     pub estimates: u64,
     /// The jobs and workers that were counted or looked at for the load of a pool.
@@ -116,11 +119,9 @@
     /// Updates whether a job has tasks that wait for a place, after its tasks have changed. The
     /// next tick makes a placement pass.
     pub(crate) fn update_waiting(&mut self, id: JobId) {
-        let job = self.jobs.get(&id);
-        let waits = job.is_some_and(|j| !j.state.is_final() && !j.waiting.is_empty());
-        match waits {
-            true => self.waiting.insert(id),
-            false => self.waiting.remove(&id),
+        match self.jobs.get(&id).and_then(WaitingJob::of) {
+            Some(job) => self.waiting.insert(id, Arc::new(job)),
+            None => self.waiting.remove(&id),
         };
         self.settled = false;
     }
@@ -142,51 +143,67 @@
             team.pending = Resources::default();
         }
         let jobs = self.waiting.iter();
-        let jobs = jobs.filter_map(|id| Some((self.jobs.get(id)?.rank(at.now), *id)));
-        let mut queue: Vec<(Rank, JobId)> = jobs.collect();
-        queue.sort_unstable();
+        let jobs = jobs.map(|(&id, job)| (job.basis.rank(at.now), id, Arc::clone(job)));
+        let mut queue: Vec<(Rank, JobId, Arc<WaitingJob>)> = jobs.collect();
+        queue.sort_unstable_by_key(|(rank, id, _)| (*rank, *id));
         let mut pass = PlacementPass::default();
         self.placement.passes += 1;
         self.placement.jobs += queue.len() as u64;
-        for (_, id) in queue {
-            self.dispatch_job(at, id, &mut pass);
+        for (_, id, job) in queue {
+            self.dispatch_job(at, id, &job, &mut pass);
         }
         self.placement.workers += pass.checked_workers.get();
     }
 
     /// Places the tasks of a job whose dependencies are done and that have no run.
-    fn dispatch_job(&mut self, at: Timestamp, id: JobId, pass: &mut PlacementPass) {
-        let Some(tracked) = self.jobs.get(&id) else {
-            return;
-        };
-        let job = Arc::clone(&tracked.job);
-        let steps: Vec<(u32, u16)> = tracked.waiting.iter().copied().collect();
-        for (occurrence, index) in steps {
-            let Some(step) = job.steps.get(usize::from(index)) else {
+    fn dispatch_job(
+        &mut self,
+        at: Timestamp,
+        id: JobId,
+        waiting: &WaitingJob,
+        pass: &mut PlacementPass,
+    ) {
+        let pool = &waiting.pool;
+        for step in &waiting.steps {
+            if step.only_waits
+                && (!self.check_quota(waiting.team.as_ref(), step.resources)
+                    || pass.is_unplaceable(pool, step.allocation))
+            {
                 continue;
-            };
+            }
+            self.placement.steps += 1;
             let step_id = StepId {
                 job: id,
-                occurrence,
-                step: index,
+                occurrence: step.occurrence,
+                step: step.index,
             };
-            let pool = &job.queue.pool;
-            if step.gang {
-                let unplaced: Vec<u32> = self.unplaced(step_id, 0).collect();
-                self.place_gang(at, step_id, step, pool, &unplaced, pass);
-                continue;
-            }
-            let mut next = 0;
-            loop {
-                let first = self.unplaced(step_id, next).next();
-                let Some(index) = first else {
-                    break;
-                };
-                if !self.place_task(at, step_id.task(index), step, pool, pass) {
-                    break;
-                }
-                next = index + 1;
+            self.dispatch_step(at, step_id, pool, pass);
+        }
+    }
+
+    /// Places the tasks of a step that have no run.
+    fn dispatch_step(&mut self, at: Timestamp, id: StepId, pool: &Name, pass: &mut PlacementPass) {
+        let Some(job) = self.jobs.get(&id.job).map(|j| Arc::clone(&j.job)) else {
+            return;
+        };
+        let Some(step) = job.steps.get(usize::from(id.step)) else {
+            return;
+        };
+        if step.gang {
+            let unplaced: Vec<u32> = self.unplaced(id, 0).collect();
+            self.place_gang(at, id, step, pool, &unplaced, pass);
+            return;
+        }
+        let mut next = 0;
+        loop {
+            let first = self.unplaced(id, next).next();
+            let Some(index) = first else {
+                return;
+            };
+            if !self.place_task(at, id.task(index), step, pool, pass) {
+                return;
             }
+            next = index + 1;
         }
     }
 
@@ -209,7 +226,8 @@
         pool: &Name,
         pass: &mut PlacementPass,
     ) -> bool {
-        if !self.check_quota(id.job, step.resources) {
+        let team = self.team_of(id.job);
+        if !self.check_quota(team.as_ref(), step.resources) {
             return false;
         }
         self.workers.update(at.now, &mut self.placement);
@@ -255,8 +273,9 @@
             .max();
         let mut placed: Vec<RunId> = Vec::new();
         let deferred_len = self.deferred_len();
+        let team = self.team_of(id.job);
         for &task in &tasks {
-            let within_quota = self.check_quota(id.job, step.resources);
+            let within_quota = self.check_quota(team.as_ref(), step.resources);
             self.workers.update(at.now, &mut self.placement);
             let worker = within_quota
                 .then(|| self.select_worker(at.now, task, step, pool, pass))
@@ -335,16 +354,20 @@
         ));
     }
 
-    /// Returns whether the quota of a job's team has room for `resources`. If not, they are added
-    /// to the team's pending resources.
+    /// Returns the team of a job.
+    fn team_of(&self, id: JobId) -> Option<Name> {
+        self.jobs.get(&id).and_then(|j| j.job.team.clone())
+    }
+
+    /// Returns whether the quota of a team has room for `resources`. If not, they are added to the
+    /// team's pending resources.
     ///
     /// A job without a team has no quota.
-    fn check_quota(&mut self, id: JobId, resources: Resources) -> bool {
-        let team = self.jobs.get(&id).and_then(|j| j.job.team.clone());
+    fn check_quota(&mut self, team: Option<&Name>, resources: Resources) -> bool {
         let Some(team) = team else {
             return true;
         };
-        let team = self.teams.entry(team).or_default();
+        let team = self.teams.entry(Arc::clone(team)).or_default();
         let mut total = team.used;
         total.add(resources);
         let within_quota = team.quota.is_some_and(|quota| total.within_limit(quota));
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -25,6 +25,7 @@
 mod share_limiter;
 mod timings;
 mod tracked_job;
+mod waiting;
 mod worker;
 mod workers;
 
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -33,6 +33,7 @@
 use crate::timings::Timings;
 use crate::tracked_job::Phase;
 use crate::tracked_job::TrackedJob;
+use crate::waiting::WaitingJob;
 use crate::worker::RunId;
 use crate::workers::Workers;
 
@@ -161,7 +162,7 @@
     /// The jobs that are not final.
     pub(crate) unfinished: BTreeSet<JobId>,
     /// The unfinished jobs with tasks that wait for a place.
-    pub(crate) waiting: BTreeSet<JobId>,
+    pub(crate) waiting: BTreeMap<JobId, Arc<WaitingJob>>,
     /// When the next occurrence of an unfinished job is due, as time since the Unix epoch.
     pub(crate) due: BTreeSet<(Duration, JobId)>,
     /// Whether the last placement pass placed nothing and its inputs are unchanged since.
@@ -208,7 +209,7 @@
             owned_since: now,
             jobs: HashMap::new(),
             unfinished: BTreeSet::new(),
-            waiting: BTreeSet::new(),
+            waiting: BTreeMap::new(),
             due: BTreeSet::new(),
             settled: false,
             workers: Workers::default(),
--- a/crates/shard/src/tracked_job.rs
+++ b/crates/shard/src/tracked_job.rs
@@ -55,6 +55,57 @@
     }
 }
 
+/// What the rank of a job is computed from, apart from the time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RankBasis {
+    long_running: bool,
+    repeated: bool,
+    over_share: bool,
+    accepted_at: Instant,
+    objective: Duration,
+    priority: u32,
+    remaining_tenths: u64,
+    remaining_path: Duration,
+}
+
+impl RankBasis {
+    /// Returns the urgency of the job.
+    ///
+    /// A job that can't be completed within its objective any more is placed after those that can,
+    /// and a job over its team's share after both.
+    pub(crate) fn urgency(&self, now: Instant) -> Urgency {
+        let age = now.saturating_duration_since(self.accepted_at);
+        if self.long_running {
+            Urgency::LongRunning
+        } else if self.repeated {
+            Urgency::OnTime
+        } else if age > self.objective * EXPIRY_FACTOR {
+            Urgency::Expired
+        } else if self.over_share {
+            Urgency::OverShare
+        } else if age + self.remaining_path <= self.objective {
+            Urgency::OnTime
+        } else {
+            Urgency::Late
+        }
+    }
+
+    /// Returns the position of the job in the placement order; the lowest rank is placed first.
+    ///
+    /// Within an urgency and priority, the job with the smaller remaining part of its work goes
+    /// first, then the one with the shorter remaining critical path. With ordering by deadline, all
+    /// jobs of an overloaded pool would be served at the last moment and miss their deadlines.
+    pub(crate) fn rank(&self, now: Instant) -> Rank {
+        Rank {
+            urgency: self.urgency(now),
+            priority: self.priority,
+            remaining_tenths: self.remaining_tenths,
+            remaining_path: self.remaining_path,
+            deadline: self.accepted_at + self.objective,
+        }
+    }
+}
+
 /// The progress of starting a run, as far as the owner knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -397,39 +448,22 @@
     }
 
     /// Returns the urgency of the job.
-    ///
-    /// A job that can't be completed within its objective any more is placed after those that can,
-    /// and a job over its team's share after both.
     pub(crate) fn urgency(&self, now: Instant) -> Urgency {
-        let age = now.saturating_duration_since(self.accepted_at);
-        if self.long_running {
-            Urgency::LongRunning
-        } else if self.job.repeat.is_some() {
-            Urgency::OnTime
-        } else if age > self.objective * EXPIRY_FACTOR {
-            Urgency::Expired
-        } else if self.over_share {
-            Urgency::OverShare
-        } else if age + self.remaining_path <= self.objective {
-            Urgency::OnTime
-        } else {
-            Urgency::Late
-        }
+        self.rank_basis().urgency(now)
     }
 
-    /// Returns the position of the job in the placement order; the lowest rank is placed first.
-    ///
-    /// Within an urgency and priority, the job with the smaller remaining part of its work goes
-    /// first, then the one with the shorter remaining critical path. With ordering by deadline, all
-    /// jobs of an overloaded pool would be served at the last moment and miss their deadlines.
-    pub(crate) fn rank(&self, now: Instant) -> Rank {
+    /// Returns what the rank of the job is computed from.
+    pub(crate) fn rank_basis(&self) -> RankBasis {
         let remaining = self.remaining_work().saturating_mul(10);
-        Rank {
-            urgency: self.urgency(now),
+        RankBasis {
+            long_running: self.long_running,
+            repeated: self.job.repeat.is_some(),
+            over_share: self.over_share,
+            accepted_at: self.accepted_at,
+            objective: self.objective,
             priority: self.job.queue.priority,
             remaining_tenths: remaining.div_ceil(self.work.max(1)),
             remaining_path: self.remaining_path,
-            deadline: self.deadline(),
         }
     }
 
--- a/crates/shard/tests/test_cost.rs
+++ b/crates/shard/tests/test_cost.rs
@@ -162,3 +162,20 @@
     harness.tick();
     assert_eq!(checked(&harness), before, "a task that fits nowhere");
 }
+
+/// Guards against looking at the state of every waiting job in a pass, although the tasks of all but
+/// one fit nowhere.
+#[test]
+fn a_pass_looks_only_at_steps_that_may_fit() {
+    let mut harness = backlog(100);
+    harness.tick();
+    let started = starts(&harness.store_batch());
+    let (worker, request) = started.first().expect("a task must have started");
+    let finished = finished_run(1, request.run, RunOutcome::Done);
+    harness.answer_poll(worker, &report(2_000, Vec::new(), vec![finished]));
+    let before = harness.shard.placement_stats();
+    harness.tick();
+    let after = harness.shard.placement_stats();
+    assert_eq!(after.jobs - before.jobs, 97);
+    assert_eq!(after.steps - before.steps, 2);
+}
