shard: attach recovered runs by an index of their workers

For each worker that became known, the owner walked over the runs of all jobs, also the final ones that it retains.

The runs of earlier owners on workers that are not known are now kept by worker. They are taken from there when the worker becomes known or the runs count as lost.

--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -41,6 +41,8 @@
     pub estimates: u64,
     /// The jobs and workers that were counted or looked at for the load of a pool.
     pub counted: u64,
+    /// The runs of earlier owners that were looked at when a worker became known.
+    pub attached: u64,
 }
 
 /// The intermediate results of one placement pass over all unfinished jobs.
--- a/crates/shard/src/polling.rs
+++ b/crates/shard/src/polling.rs
@@ -516,7 +516,7 @@
         }
         if !self.orphans_resolved && at.now >= self.owned_since + previous_lease {
             self.orphans_resolved = true;
-            expired.extend(self.orphaned_runs());
+            expired.extend(self.unattached.values().flatten());
         }
         for id in expired {
             let is_persisting = self.run(id).is_some_and(|r| r.phase == Phase::Persisting);
@@ -532,9 +532,8 @@
     /// Assigns the recovered runs that were stored for a worker to it when the worker becomes
     /// known.
     fn attach_recovered_runs(&mut self, worker_id: &Name, incarnation: u64) {
-        let runs = self.jobs.keys().flat_map(|&job| self.runs_of(job));
-        let runs: Vec<RunId> = runs.collect();
-        for id in runs {
+        for id in self.unattached.remove(worker_id).unwrap_or_default() {
+            self.placement.attached += 1;
             let allocation = self.allocation_of(id.task);
             let Some(run) = self.run_mut(id).filter(|r| r.worker == *worker_id) else {
                 continue;
@@ -548,20 +547,4 @@
             }
         }
     }
-
-    /// Returns the recovered runs on workers that this owner has never seen.
-    fn orphaned_runs(&self) -> Vec<RunId> {
-        let mut runs = Vec::new();
-        for &id in self.jobs.keys() {
-            for run in self.runs_of(id) {
-                let is_orphaned = self
-                    .run(run)
-                    .is_some_and(|r| !self.workers.contains(&r.worker));
-                if is_orphaned {
-                    runs.push(run);
-                }
-            }
-        }
-        runs
-    }
 }
--- a/crates/shard/src/runs.rs
+++ b/crates/shard/src/runs.rs
@@ -232,6 +232,8 @@
             worker.used.add(allocation);
             worker.runs.insert(id);
             worker.last_active = since;
+        } else {
+            self.unattached.entry(worker).or_default().insert(id);
         }
         if let Some(team) = team {
             self.teams.entry(team).or_default().used.add(resources);
@@ -260,6 +262,8 @@
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.used.sub(allocation);
             worker.runs.remove(&id);
+        } else if let Some(runs) = self.unattached.get_mut(&run.worker) {
+            runs.remove(&id);
         }
         if let Some(team) = team.and_then(|t| self.teams.get_mut(&t)) {
             team.used.sub(resources);
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -183,6 +183,8 @@
     pub(crate) placement: PlacementStats,
     /// Whether a worker reported that it has seen a higher fencing token.
     pub(crate) superseded: bool,
+    /// The runs of an earlier owner on workers that this one doesn't know.
+    pub(crate) unattached: BTreeMap<Name, BTreeSet<RunId>>,
     /// Whether the runs that an earlier owner left on workers unknown to this one are marked as
     /// lost.
     pub(crate) orphans_resolved: bool,
@@ -222,6 +224,7 @@
             stops: BTreeMap::new(),
             placement: PlacementStats::default(),
             superseded: false,
+            unattached: BTreeMap::new(),
             orphans_resolved: false,
             effects: Vec::new(),
             log_events: Vec::new(),
--- a/crates/shard/src/workers.rs
+++ b/crates/shard/src/workers.rs
@@ -97,10 +97,6 @@
         Some(&mut slot.worker)
     }
 
-    pub(crate) fn contains(&self, id: &str) -> bool {
-        self.slots.contains_key(id)
-    }
-
     /// Returns all workers in the order of their ids.
     pub(crate) fn iter(&self) -> impl Iterator<Item = (&Name, &Worker)> {
         self.slots.iter().map(|(id, slot)| (id, &slot.worker))
--- a/crates/shard/tests/test_cost.rs
+++ b/crates/shard/tests/test_cost.rs
@@ -179,3 +179,18 @@
     assert_eq!(after.jobs - before.jobs, 97);
     assert_eq!(after.steps - before.steps, 2);
 }
+
+/// Guards against a walk over the runs of all jobs for each worker that becomes known.
+#[test]
+fn a_new_worker_looks_only_at_its_own_recovered_runs() {
+    let mut harness = backlog(8);
+    harness.tick();
+    harness.store_batch();
+    harness.replace_owner(&[]);
+    for worker in ["w2", "w3", "w1"] {
+        let before = harness.shard.placement_stats().attached;
+        harness.update_workers(&[worker]);
+        let attached = harness.shard.placement_stats().attached - before;
+        assert_eq!(attached, if worker == "w1" { 4 } else { 0 }, "{worker}");
+    }
+}
