shard: drop a job's tickets without a walk

When a job became final, the owner looked at the tickets of all steps of all jobs to find those of that job. The tickets are sorted by job, so that those of one are a range.

The new test counts the steps that are looked at: 100 with the walk, 2 with the range.

--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -43,6 +43,8 @@
     pub counted: u64,
     /// The runs of earlier owners that were looked at when a worker became known.
     pub attached: u64,
+    /// The steps whose tickets were looked at when a job became final.
+    pub tickets: u64,
 }
 
 /// The intermediate results of one placement pass over all unfinished jobs.
--- a/crates/shard/src/policy.rs
+++ b/crates/shard/src/policy.rs
@@ -103,6 +103,23 @@
         }
     }
 
+    /// Drops the tickets of a job that is final.
+    pub(crate) fn drop_tickets(&mut self, id: JobId) {
+        let of_step = |occurrence, step| StepId {
+            job: id,
+            occurrence,
+            step,
+        };
+        let steps = self
+            .tickets
+            .range(of_step(0, 0)..=of_step(u32::MAX, u16::MAX));
+        let steps: Vec<StepId> = steps.map(|(&step, _)| step).collect();
+        for step in steps {
+            self.placement.tickets += 1;
+            self.tickets.remove(&step);
+        }
+    }
+
     /// Handles the response to [`Effect::QueryPolicy`].
     ///
     /// `decision` holds the workers that may run the step, each with its ticket, and how long the
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -511,7 +511,7 @@
         self.unfinished.remove(&id);
         self.count_job(at.now, id);
         self.update_waiting(id);
-        self.tickets.retain(|step, _| step.job != id);
+        self.drop_tickets(id);
         let runs = self.runs_of(id);
         for run in runs {
             self.request_stop(run);
--- a/crates/shard/tests/test_cost.rs
+++ b/crates/shard/tests/test_cost.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use lavenderhollow_shard::PlacementPolicy;
 use lavenderhollow_shard::RunOutcome;
 use proptest::collection::vec;
 use proptest::test_runner::Config;
@@ -194,3 +195,20 @@
         assert_eq!(attached, if worker == "w1" { 4 } else { 0 }, "{worker}");
     }
 }
+
+/// Guards against a walk over the tickets of all jobs when one of them is final.
+#[test]
+fn a_final_job_looks_only_at_its_own_tickets() {
+    let mut harness = Harness::new(&["w1"]);
+    harness.poll_all(&["w1"]);
+    for id in 1..=50 {
+        let mut job = job(id, vec![step(1, &[]), step(1, &[])]);
+        job.queue.policy = Some(PlacementPolicy {
+            ticket_ttl: Duration::from_secs(5),
+        });
+        harness.submit(job);
+    }
+    harness.tick();
+    harness.cancel(20);
+    assert_eq!(harness.shard.placement_stats().tickets, 2);
+}
