node: stop an owner whose shard another process has claimed

A process whose shard had been claimed by another one went on with callers' requests until its next append or check, up to 1.5 s later.

A process that sees in the owners' topic that another one owns a shard stops its own owner at once and sends requests to the new one. Tokens of published owners come from claims, so an older record can't do this.

Ruled out: the fencing; workers refuse calls of the old owner already.

The test sees no reaction within 0.1 s without the change.

--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -26,6 +26,7 @@
 use crate::owner;
 use crate::router::LocalRequest;
 use crate::router::OWNER_QUEUE_CAPACITY;
+use crate::router::OwnerHandle;
 use crate::router::Router;
 use crate::shard_id::ShardId;
 use crate::topic_cache::TopicCache;
@@ -132,6 +133,8 @@
                             cluster.update_owner(shard, owner);
                         }
                     }
+                    drop(cluster);
+                    self.stop_superseded_owners();
                 }
                 Err(error) => {
                     if !failing {
@@ -145,6 +148,27 @@
         }
     }
 
+    /// Stops the owners in this process whose shards have been claimed by other processes, so that
+    /// callers' requests go to the new owners.
+    fn stop_superseded_owners(&self) {
+        let superseded: Vec<(ShardId, OwnerHandle)> = {
+            let cluster = self.context.router.cluster();
+            let me = &self.context.router.me;
+            let is_superseded =
+                |shard: &ShardId| cluster.owner(*shard).is_some_and(|o| o.member != *me);
+            let mut local = self.context.router.local_owners();
+            local.extract_if(.., |s, _| is_superseded(s)).collect()
+        };
+        for (shard, owner) in superseded {
+            log::info!(shard:display; "shard_superseded");
+            tokio::spawn(async move {
+                let (done, _) = oneshot::channel();
+                // The send fails if the owner has ended by itself.
+                let _ = owner.send(LocalRequest::Release(done)).await;
+            });
+        }
+    }
+
     /// Fetches the owners from another process while this one can't read them from the store.
     async fn fetch_owners_from_peer(&self) {
         let me = &self.context.router.me;
--- a/crates/node/tests/memory_store.rs
+++ b/crates/node/tests/memory_store.rs
@@ -14,6 +14,7 @@
 use lavenderhollow_node::ClusterConfig;
 use lavenderhollow_node::Node;
 use lavenderhollow_node::NodeSettings;
+use lavenderhollow_node::Pool;
 use lavenderhollow_node::Wave;
 use lavenderhollow_node::backend::Codec;
 use lavenderhollow_node::backend::Entry;
@@ -140,7 +141,7 @@
             workers: Arc::new(NoWorkers),
             machines: None,
             policy: None,
-            codec: Arc::new(EmptyCodec),
+            codec: Arc::new(PoolCodec),
         };
         let node = Node::start(settings, platform, Arc::new(SimulatedClock), None).await;
         node.expect("a free port")
@@ -297,13 +298,22 @@
     }
 }
 
-/// Decodes any configuration as one without pools.
-struct EmptyCodec;
+/// Decodes a configuration that is the name of its only pool, or empty if it has none.
+struct PoolCodec;
 
-impl Codec for EmptyCodec {
-    fn config(&self, _: &[u8]) -> Result<ClusterConfig, String> {
+impl Codec for PoolCodec {
+    fn config(&self, value: &[u8]) -> Result<ClusterConfig, String> {
+        let name = String::from_utf8_lossy(value);
+        let pool = Pool {
+            name: name.as_ref().into(),
+            standby: false,
+        };
         Ok(ClusterConfig {
             version: 1,
+            pools: Some(pool)
+                .into_iter()
+                .filter(|p| !p.name.is_empty())
+                .collect(),
             ..ClusterConfig::default()
         })
     }
--- a/crates/node/tests/test_claim.rs
+++ b/crates/node/tests/test_claim.rs
@@ -25,7 +25,7 @@
     }
 }
 
-fn publish(store: &MemoryStore, owner: &Member, fencing_token: u64) {
+fn publish(store: &MemoryStore, shard: ShardId, owner: &Member, fencing_token: u64) {
     let ownership = Ownership {
         member: owner.clone(),
         fencing_token,
@@ -33,8 +33,8 @@
     };
     let value = postcard::to_allocvec(&ownership).expect("a valid owner");
     let mut state = store.state();
-    state.put(FLEET, "owner", owner.to_string().as_bytes());
-    state.put(Topic::Owners, &ShardId::FLEET.to_string(), &value);
+    state.put(Topic::Shard(shard), "owner", owner.to_string().as_bytes());
+    state.put(Topic::Owners, &shard.to_string(), &value);
 }
 
 fn remove(store: &MemoryStore, member: &Member) {
@@ -50,7 +50,7 @@
 /// Starts a node beside an owner of the fleet shard that is a live member.
 async fn start_beside(store: &Arc<MemoryStore>, owner: &Member) -> Node {
     store.state().join(&owner.to_string(), LONG);
-    publish(store, owner, 1);
+    publish(store, ShardId::FLEET, owner, 1);
     let node = store.start_node("vm-1").await;
     tokio::time::sleep(Duration::from_secs(5)).await;
     assert_eq!(claimants(store), [owner.to_string()]);
@@ -88,7 +88,7 @@
     let _node = start_beside(&store, &first).await;
     store.state().owners_hang = true;
     tokio::time::sleep(Duration::from_secs(2)).await;
-    publish(&store, &second, 2);
+    publish(&store, ShardId::FLEET, &second, 2);
     remove(&store, &first);
     tokio::time::sleep(Duration::from_secs(3)).await;
     assert_eq!(claimants(&store), [first, second].map(|m| m.to_string()));
@@ -110,3 +110,25 @@
     tokio::time::sleep(Duration::from_secs(2)).await;
     assert_eq!(claimants(&store).len(), 2);
 }
+
+/// Guards against an owner that goes on with requests of callers after another member has claimed
+/// its shard, and against one that claims it back.
+#[tokio::test(start_paused = true)]
+async fn an_owner_that_sees_a_newer_claim_stops_at_once() {
+    let store = MemoryStore::new();
+    store.state().put(Topic::Operator, "config", b"pool-1");
+    let shard = ShardId::of_pool("pool-1");
+    let _node = store.start_node("vm-1").await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let successor = member("vm-2", 120);
+    store.state().join(&successor.to_string(), LONG);
+    let token = store.state().topics[&Topic::Shard(shard)].len() as u64 + 1;
+    publish(&store, shard, &successor, token);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    // The owner ends with a record that the shard was released, which is too late here.
+    assert_eq!(store.state().mismatches, 1);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    assert_eq!(store.state().mismatches, 1);
+    let claims = store.state().values(Topic::Shard(shard), "owner");
+    assert_eq!(claims.len(), 2, "{claims:?}");
+}
