shard: hand over the wait for the lease of a lost worker

Callers saw long-running tasks that did not run for 12 to 17 s although there was room for them (LOST), when the worker was lost and the shard then had several owners in turn. Each new owner waited anew for the time in which an earlier one may have renewed the lease (3.5 s) and for the lease (4.1 s), from the moment on at which it claimed the shard, although no owner had reached the worker meanwhile.

An owner now stores how long the lease of a worker that has not responded for half a second can last at most, under the new key "leases". From then on it renews that lease, also with starts, only after it has stored that the worker responds again. An owner that was superseded can't store that, and so renews nothing. A record holds only if the owner with the last claim stored it; a claim stores a valid one again, so that an owner that ends before its first record breaks nothing. Builds that do not know the key ignore it, and a claim of theirs ends its validity: today's wait counts then.

Two gaps of the wait are closed with it. An owner that releases its shard names the workers that it has not reached; its successor waited for a lease alone, although an owner before both may have renewed it for 3.5 s. And an owner that has granted no lease to a worker yet no longer takes the lease of its predecessor for ended.

Polls end in 2 s at most: the test lets the poll fail at that time, and asserts 4.2 to 5.5 s instead of 8 s. The former sequence is a test of its own with 10.6 to 12.5 s.

The simulation draws owners that lose the store and go on until they are suspended, releases, and links between one VM and a worker; runs that last; and asks that nothing runs after the end of an accepted job, not of a cancelled one alone. A cancellation counts once it is acknowledged: one that a crash loses was never promised, which only runs that last show.

--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -1,6 +1,7 @@
 //! Claims shards with a conditional append to the shard's partition. The offset of the claim
 //! determines the fencing token.
 
+use lavenderhollow_shard::LEASES_KEY;
 use lavenderhollow_shard::Record;
 
 use crate::appender::Appender;
@@ -19,8 +20,9 @@
 /// The key of the last record of an owner that releases its shard.
 const RELEASE_KEY: &str = "released";
 
-/// Sorts after the keys of all records of a shard.
-const LAST_KEY: &str = "~";
+/// A key that sorts just before [`LEASES_KEY`] and [`CLAIM_KEY`], so that the page after it begins
+/// with these two.
+const BEFORE_LEASES: &str = "lease";
 
 /// Returns the last record of an owner that releases its shard.
 pub(crate) fn release_record(fencing_token: u64) -> Record {
@@ -31,48 +33,71 @@
 }
 
 /// A shard that this process claimed.
-pub(crate) struct ClaimedShard {
-    pub(crate) appender: Appender,
-    pub(crate) fencing_token: u64,
+pub struct ClaimedShard {
+    /// Appends to the partition of the shard.
+    pub appender: Appender,
+    /// The token of this owner for requests to workers.
+    pub fencing_token: u64,
     /// Whether the previous owner released the shard, so that it sends no more commands.
-    pub(crate) released: bool,
-    /// The latest record of each key of the shard.
-    pub(crate) entries: Vec<Entry>,
+    pub released: bool,
+    /// The latest record of each key of the shard. The one of the leases of silent workers is missing
+    /// if the previous owner did not store it.
+    pub entries: Vec<Entry>,
 }
 
-/// Returns the offset at which the partition of a shard ends. Reads no records, since those of a
-/// busy shard take longer than all else before a claim.
+/// What a claim is based on, as of one read of the shard's partition.
+#[derive(Clone, Debug)]
+pub struct PartitionHead {
+    /// The offset at which the partition ends.
+    pub end_offset: u64,
+    /// The record of the leases of silent workers if the owner with the last claim stored it.
+    leases: Option<Record>,
+}
+
+/// Reads what a claim of a shard is based on.
 ///
 /// # Errors
 ///
 /// Returns the error of a failed read.
-pub(crate) async fn end_offset(platform: &Platform, shard: ShardId) -> Result<u64, StoreError> {
-    let topic = Topic::Shard(shard);
-    let page = platform.store.read_latest(topic, Some(LAST_KEY)).await?;
-    Ok(page.end_offset)
+pub async fn read_head(platform: &Platform, shard: ShardId) -> Result<PartitionHead, StoreError> {
+    let page = platform
+        .store
+        .read_latest(Topic::Shard(shard), Some(BEFORE_LEASES))
+        .await?;
+    Ok(PartitionHead {
+        end_offset: page.end_offset,
+        leases: valid_leases(&page.entries),
+    })
 }
 
-/// Claims a shard if its partition ends at `end_offset`, and reads the records of its earlier owners.
-/// After the claim no other process can append to the shard's partition without a new claim, so the
-/// pages that are read are a snapshot.
+/// Claims a shard if its partition still ends where `head` says, and reads the records of its
+/// earlier owners. After the claim no other process can append to the shard's partition without a
+/// new claim, so the pages that are read are a snapshot.
+///
+/// The record of the leases of silent workers holds only if the previous owner stored it, since an
+/// owner with an older build may have renewed these leases. Such a record is stored again with the
+/// claim, so that it still holds if this process stores nothing else.
 ///
 /// # Errors
 ///
 /// Returns the error of a failed read, and [`StoreError::OffsetMismatch`] if another process has
 /// appended.
-pub(crate) async fn claim(
+pub async fn claim(
     platform: &Platform,
     shard: ShardId,
     me: &Member,
-    end_offset: u64,
+    head: PartitionHead,
 ) -> Result<ClaimedShard, StoreError> {
     let topic = Topic::Shard(shard);
+    let end_offset = head.end_offset;
     let mut appender = Appender::new(platform.store.clone(), topic, end_offset);
     let record = Record {
         key: CLAIM_KEY.to_owned(),
         value: Some(me.to_string().into_bytes()),
     };
-    if let Err(OwnershipLost) = appender.append(&[record]).await {
+    let mut records = vec![record];
+    records.extend(head.leases);
+    if let Err(OwnershipLost) = appender.append(&records).await {
         return Err(StoreError::OffsetMismatch { end_offset });
     }
     // An offset may be zero, and workers treat a missing token as zero.
@@ -87,6 +112,8 @@
             break;
         }
     }
+    // A record at a lower offset did not hold, or it would have been stored again.
+    entries.retain(|e| e.key != LEASES_KEY || e.offset > end_offset);
     let released = entries
         .iter()
         .any(|e| e.key == RELEASE_KEY && e.offset + 1 == end_offset);
@@ -98,6 +125,17 @@
     })
 }
 
+/// Returns the record of the leases of silent workers if the owner with the last claim stored it.
+fn valid_leases(entries: &[Entry]) -> Option<Record> {
+    let entry = |key: &str| entries.iter().find(|e| e.key == key);
+    let (claim, leases) = (entry(CLAIM_KEY)?, entry(LEASES_KEY)?);
+    let is_valid = leases.offset > claim.offset && leases.value.is_some();
+    is_valid.then(|| Record {
+        key: leases.key.clone(),
+        value: leases.value.clone(),
+    })
+}
+
 /// Publishes the owner of a shard in the owners' topic. This only helps other processes to
 /// find the owner sooner, so a failure is logged and not returned.
 pub(crate) async fn publish_owner(platform: &Platform, shard: ShardId, owner: &Ownership) {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -227,7 +227,9 @@
         );
         if let Some(done) = self.release_reply.take() {
             if let Some(mut appender) = self.appender.take() {
-                let records = [claim::release_record(self.fencing_token)];
+                let at = timestamp(&*self.context.clock);
+                let mut records = self.shard.release_records(at);
+                records.push(claim::release_record(self.fencing_token));
                 let appended = appender.append(&records);
                 if tokio::time::timeout(RELEASE_RECORD_TIMEOUT, appended)
                     .await
--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -257,7 +257,7 @@
     /// and the claim fails if anyone has appended since before that.
     async fn try_claim(&self, shard: ShardId) -> Result<Option<ClaimedShard>, StoreError> {
         let platform = &self.context.platform;
-        let end_offset = claim::end_offset(platform, shard).await?;
+        let head = claim::read_head(platform, shard).await?;
         let (members, owners) =
             futures::join!(self.membership.refresh(), claim::read_owners(platform));
         members?;
@@ -276,9 +276,7 @@
             log::info!(shard:display; "claim_abandoned");
             return Ok(None);
         }
-        claim::claim(platform, shard, me, end_offset)
-            .await
-            .map(Some)
+        claim::claim(platform, shard, me, head).await.map(Some)
     }
 
     /// Runs the owner of a claimed shard in the background and publishes it.
--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -78,7 +78,7 @@
 
 impl Shard {
     /// Does all work that is due: expires leases and drains, places tasks, sends stops and polls,
-    /// and removes old finished jobs.
+    /// records the leases of silent workers, and removes old finished jobs.
     ///
     /// It does nothing once the owner is superseded.
     pub fn tick(&mut self, at: Timestamp) {
@@ -90,6 +90,7 @@
         self.dispatch(at);
         self.send_stops(at.now);
         self.send_polls(at.now);
+        self.update_lease_record(at.now);
         self.gc_finished(at.now);
     }
 
--- a/crates/shard/src/drain.rs
+++ b/crates/shard/src/drain.rs
@@ -105,6 +105,7 @@
         let Some(worker) = self.workers.remove(worker_id) else {
             return;
         };
+        self.silent_leases.forget(worker_id);
         self.log_event("worker_terminated", worker_id, || {
             format!("runs={}", worker.runs.len())
         });
--- a/crates/shard/src/lease.rs
+++ b/crates/shard/src/lease.rs
@@ -52,9 +52,9 @@
     }
 
     /// Returns when the latest deadline has passed for certain, even if the worker's clock is as
-    /// slow as the platform allows. Returns `None` while no reading of the clock is known.
+    /// slow as the platform allows. Returns `None` while no lease was granted.
     pub fn expires_at(&self) -> Option<Instant> {
-        let sample = self.sample?;
+        let sample = self.sample.filter(|_| self.latest_deadline > 0)?;
         let remaining = Duration::from_millis(self.latest_deadline.saturating_sub(sample.clock_ms));
         Some(sample.received + remaining.div_f64(1.0 - MAX_CLOCK_DRIFT))
     }
--- a/crates/shard/src/polling.rs
+++ b/crates/shard/src/polling.rs
@@ -23,7 +23,7 @@
 
 /// How long after the expiry of a lease its runs are considered lost. Covers the time that a worker
 /// takes to end them.
-const EXPIRY_MARGIN: Duration = Duration::from_millis(150);
+pub(crate) const EXPIRY_MARGIN: Duration = Duration::from_millis(150);
 
 /// Why a poll of a worker failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -94,6 +94,7 @@
         });
         let unused: Vec<Name> = unused.map(|(id, _)| Arc::clone(id)).collect();
         for id in unused {
+            self.silent_leases.forget(&id);
             self.workers.remove(&id);
         }
     }
@@ -112,12 +113,14 @@
             // An unreachable worker is granted no new deadline: the poll may not arrive, and a
             // later deadline would delay the time from which the runs of a lost worker are
             // considered lost.
-            let lease_deadline = (busy && worker.reachable)
+            let withheld = self.silent_leases.is_withheld(&worker_id);
+            let lease_deadline = (busy && worker.reachable && !withheld)
                 .then(|| worker.lease.grant(now, timings.lease))
                 .flatten();
             // A worker ends a long poll at once while it has finished runs that are not
             // acknowledged, and they are acknowledged only after their outcomes are stored.
-            let may_wait = busy && worker.synced && worker.stored_seq == worker.received_seq;
+            let may_wait =
+                busy && worker.synced && worker.stored_seq == worker.received_seq && !withheld;
             worker.poll_pending = true;
             let request = PollRequest {
                 lease_deadline,
@@ -146,7 +149,7 @@
         worker.poll_pending = false;
         worker.next_poll = at.now + retry;
         if worker.reachable {
-            worker.reachable = false;
+            worker.mark_unreachable(at.now);
             self.log_event("worker_unreachable", worker_id, || {
                 format!("cause={failure:?}")
             });
@@ -190,6 +193,7 @@
         };
         let first_report = !worker.synced;
         worker.synced = true;
+        worker.silent_since = None;
         if !worker.runs.is_empty() {
             worker.last_active = at.now;
         }
@@ -217,8 +221,10 @@
         let Some(worker) = self.workers.get_mut(worker_id) else {
             return;
         };
-        worker.next_poll = if worker.received_seq > worker.stored_seq {
-            // `Shard::batch_stored` polls sooner, once the outcomes of the runs are stored.
+        let withheld = self.silent_leases.is_withheld(worker_id);
+        worker.next_poll = if worker.received_seq > worker.stored_seq || withheld {
+            // `Shard::batch_stored` polls sooner, once the outcomes of the runs are stored and the
+            // lease may be renewed.
             at.now + retry
         } else if first_report || !worker.runs.is_empty() {
             at.now
@@ -496,28 +502,16 @@
 
     /// Marks the runs of workers whose leases have expired without contact as lost.
     pub(crate) fn expire_leases(&mut self, at: Timestamp) {
-        // An earlier owner may have gone on granting leases for `takeover_wait`. A lease lasts
-        // about 2 % longer on a worker whose clock is as slow as the platform allows.
-        let previous_lease = self.timings.takeover_wait + self.timings.lease.mul_f64(1.02);
         let mut expired = Vec::new();
         for worker in self.workers.values() {
             if worker.reachable && worker.synced || worker.runs.is_empty() {
                 continue;
             }
-            // Until a poll of this incarnation succeeds, a lease that an earlier owner granted may
-            // still be valid.
-            let expires_at = match (worker.synced, worker.lease.expires_at()) {
-                (true, Some(expires_at)) => expires_at,
-                _ => worker.incarnation_since + previous_lease,
-            };
-            if expires_at + EXPIRY_MARGIN <= at.now {
+            if self.lease_end(worker) + EXPIRY_MARGIN <= at.now {
                 expired.extend(worker.runs.iter().copied());
             }
         }
-        if !self.orphans_resolved && at.now >= self.owned_since + previous_lease {
-            self.orphans_resolved = true;
-            expired.extend(self.unattached.values().flatten());
-        }
+        expired.extend(self.take_expired_orphans(at.now));
         for id in expired {
             let is_persisting = self.run(id).is_some_and(|r| r.phase == Phase::Persisting);
             if !is_persisting {
--- a/crates/shard/src/records.rs
+++ b/crates/shard/src/records.rs
@@ -1,7 +1,8 @@
 //! The records of a shard in the platform's store. Each job has two: the job as submitted and its
-//! progress. The store retains the latest record of each key, and a new owner restores its whole
-//! state from them.
+//! progress. A further one holds the leases of silent workers. The store retains the latest record
+//! of each key, and a new owner restores its whole state from them.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -19,6 +20,11 @@
 /// The first byte of each value. Another format of the values needs another number.
 const FORMAT_VERSION: u8 = 1;
 
+/// The key of the record of the leases of silent workers. A build that does not know the key ignores
+/// the record, and neither follows nor updates it; so the record holds only if no later claim of the
+/// shard follows it.
+pub const LEASES_KEY: &str = "leases";
+
 /// A keyed record in a topic of the platform's store. A record without a value is a tombstone,
 /// which removes the key.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -80,9 +86,22 @@
     pub tasks: Vec<StoredTask>,
 }
 
+/// The stored lease of a worker that does not respond.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredLease {
+    /// The incarnation of the worker, as its start in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// How long after the storing of the record the lease can last.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub remaining: Duration,
+}
+
 /// A decoded record of a shard.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StoredRecord {
+    /// The leases of silent workers, by the id of the worker.
+    Leases(BTreeMap<Name, StoredLease>),
     /// A job as it was submitted.
     Job(Box<Job>),
     /// The progress of a job.
@@ -129,18 +148,26 @@
     }
 }
 
+/// Returns the record of the leases of silent workers, a tombstone if there are none.
+pub(crate) fn lease_record(leases: &BTreeMap<Name, StoredLease>) -> Record {
+    Record {
+        key: LEASES_KEY.to_owned(),
+        value: (!leases.is_empty()).then(|| encode(leases)),
+    }
+}
+
 /// Returns the tombstones that remove both records of a job.
 pub(crate) fn tombstones(id: JobId) -> [Record; 2] {
     [job_key(id), progress_key(id)].map(|key| Record { key, value: None })
 }
 
-/// Decodes a record of a shard. Returns `None` for keys that belong to no job, such as the record
-/// of a released shard.
+/// Decodes a record of a shard. Returns `None` for other keys, such as the record of a released
+/// shard.
 ///
 /// # Errors
 ///
-/// Returns an error if the key is that of a job record or progress record but the key or the value
-/// can't be decoded.
+/// Returns an error if the key is that of one of these records but the key or the value can't be
+/// decoded.
 pub fn decode_record(key: &str, value: &[u8]) -> Result<Option<StoredRecord>, InvalidRecord> {
     let invalid = |detail: &str| InvalidRecord {
         key: key.to_owned(),
@@ -149,20 +176,28 @@
     let Some((kind, id)) = key.split_at_checked(1) else {
         return Ok(None);
     };
-    if kind != "j" && kind != "p" {
+    if key != LEASES_KEY && kind != "j" && kind != "p" {
         return Ok(None);
     }
-    let id: JobId = id
-        .parse()
-        .map_err(|_| invalid("the key has no valid job id"))?;
+    let parse_id = || -> Result<JobId, InvalidRecord> {
+        id.parse()
+            .map_err(|_| invalid("the key has no valid job id"))
+    };
     let Some((&FORMAT_VERSION, body)) = value.split_first() else {
         return Err(invalid(
             "the value is empty or has an unknown format version",
         ));
     };
     let stored = match kind {
-        "j" => postcard::from_bytes(body).map(|job| StoredRecord::Job(Box::new(job))),
-        _ => postcard::from_bytes(body).map(|progress| StoredRecord::Progress(id, progress)),
+        _ if key == LEASES_KEY => postcard::from_bytes(body).map(StoredRecord::Leases),
+        "j" => {
+            parse_id()?;
+            postcard::from_bytes(body).map(|job| StoredRecord::Job(Box::new(job)))
+        }
+        _ => {
+            let id = parse_id()?;
+            postcard::from_bytes(body).map(|progress| StoredRecord::Progress(id, progress))
+        }
     };
     stored.map(Some).map_err(|e| invalid(&e.to_string()))
 }
--- a/crates/shard/src/recovery.rs
+++ b/crates/shard/src/recovery.rs
@@ -1,5 +1,6 @@
 //! Recovering the state of a shard from the records that its earlier owners stored.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,11 +18,12 @@
 use crate::tracked_job::TrackedJob;
 
 impl Shard {
-    /// Restores the jobs from the stored records. The owner task calls this once, before any other
-    /// method. Whether the recovered runs still exist is known only after their workers were
-    /// polled.
+    /// Restores the jobs and the leases of silent workers from the stored records. The owner task
+    /// calls this once, before any other method. Whether the recovered runs still exist is known
+    /// only after their workers were polled.
     pub fn restore(&mut self, at: Timestamp, records: Vec<StoredRecord>) {
         let mut jobs: HashMap<JobId, (Option<Job>, Option<JobProgress>)> = HashMap::new();
+        let mut leases = BTreeMap::new();
         for record in records {
             match record {
                 StoredRecord::Job(job) => {
@@ -31,6 +33,7 @@
                 StoredRecord::Progress(id, progress) => {
                     jobs.entry(id).or_default().1 = Some(progress);
                 }
+                StoredRecord::Leases(stored) => leases = stored,
             }
         }
         for (id, (job, progress)) in jobs {
@@ -43,6 +46,7 @@
             };
             self.restore_job(at, job, &progress);
         }
+        self.restore_leases(leases);
     }
 
     fn restore_job(&mut self, at: Timestamp, job: Job, progress: &JobProgress) {
--- a/crates/shard/src/runs.rs
+++ b/crates/shard/src/runs.rs
@@ -67,12 +67,11 @@
         run.phase = Phase::Starting;
         run.since = now;
         let lease = self.timings.lease;
-        let deadline = self
-            .workers
-            .get_mut(&worker_id)
-            .and_then(|worker| worker.lease.grant(now, lease));
+        let withheld = self.silent_leases.is_withheld(&worker_id);
+        let worker = self.workers.get_mut(&worker_id).filter(|_| !withheld);
+        let deadline = worker.and_then(|worker| worker.lease.grant(now, lease));
         let Some(deadline) = deadline else {
-            // The worker has restarted since the placement.
+            // The worker has restarted or has become silent since the placement.
             self.remove_run(id);
             return;
         };
@@ -148,7 +147,7 @@
                 }
                 return;
             }
-            StartOutcome::WrongWorker | StartOutcome::NotSent => w.reachable = false,
+            StartOutcome::WrongWorker | StartOutcome::NotSent => w.mark_unreachable(now),
             _ => {}
         }
         self.poll_soon(now, worker_id);
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -30,6 +30,7 @@
 use crate::records::progress_record;
 use crate::records::tombstones;
 use crate::share_limiter::ShareLimiter;
+use crate::silent_leases::SilentLeases;
 use crate::timings::Timings;
 use crate::tracked_job::Phase;
 use crate::tracked_job::TrackedJob;
@@ -143,6 +144,8 @@
     acks: BTreeMap<Name, (u64, u64)>,
     /// The job states that are reported to callers once the records are stored.
     stored_states: Vec<(JobId, JobState)>,
+    /// The silent workers that the record of leases among the records names, if there is one.
+    silent_workers: Option<BTreeSet<Name>>,
 }
 
 /// The stop of a run that the worker hasn't confirmed yet.
@@ -173,6 +176,7 @@
     /// The workers that were terminated by a command to their machine, with the terminated
     /// incarnation.
     pub(crate) terminated_incarnations: BTreeMap<Name, u64>,
+    pub(crate) silent_leases: SilentLeases,
     pub(crate) teams: BTreeMap<Name, TeamUsage>,
     pub(crate) share_limiter: ShareLimiter,
     pub(crate) arrivals: Arrivals,
@@ -185,9 +189,6 @@
     pub(crate) superseded: bool,
     /// The runs of an earlier owner on workers that this one doesn't know.
     pub(crate) unattached: BTreeMap<Name, BTreeSet<RunId>>,
-    /// Whether the runs that an earlier owner left on workers unknown to this one are marked as
-    /// lost.
-    pub(crate) orphans_resolved: bool,
     /// The effects that the caller can execute now.
     pub(crate) effects: Vec<Effect>,
     pub(crate) log_events: Vec<LogEvent>,
@@ -225,7 +226,7 @@
             placement: PlacementStats::default(),
             superseded: false,
             unattached: BTreeMap::new(),
-            orphans_resolved: false,
+            silent_leases: SilentLeases::default(),
             effects: Vec::new(),
             log_events: Vec::new(),
             dirty: BTreeSet::new(),
@@ -343,6 +344,10 @@
                 batch.stored_states.push((id, job.state));
             }
         }
+        if let Some((record, silent_workers)) = self.silent_leases.take_record() {
+            records.push(record);
+            batch.silent_workers = Some(silent_workers);
+        }
         if records.is_empty() && batch.effects.is_empty() && batch.acks.is_empty() {
             return None;
         }
@@ -368,6 +373,11 @@
                 worker.next_poll = at.now;
             }
         }
+        if let Some(silent_workers) = batch.silent_workers {
+            for name in self.silent_leases.handle_stored(silent_workers) {
+                self.poll_soon(at.now, &name);
+            }
+        }
         for effect in batch.effects {
             match effect {
                 Effect::Start(worker, request) => self.send_start(at.now, worker, request),
--- a/crates/shard/src/worker.rs
+++ b/crates/shard/src/worker.rs
@@ -129,6 +129,8 @@
     pub(crate) synced: bool,
     /// Cleared when a poll fails or a start request is not delivered; set by the next report.
     pub(crate) reachable: bool,
+    /// Since when the worker is not `synced` or not `reachable`; `None` while it is both.
+    pub(crate) silent_since: Option<Instant>,
     /// Whether a poll is in flight.
     pub(crate) poll_pending: bool,
     pub(crate) next_poll: Instant,
@@ -169,6 +171,7 @@
             stored_seq: 0,
             synced: false,
             reachable: true,
+            silent_since: Some(now),
             poll_pending: false,
             next_poll: now,
             last_active: now,
@@ -201,10 +204,17 @@
             && self.backoff_until.is_none_or(|until| until <= now)
     }
 
+    /// Records that a call got no usable response from the worker.
+    pub(crate) fn mark_unreachable(&mut self, now: Instant) {
+        self.reachable = false;
+        self.silent_since.get_or_insert(now);
+    }
+
     /// Resets the state that belongs to the previous incarnation.
     pub(crate) fn begin_incarnation(&mut self, now: Instant, incarnation: u64) {
         self.info.incarnation = incarnation;
         self.incarnation_since = now;
+        self.silent_since = Some(now);
         self.lease = Lease::default();
         (self.received_seq, self.stored_seq) = (0, 0);
         self.drain_granted = false;
--- a/crates/shard/tests/support/mod.rs
+++ b/crates/shard/tests/support/mod.rs
@@ -143,7 +143,12 @@
 
     /// Replaces the owner by a new one that restores its state from the stored records alone.
     pub(crate) fn replace_owner(&mut self, workers: &[&str]) {
-        self.shard = Shard::new(timings(), self.at.now);
+        self.replace_owner_with(timings(), workers);
+    }
+
+    /// Replaces the owner as [`Self::replace_owner`] does, by one with other timings.
+    pub(crate) fn replace_owner_with(&mut self, timings: Timings, workers: &[&str]) {
+        self.shard = Shard::new(timings, self.at.now);
         let records = self
             .stored
             .iter()
--- a/crates/shard/tests/support/simulation.rs
+++ b/crates/shard/tests/support/simulation.rs
@@ -18,6 +18,7 @@
 use lavenderhollow_shard::PollRequest;
 use lavenderhollow_shard::Record;
 use lavenderhollow_shard::RequestId;
+use lavenderhollow_shard::Response;
 use lavenderhollow_shard::RunId;
 use lavenderhollow_shard::RunOutcome;
 use lavenderhollow_shard::RunStatus;
@@ -43,6 +44,15 @@
 /// How long a run takes, in ticks.
 const RUN_TICKS: u32 = 15;
 
+/// How long a run of a long job takes, in ticks; longer than any wait for a lease.
+const LONG_RUN_TICKS: u32 = 700;
+
+/// For how many ticks an owner goes on without a confirmation of the store.
+const TAKEOVER_TICKS: u64 = 175;
+
+/// The VMs on which the owners run in turn.
+const VMS: usize = 2;
+
 /// The longest lease that a worker accepts, in milliseconds.
 const MAX_LEASE_MS: u64 = 10_000;
 
@@ -51,8 +61,15 @@
 pub(crate) enum Fault {
     /// The owner crashes, and another one may take over after the given number of ticks.
     OwnerCrash(u8),
-    /// The owner can't reach a worker, which keeps running its tasks.
+    /// The owner loses its connection to the store and goes on until it is suspended. Another one may
+    /// take over after the given number of ticks.
+    OwnerCut(u8),
+    /// The owner releases the shard, and another one may take over after the given number of ticks.
+    OwnerRelease(u8),
+    /// No owner can reach a worker, which keeps running its tasks.
     Partition(u8, u16),
+    /// Owners on the VM with the second index can't reach a worker.
+    LinkCut(u8, u8, u16),
     /// A worker restarts with the same id, as a new incarnation that has no runs.
     WorkerRestart(u8),
     /// Calls to a worker get no response, and the worker executes them late.
@@ -68,6 +85,8 @@
 pub(crate) enum Op {
     /// Submits a job of two steps with the given numbers of tasks; the second depends on the first.
     Submit(u8, u8),
+    /// Submits a job of one step with the given number of tasks that run for long.
+    SubmitLong(u8),
     /// Submits the job with this index again, counted modulo the number of jobs.
     Resubmit(u8),
     /// Cancels the job with this index, counted modulo the number of jobs.
@@ -105,6 +124,7 @@
     highest_run: BTreeMap<TaskId, u32>,
     /// For how many more ticks each fault lasts.
     partition_ticks: u32,
+    link_cut_ticks: [u32; VMS],
     delay_ticks: u32,
     failing_ticks: u32,
 }
@@ -124,6 +144,7 @@
             next_sequence: 1,
             highest_run: BTreeMap::new(),
             partition_ticks: 0,
+            link_cut_ticks: [0; VMS],
             delay_ticks: 0,
             failing_ticks: 0,
         }
@@ -170,12 +191,24 @@
     lease_expired: bool,
 }
 
+/// An owner that has lost its connection to the store, and may have been superseded.
+#[derive(Debug)]
+struct CutOwner {
+    number: u64,
+    shard: Shard,
+    /// The tick at which it is suspended.
+    end_tick: u64,
+}
+
 /// A shard with its workers, its store and the calls in flight.
 pub(crate) struct Simulation {
     /// The current tick.
     ticks: u64,
     start: Instant,
     shard: Option<Shard>,
+    cut_owners: Vec<CutOwner>,
+    /// Whether the last owner has released the shard.
+    released: bool,
     /// The number of the current owner, which is also its fencing token.
     owner: u64,
     /// The first tick at which the next owner may start.
@@ -190,9 +223,11 @@
     /// Results on their way: the tick of delivery, the number of the owner, and the result.
     completions: Vec<(u64, u64, Completion)>,
     jobs: Vec<Job>,
+    long_jobs: BTreeSet<JobId>,
     accepted: BTreeSet<JobId>,
     cancelled: BTreeSet<JobId>,
     requests: BTreeMap<RequestId, JobId>,
+    cancellations: BTreeMap<RequestId, JobId>,
     next_request: u64,
     /// Tasks with a run that ended `done` on a worker.
     done: BTreeSet<TaskId>,
@@ -216,6 +251,8 @@
             ticks: 0,
             start,
             shard: None,
+            cut_owners: Vec::new(),
+            released: false,
             owner: 0,
             takeover_tick: 0,
             workers: workers.collect(),
@@ -225,9 +262,11 @@
             calls: Vec::new(),
             completions: Vec::new(),
             jobs: Vec::new(),
+            long_jobs: BTreeSet::new(),
             accepted: BTreeSet::new(),
             cancelled: BTreeSet::new(),
             requests: BTreeMap::new(),
+            cancellations: BTreeMap::new(),
             next_request: 0,
             done: BTreeSet::new(),
             acked_done: BTreeMap::new(),
@@ -257,10 +296,6 @@
         self.random_state >> 33
     }
 
-    fn fencing_token(&self) -> u64 {
-        self.owner
-    }
-
     pub(crate) fn apply(&mut self, op: Op) {
         match op {
             Op::Submit(first, second) => {
@@ -269,6 +304,12 @@
                 self.jobs.push(job(id, steps));
                 self.submit(self.jobs.len() - 1);
             }
+            Op::SubmitLong(count) => {
+                let id = self.jobs.len() as u64 + 1;
+                self.jobs.push(job(id, vec![step(count.into(), &[])]));
+                self.long_jobs.insert(JobId(id));
+                self.submit(self.jobs.len() - 1);
+            }
             Op::Resubmit(n) if !self.jobs.is_empty() => {
                 self.submit(usize::from(n) % self.jobs.len());
             }
@@ -278,7 +319,7 @@
                 self.next_request += 1;
                 let request_id = RequestId(self.next_request);
                 if let Some(shard) = &mut self.shard {
-                    self.cancelled.insert(id);
+                    self.cancellations.insert(request_id, id);
                     shard.cancel(at, request_id, id);
                 }
             }
@@ -309,16 +350,22 @@
         match fault {
             Fault::OwnerCrash(ticks) => {
                 self.shard = None;
-                self.takeover_tick = self.ticks + u64::from(ticks);
-                self.completions.clear();
-                // A write in flight may still complete; the next owner's claim fences any later
-                // one.
-                if let Some((_, records)) = self.pending_write.take()
-                    && self.next_random().is_multiple_of(2)
-                {
-                    self.apply_records(records);
+                self.end_ownership(ticks);
+            }
+            Fault::OwnerCut(ticks) => {
+                if let Some(shard) = self.shard.take() {
+                    self.cut_owners.push(CutOwner {
+                        number: self.owner,
+                        shard,
+                        end_tick: self.ticks + TAKEOVER_TICKS,
+                    });
+                    self.end_ownership(ticks);
                 }
             }
+            Fault::OwnerRelease(ticks) => self.release(ticks),
+            Fault::LinkCut(w, vm, t) => {
+                self.workers[usize::from(w) % len].link_cut_ticks[usize::from(vm) % VMS] = t.into();
+            }
             Fault::Partition(w, t) => self.workers[usize::from(w) % len].partition_ticks = t.into(),
             Fault::DelayedCalls(w, t) => self.workers[usize::from(w) % len].delay_ticks = t.into(),
             Fault::FailingRuns(w, t) => self.workers[usize::from(w) % len].failing_ticks = t.into(),
@@ -332,18 +379,55 @@
                 self.calls.retain(|c| c.worker_index != index);
                 *worker = SimulatedWorker {
                     partition_ticks: worker.partition_ticks,
+                    link_cut_ticks: worker.link_cut_ticks,
                     delay_ticks: worker.delay_ticks,
                     failing_ticks: worker.failing_ticks,
                     ..SimulatedWorker::new(worker.id.clone(), incarnation, now)
                 };
                 let now = self.timestamp().now;
-                let owner = self.owner;
-                let completion = Completion::Poll(index, now, Err(PollFailure::NoResponse));
-                self.completions.push((self.ticks + 1, owner, completion));
+                let mut owners: BTreeSet<u64> = self.cut_owners.iter().map(|o| o.number).collect();
+                owners.insert(self.owner);
+                for owner in owners {
+                    let completion = Completion::Poll(index, now, Err(PollFailure::NoResponse));
+                    self.completions.push((self.ticks + 1, owner, completion));
+                }
             }
         }
     }
 
+    /// Ends the writes of the owner, so that another one may take over after `ticks`.
+    fn end_ownership(&mut self, ticks: u8) {
+        self.takeover_tick = self.ticks + u64::from(ticks);
+        let has_ended = self.cut_owners.iter().all(|o| o.number != self.owner);
+        let owner = self.owner;
+        self.completions.retain(|(_, to, completion)| {
+            *to != owner || !has_ended && !matches!(completion, Completion::Stored)
+        });
+        // A write in flight may still complete; the next owner's claim fences any later one.
+        if let Some((_, records)) = self.pending_write.take()
+            && self.next_random().is_multiple_of(2)
+        {
+            self.apply_records(records);
+        }
+    }
+
+    /// Lets the owner store its last records and end, unless the store is unavailable.
+    fn release(&mut self, ticks: u8) {
+        if self.ticks < self.outage_end {
+            return;
+        }
+        let at = self.timestamp();
+        let Some(mut shard) = self.shard.take() else {
+            return;
+        };
+        if let Some((_, records)) = self.pending_write.take() {
+            self.apply_records(records);
+        }
+        self.apply_records(shard.release_records(at));
+        self.released = true;
+        self.end_ownership(ticks);
+    }
+
     fn apply_records(&mut self, records: Vec<Record>) {
         for record in records {
             match record.value {
@@ -368,7 +452,11 @@
         if self.shard.is_none() && self.ticks >= self.takeover_tick && self.ticks >= self.outage_end
         {
             self.owner += 1;
-            let mut shard = Shard::new(timings(), at.now);
+            let mut timings = timings();
+            if std::mem::take(&mut self.released) {
+                timings.takeover_wait = Duration::ZERO;
+            }
+            let mut shard = Shard::new(timings, at.now);
             let records = self
                 .stored
                 .iter()
@@ -381,7 +469,7 @@
         self.deliver_completions();
         let worker_infos = self.worker_infos();
         if let Some(shard) = &mut self.shard {
-            shard.update_workers(at, worker_infos);
+            shard.update_workers(at, worker_infos.clone());
             if self.repeats_passes {
                 // No job has a team, so that new quotas change nothing but cause a pass.
                 shard.set_quotas(&BTreeMap::new());
@@ -389,15 +477,34 @@
             shard.tick(at);
             pool_load::check(shard, at.now);
         }
+        self.tick_cut_owners(at, &worker_infos);
         self.write_batch();
         self.execute_effects();
         for worker in &mut self.workers {
             worker.partition_ticks = worker.partition_ticks.saturating_sub(1);
+            for ticks in &mut worker.link_cut_ticks {
+                *ticks = ticks.saturating_sub(1);
+            }
             worker.delay_ticks = worker.delay_ticks.saturating_sub(1);
             worker.failing_ticks = worker.failing_ticks.saturating_sub(1);
         }
     }
 
+    /// Lets the owners without a connection to the store go on. What they want to store never is.
+    fn tick_cut_owners(&mut self, at: Timestamp, worker_infos: &[WorkerInfo]) {
+        let now = self.ticks;
+        let mut owners = std::mem::take(&mut self.cut_owners);
+        owners.retain(|owner| now <= owner.end_tick && !owner.shard.is_superseded());
+        for owner in &mut owners {
+            owner.shard.update_workers(at, worker_infos.to_vec());
+            owner.shard.tick(at);
+            let _ = owner.shard.next_batch();
+            let effects = owner.shard.take_effects();
+            self.execute_all(owner.number, effects);
+        }
+        self.cut_owners = owners;
+    }
+
     /// Advances the runs of all workers, and ends the runs of workers whose lease has expired.
     fn advance_runs(&mut self) {
         let now = self.timestamp().now;
@@ -462,13 +569,21 @@
             return;
         };
         let superseded = shard.is_superseded();
-        for effect in shard.take_effects() {
+        let effects = shard.take_effects();
+        self.execute_all(self.owner, effects);
+        assert!(
+            !superseded,
+            "the owner was superseded although no other owner has taken over"
+        );
+    }
+
+    fn execute_all(&mut self, owner: u64, effects: Vec<Effect>) {
+        for effect in effects {
             let (worker, call) = match effect {
                 Effect::Respond(request_id, response) => {
-                    if let (Some(id), lavenderhollow_shard::Response::Accepted) =
-                        (self.requests.get(&request_id), response)
-                    {
-                        self.accepted.insert(*id);
+                    if response == Response::Accepted {
+                        self.accepted.extend(self.requests.get(&request_id));
+                        self.cancelled.extend(self.cancellations.get(&request_id));
                     }
                     continue;
                 }
@@ -479,26 +594,24 @@
             };
             let index = self.workers.iter().position(|w| w.id == worker);
             self.send(
+                owner,
                 index.expect("an effect names a worker that does not exist"),
                 call,
             );
         }
-        assert!(
-            !superseded,
-            "the owner was superseded although no other owner has taken over"
-        );
     }
 
     /// Puts a call in flight, with the faults of its worker. A call that gets no response is
     /// reported to the owner as failed after 30 ticks.
-    fn send(&mut self, worker_index: usize, call: Call) {
+    fn send(&mut self, owner: u64, worker_index: usize, call: Call) {
         if let Call::Start(request) = &call {
             self.starts.push((self.ticks, worker_index, request.run));
         }
         let sent = self.timestamp().now;
         let worker = &self.workers[worker_index];
-        let (partitioned, delayed) = (worker.partition_ticks > 0, worker.delay_ticks > 0);
-        let owner = self.owner;
+        let vm = usize::try_from(owner).unwrap() % VMS;
+        let partitioned = worker.partition_ticks > 0 || worker.link_cut_ticks[vm] > 0;
+        let delayed = worker.delay_ticks > 0;
         let no_response = |call: &Call| match call {
             Call::Start(request) => {
                 Completion::Start(worker_index, request.run, StartOutcome::Unknown)
@@ -520,7 +633,7 @@
         self.calls.push(PendingCall {
             due_tick: self.ticks + delay,
             owner,
-            fencing_token: self.fencing_token(),
+            fencing_token: owner,
             worker_index,
             call,
             sent,
@@ -646,12 +759,16 @@
             return StartOutcome::DeadlineExceeded;
         }
         extend_lease(worker, clock_ms, request.lease_deadline);
+        let ticks_left = match self.long_jobs.contains(&request.run.task.job) {
+            true => LONG_RUN_TICKS,
+            false => RUN_TICKS,
+        };
         if worker.running.len() as u64 >= CAPACITY.cpu / 1_000 {
             return StartOutcome::InsufficientResources;
         }
         worker.running.push(ActiveRun {
             run: request.run,
-            ticks_left: RUN_TICKS,
+            ticks_left,
         });
         self.check_start(request.run, pending);
         StartOutcome::Started(clock_ms)
@@ -698,7 +815,9 @@
             .partition(|(when, _, _)| *when <= now);
         self.completions = rest;
         for (_, to, completion) in due {
-            let Some(shard) = self.shard.as_mut().filter(|_| to == owner) else {
+            let cut_owner = self.cut_owners.iter_mut().find(|o| o.number == to);
+            let shard = cut_owner.map(|o| &mut o.shard);
+            let Some(shard) = shard.or(self.shard.as_mut().filter(|_| to == owner)) else {
                 continue;
             };
             match completion {
@@ -728,6 +847,7 @@
                 worker.delay_ticks,
                 worker.failing_ticks,
             ) = (0, 0, 0);
+            worker.link_cut_ticks = [0; VMS];
         }
         for _ in 0..3_000 {
             self.tick();
@@ -740,16 +860,17 @@
             Vec::<(JobId, Option<JobState>)>::new(),
             "jobs that did not reach a final state"
         );
+        let ended: BTreeSet<JobId> = self.cancelled.union(&self.accepted).copied().collect();
         // Calls are delayed by less than 500 ticks; none of them may restart a finished task or a
         // cancelled job.
         for _ in 0..600 {
             self.tick();
         }
-        for id in &self.cancelled {
+        for id in &ended {
             let mut running = self.workers.iter().flat_map(|w| &w.running);
             assert!(
                 !running.any(|r| r.run.task.job == *id),
-                "{id} still runs after its cancellation"
+                "{id} still runs after its end"
             );
         }
     }
--- a/crates/shard/tests/test_shard.rs
+++ b/crates/shard/tests/test_shard.rs
@@ -8,6 +8,7 @@
 use lavenderhollow_shard::Effect;
 use lavenderhollow_shard::JobId;
 use lavenderhollow_shard::JobState;
+use lavenderhollow_shard::LEASES_KEY;
 use lavenderhollow_shard::Name;
 use lavenderhollow_shard::PollFailure;
 use lavenderhollow_shard::Resources;
@@ -142,29 +143,119 @@
     assert!((40..60).contains(&i), "after {i} tenths of a second");
 }
 
-/// Guards against a new wait for the lease of a lost worker with each change of owner, although no
-/// owner has granted it a lease since it was lost. The last lease, and the time for which an
-/// earlier owner may have granted one, are over after 7.6 s.
-#[test]
-#[ignore = "KNOWN-RED.txt"]
-fn owners_in_turn_do_not_wait_anew_for_a_lost_worker() {
+/// Returns the tenth of a second after which the task of a lost worker starts again, with a change of
+/// owner every three seconds until 9 s. The poll in flight fails after `failed_at` tenths.
+fn restart_with_owners_in_turn(failed_at: Option<u64>) -> u64 {
     let workers = ["w1", "w2"];
     let (mut harness, runs) = harness_with_running_job(&workers, 1);
     let (lost, _) = runs[0].clone();
-    let mut restarted = None;
     for i in 1..=200u64 {
         harness.advance(Duration::from_millis(100));
         if i % 30 == 0 && i < 120 {
             harness.replace_owner(&workers);
         }
+        if Some(i) == failed_at {
+            harness
+                .shard
+                .handle_poll_failure(harness.at, &lost, PollFailure::NoResponse);
+        }
         let effects = tick_with_lost_worker(&mut harness, &lost, 1_000 + i * 100);
+        if !starts(&effects).is_empty() {
+            return i;
+        }
+    }
+    panic!("the task was never restarted");
+}
+
+/// Guards against a new wait for the lease of a lost worker with each change of owner, although the
+/// first owner knows that it has granted none since 0.1 s. That lease is over after 4.2 s.
+#[test]
+fn owners_in_turn_do_not_wait_anew_for_a_lost_worker() {
+    let tenths = restart_with_owners_in_turn(Some(20));
+    assert!(
+        (42..=55).contains(&tenths),
+        "after {tenths} tenths of a second"
+    );
+}
+
+/// Guards against a new wait with each change of owner for a worker whose lease the first owner may
+/// have renewed until it was replaced at 3 s, and for 3.5 s after that. Such a lease is over after
+/// 10.6 s.
+#[test]
+fn owners_in_turn_hand_over_the_wait_for_a_worker_that_none_of_them_reached() {
+    let tenths = restart_with_owners_in_turn(None);
+    assert!(
+        (106..=125).contains(&tenths),
+        "after {tenths} tenths of a second"
+    );
+}
+
+/// Guards against a task that runs twice: an owner renews the lease of a worker that responds again
+/// while a stored record still says that this lease ends soon.
+#[test]
+fn a_lease_is_renewed_only_after_it_is_stored_that_the_worker_came_back() {
+    let workers = ["w1", "w2"];
+    let (mut harness, runs) = harness_with_running_job(&workers, 1);
+    let (silent, run) = runs[0].clone();
+    harness
+        .shard
+        .handle_poll_failure(harness.at, &silent, PollFailure::NoResponse);
+    for i in 0..10 {
+        harness.advance(Duration::from_millis(100));
+        tick_with_lost_worker(&mut harness, &silent, 1_000 + i * 100);
+    }
+    assert!(harness.stored.contains_key(LEASES_KEY));
+    harness.replace_owner(&workers);
+    let polls = |effects: &[Effect]| {
+        let requests = effects.iter().filter_map(|effect| match effect {
+            Effect::Poll(worker, request) if *worker == silent => Some(*request),
+            _ => None,
+        });
+        requests.collect::<Vec<_>>()
+    };
+    assert_eq!(polls(&harness.tick())[0].lease_deadline, None);
+    let running = vec![run_status(run, 50)];
+    harness.answer_poll(&silent, &report(2_000, running.clone(), vec![]));
+    for _ in 0..10 {
+        for request in polls(&harness.tick()) {
+            assert_eq!(request.lease_deadline, None);
+            harness.answer_poll(&silent, &report(2_100, running.clone(), vec![]));
+        }
+        harness.advance(Duration::from_millis(100));
+    }
+    harness.store_batch();
+    assert!(!harness.stored.contains_key(LEASES_KEY));
+    assert!(polls(&harness.tick())[0].lease_deadline.is_some());
+}
+
+/// Guards against a task that runs twice: an owner that releases its shard has not reached a worker,
+/// whose lease an owner before it may still renew.
+#[test]
+fn a_released_shard_names_the_workers_that_its_owner_did_not_reach() {
+    let workers = ["w1", "w2"];
+    let (mut harness, runs) = harness_with_running_job(&workers, 1);
+    let (silent, _) = runs[0].clone();
+    harness.replace_owner(&workers);
+    tick_with_lost_worker(&mut harness, &silent, 2_000);
+    let records = harness.shard.release_records(harness.at);
+    harness.apply_records(records);
+    let mut after_release = timings();
+    after_release.takeover_wait = Duration::ZERO;
+    harness.replace_owner_with(after_release, &workers);
+    let mut restarted = None;
+    for i in 1..=100u64 {
+        harness.advance(Duration::from_millis(100));
+        let effects = tick_with_lost_worker(&mut harness, &silent, 2_000 + i * 100);
         if !starts(&effects).is_empty() {
             restarted = Some(i);
             break;
         }
     }
     let tenths = restarted.expect("the task was never restarted");
-    assert!(tenths <= 80, "after {tenths} tenths of a second");
+    assert!(
+        (75..=80).contains(&tenths),
+        "after {tenths} tenths of a second"
+    );
 }
 
 /// Guards against waiting for the lease of a worker that the system itself terminated for
--- a/crates/shard/tests/test_simulation.rs
+++ b/crates/shard/tests/test_simulation.rs
@@ -23,14 +23,22 @@
 
 pub(crate) const WORKERS: usize = 3;
 
+/// Few workers, so that the faults of lost workers and of owners meet often.
+const LEASE_WORKERS: usize = 2;
+
 pub(crate) fn op() -> impl Strategy<Value = Op> {
     prop_oneof![
         6 => (1u8..5, 1u8..4).prop_map(|(a, b)| Op::Submit(a, b)),
+        2 => (1u8..3).prop_map(Op::SubmitLong),
         1 => (0u8..8).prop_map(Op::Resubmit),
         1 => (0u8..8).prop_map(Op::Cancel),
         8 => (1u8..120).prop_map(Op::Wait),
         1 => (0u8..100).prop_map(|t| Op::Fault(Fault::OwnerCrash(t))),
+        1 => (0u8..150).prop_map(|t| Op::Fault(Fault::OwnerCut(t))),
+        1 => (0u8..50).prop_map(|t| Op::Fault(Fault::OwnerRelease(t))),
         2 => (0u8..3, 10u16..500).prop_map(|(w, t)| Op::Fault(Fault::Partition(w, t))),
+        1 => (0u8..3, 0u8..2, 10u16..500)
+            .prop_map(|(w, vm, t)| Op::Fault(Fault::LinkCut(w, vm, t))),
         1 => (0u8..3).prop_map(|w| Op::Fault(Fault::WorkerRestart(w))),
         2 => (0u8..3, 10u16..200).prop_map(|(w, t)| Op::Fault(Fault::DelayedCalls(w, t))),
         1 => (10u16..300).prop_map(|t| Op::Fault(Fault::StoreOutage(t))),
@@ -38,14 +46,39 @@
     ]
 }
 
+/// Returns operations that let owners and leases end while tasks run for long.
+fn lease_op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        2 => (1u8..3).prop_map(Op::SubmitLong),
+        6 => (1u8..100).prop_map(Op::Wait),
+        1 => (0u8..100).prop_map(|t| Op::Fault(Fault::OwnerCrash(t))),
+        2 => (0u8..100).prop_map(|t| Op::Fault(Fault::OwnerCut(t))),
+        1 => (0u8..50).prop_map(|t| Op::Fault(Fault::OwnerRelease(t))),
+        3 => (0u8..2, 20u16..300).prop_map(|(w, t)| Op::Fault(Fault::Partition(w, t))),
+        3 => (0u8..2, 0u8..2, 20u16..700)
+            .prop_map(|(w, vm, t)| Op::Fault(Fault::LinkCut(w, vm, t))),
+        1 => (10u16..150).prop_map(|t| Op::Fault(Fault::StoreOutage(t))),
+        1 => (0u8..2).prop_map(|w| Op::Fault(Fault::WorkerRestart(w))),
+        1 => (0u8..2, 10u16..200).prop_map(|(w, t)| Op::Fault(Fault::DelayedCalls(w, t))),
+    ]
+}
+
 fn number_from_env(variable: &str, default: u64) -> u64 {
     let text = std::env::var(variable).ok();
     text.map_or(default, |t| t.parse().expect("the value must be a number"))
 }
 
-fn run_cases(seed: u64, cases: u32) {
+fn cases_from_env() -> (u64, u32) {
+    let seed = number_from_env("WORLD_SEED", SEED);
+    let cases = number_from_env("WORLD_CASES", CASES.into());
+    let cases = u32::try_from(cases).expect("the number of cases must fit into 32 bits");
+    (seed, cases)
+}
+
+fn run_cases(seed: u64, cases: u32, workers: usize, op: impl Strategy<Value = Op>) {
     let config = Config {
         cases,
+        max_shrink_iters: 4_000,
         failure_persistence: None,
         ..Config::default()
     };
@@ -53,8 +86,8 @@
     bytes[..8].copy_from_slice(&seed.to_le_bytes());
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
     let mut runner = TestRunner::new_with_rng(config, rng);
-    let result = runner.run(&vec(op(), 1..40), |ops| {
-        let mut simulation = Simulation::new(WORKERS);
+    let result = runner.run(&vec(op, 1..40), |ops| {
+        let mut simulation = Simulation::new(workers);
         for op in ops {
             simulation.apply(op);
         }
@@ -151,13 +184,62 @@
     simulation.run_to_completion();
 }
 
+/// Guards against a task that runs twice: an owner that has lost the store renews the lease of a
+/// worker that responds again, after it has stored when that lease ends at the latest. The next owner
+/// can't reach the worker and starts the task again.
+#[test]
+fn an_owner_without_the_store_does_not_renew_a_lease_whose_end_it_stored() {
+    let mut simulation = Simulation::new(LEASE_WORKERS);
+    for op in [
+        Op::SubmitLong(1),
+        Op::Wait(20),
+        Op::Fault(Fault::LinkCut(1, 1, 100)),
+        Op::Fault(Fault::LinkCut(1, 0, 700)),
+        Op::Wait(75),
+        Op::Fault(Fault::OwnerCut(60)),
+        Op::Wait(120),
+        Op::Wait(120),
+    ] {
+        simulation.apply(op);
+    }
+    simulation.run_to_completion();
+}
+
+/// Guards against a task that runs twice: a worker that has just restarted carries out a start with
+/// a deadline on the clock of its earlier incarnation, and holds its lease for longer than the owner
+/// knows. Found with WORLD_SEED=77.
+#[test]
+#[ignore = "KNOWN-RED.txt"]
+fn a_start_with_the_deadline_of_an_earlier_incarnation_extends_no_lease() {
+    let mut simulation = Simulation::new(WORKERS);
+    for op in [
+        Op::Fault(Fault::DelayedCalls(2, 10)),
+        Op::Wait(28),
+        Op::Fault(Fault::WorkerRestart(1)),
+        Op::SubmitLong(1),
+        Op::Fault(Fault::WorkerRestart(0)),
+        Op::Fault(Fault::Partition(0, 182)),
+        Op::Wait(1),
+        Op::Wait(59),
+        Op::Wait(47),
+        Op::Wait(70),
+    ] {
+        simulation.apply(op);
+    }
+    simulation.run_to_completion();
+}
+
 /// Guards against any violation of the rules that the simulation checks, under random faults.
 #[test]
 fn the_rules_hold_under_faults() {
-    let seed = number_from_env("WORLD_SEED", SEED);
-    let cases = number_from_env("WORLD_CASES", CASES.into());
-    run_cases(
-        seed,
-        u32::try_from(cases).expect("the number of cases must fit into 32 bits"),
-    );
+    let (seed, cases) = cases_from_env();
+    run_cases(seed, cases, WORKERS, op());
+}
+
+/// Guards against a task that runs twice because an owner starts it again while an earlier owner,
+/// which may not know that it was superseded, renews the lease of its first run.
+#[test]
+fn a_task_runs_once_while_owners_and_leases_end() {
+    let (seed, cases) = cases_from_env();
+    run_cases(seed, cases, LEASE_WORKERS, lease_op());
 }
