rebalancer: let machines that have arrived count once, and move on

A machine counted as moving for 3 s after its move was confirmed, so that its worker has the time to register. It arrives after about 2 s. For the same time the machine could not move on: at 21.5 s, 42 machines were idle in competency, to which they had returned, and medical got 1 to 8 at a time.

A pool now offers at most the machines that are listed there or on the way, and a machine whose new worker is reported as idle has arrived.

--- a/crates/node/src/rebalancer.rs
+++ b/crates/node/src/rebalancer.rs
@@ -206,8 +206,7 @@
             .iter()
             .filter(|m| m.state == MachineState::Up && !excluded.contains(&m.name))
             .filter(|m| {
-                !self.active_moves.contains_key(&m.name)
-                    && !self.backoff_until.contains_key(&m.name)
+                self.destination(m, &pools).is_none() && !self.backoff_until.contains_key(&m.name)
             })
             .collect();
         let mut moves = Vec::new();
@@ -270,9 +269,16 @@
                 (Arc::clone(name), pool)
             })
             .collect();
+        // The most that each pool can offer once its moves are complete.
+        let mut listed: BTreeMap<&Name, Resources> = BTreeMap::new();
         for machine in list {
-            if let Some(active_move) = self.active_moves.get(&machine.name) {
-                if let Some(pool) = pools.get_mut(&active_move.planned.to) {
+            let destination = self.destination(machine, &pools);
+            if destination.is_some() || machine.state == MachineState::Up {
+                let pool = destination.unwrap_or(&machine.pool);
+                listed.entry(pool).or_default().add(machine.capacity);
+            }
+            if let Some(to) = destination {
+                if let Some(pool) = pools.get_mut(to) {
                     pool.offered.add(machine.capacity);
                 }
             } else if let Some(pool) = pools.get_mut(&machine.pool) {
@@ -283,9 +289,33 @@
                 pool.origin_count += 1;
             }
         }
+        // A machine counts as moving until its worker has certainly registered. Until then, its
+        // pool may offer it already.
+        for (name, pool) in &mut pools {
+            let most = listed.get(name).copied().unwrap_or_default();
+            pool.offered = pool.offered.min(most);
+        }
         pools
     }
 
+    /// Returns the pool that a machine is moving to; `None` if it isn't moving, or if its new
+    /// worker is idle there.
+    fn destination<'a>(
+        &'a self,
+        machine: &Machine,
+        pools: &BTreeMap<Name, PoolState>,
+    ) -> Option<&'a Name> {
+        let active_move = self.active_moves.get(&machine.name)?;
+        let to = &active_move.planned.to;
+        let has_arrived = active_move.confirmed
+            && machine.pool == *to
+            && machine.state == MachineState::Up
+            && pools
+                .get(to)
+                .is_some_and(|p| idle_time(p, machine).is_some());
+        (!has_arrived).then_some(to)
+    }
+
     /// Returns the index of the machine to move to the pool `to`. Prefers idle machines outside
     /// their origin pool, then standby machines, then idle machines of other pools.
     fn select_machine(
@@ -331,7 +361,7 @@
     }
 
     /// Records that the command for a move is about to be sent. A repeated command keeps the time
-    /// of the first.
+    /// of the first, and the next move of a machine replaces its last one.
     pub fn mark_requested(&mut self, now: Instant, planned: &PlannedMove) {
         let active_move = ActiveMove {
             planned: planned.clone(),
@@ -339,9 +369,11 @@
             confirmed: false,
             owner_notified: false,
         };
-        self.active_moves
-            .entry(Arc::clone(&planned.machine))
-            .or_insert(active_move);
+        let known = self.active_moves.get(&planned.machine);
+        if known.is_none_or(|known| known.confirmed) {
+            let machine = Arc::clone(&planned.machine);
+            self.active_moves.insert(machine, active_move);
+        }
     }
 
     /// Records that the machine interface executed the move.
--- a/crates/node/tests/test_rebalancer.rs
+++ b/crates/node/tests/test_rebalancer.rs
@@ -89,6 +89,13 @@
         }
     }
 
+    /// Makes all workers of a pool busy.
+    fn set_busy(&mut self, pool: &str) {
+        if let Some(demand) = self.demands.get_mut(pool) {
+            demand.idle.clear();
+        }
+    }
+
     /// Returns the planned moves, each as `machine:source>destination`.
     fn plan(&self) -> Vec<String> {
         let standby = BTreeSet::from([Name::from("spare")]);
@@ -306,3 +313,51 @@
     fleet.rebalancer.observe(fleet.now, &fleet.list);
     assert!(!fleet.rebalancer.is_moving("s1"));
 }
+
+/// Guards against machines that count twice between their arrival and the end of the time that
+/// workers have to register, so that a peak gets no more machines meanwhile.
+#[test]
+fn a_machine_that_has_arrived_counts_once() {
+    let mut fleet = TestFleet::new();
+    fleet.set_demand("a", 6, Duration::ZERO);
+    fleet.mark_moves_requested();
+    for name in ["s1", "s2"] {
+        fleet.rebalancer.mark_confirmed(fleet.now, &name.into());
+        fleet.move_machine(name, "a");
+    }
+    fleet.rebalancer.observe(fleet.now, &fleet.list);
+    fleet.set_demand("a", 8, Duration::ZERO);
+    fleet.set_busy("a");
+    assert_eq!(fleet.plan(), ["b1:b>a", "b2:b>a"]);
+}
+
+/// Guards against machines that stay idle in the pool that they moved to last, because they count as
+/// moving until the time is over that workers have to register.
+#[test]
+fn an_idle_machine_that_has_arrived_moves_on() {
+    let mut fleet = TestFleet::new();
+    fleet.set_demand("a", 6, Duration::ZERO);
+    fleet.mark_moves_requested();
+    fleet.set_demand("a", 0, Duration::ZERO);
+    fleet.set_demand("b", 6, Duration::ZERO);
+    fleet.rebalancer.mark_confirmed(fleet.now, &"s1".into());
+    fleet.move_machine("s1", "a");
+    fleet.rebalancer.observe(fleet.now, &fleet.list);
+    assert!(
+        !fleet.plan().contains(&"s1:a>b".to_owned()),
+        "idle for too short a time"
+    );
+    fleet.set_demand("a", 0, Duration::from_secs(1));
+    assert!(
+        fleet.plan().contains(&"s1:a>b".to_owned()),
+        "{:?}",
+        fleet.plan()
+    );
+    fleet.mark_moves_requested();
+    let unconfirmed = fleet.rebalancer.unconfirmed();
+    assert!(
+        unconfirmed
+            .iter()
+            .any(|m| &*m.machine == "s1" && &*m.to == "b")
+    );
+}
