shard: count all waiting tasks of a step as pending

A team's jobs waited for a quota while the pool had room: the owner reported only the first task of each step that had no quota as pending, so the quota of a shard followed the demand one task of a step at a time, a report (300 ms) each.

All waiting tasks of the step count now, and for a gang, of which none runs unless all do, all its tasks.

--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -171,7 +171,7 @@
         let pool = &waiting.pool;
         for step in &waiting.steps {
             if step.only_waits
-                && (!self.check_quota(waiting.team.as_ref(), step.resources)
+                && (!self.check_quota(waiting.team.as_ref(), step.resources, step.tasks)
                     || pass.is_unplaceable(pool, step.allocation))
             {
                 continue;
@@ -232,7 +232,8 @@
         pass: &mut PlacementPass,
     ) -> bool {
         let team = self.team_of(id.job);
-        if !self.check_quota(team.as_ref(), step.resources) {
+        let waiting = self.unplaced(StepId::of(id), 0).count();
+        if !self.check_quota(team.as_ref(), step.resources, waiting) {
             return false;
         }
         self.workers.update(at.now, &mut self.placement);
@@ -280,7 +281,8 @@
         let deferred_len = self.deferred_len();
         let team = self.team_of(id.job);
         for &task in &tasks {
-            let within_quota = self.check_quota(team.as_ref(), step.resources);
+            // None of the tasks runs unless all of them do.
+            let within_quota = self.check_quota(team.as_ref(), step.resources, tasks.len());
             self.workers.update(at.now, &mut self.placement);
             let worker = within_quota
                 .then(|| self.select_worker(at.now, task, step, pool, pass))
@@ -364,11 +366,11 @@
         self.jobs.get(&id).and_then(|j| j.job.team.clone())
     }
 
-    /// Returns whether the quota of a team has room for `resources`. If not, they are added to the
-    /// team's pending resources.
+    /// Returns whether the quota of a team has room for a task that needs `resources`. If not, those
+    /// of all `waiting` tasks of its step are added to the team's pending resources.
     ///
     /// A job without a team has no quota.
-    fn check_quota(&mut self, team: Option<&Name>, resources: Resources) -> bool {
+    fn check_quota(&mut self, team: Option<&Name>, resources: Resources, waiting: usize) -> bool {
         let Some(team) = team else {
             return true;
         };
@@ -377,7 +379,7 @@
         total.add(resources);
         let within_quota = team.quota.is_some_and(|quota| total.within_limit(quota));
         if !within_quota {
-            team.pending.add(resources);
+            team.pending.add(resources.scaled(waiting as f64));
         }
         within_quota
     }
--- a/crates/shard/src/waiting.rs
+++ b/crates/shard/src/waiting.rs
@@ -23,6 +23,8 @@
     pub(crate) occurrence: u32,
     /// The index of the step in the job.
     pub(crate) index: u16,
+    /// The number of waiting tasks.
+    pub(crate) tasks: usize,
     /// The resources that each task requests.
     pub(crate) resources: Resources,
     /// See [`Step::allocation`](crate::job::Step::allocation).
@@ -41,9 +43,11 @@
         let job: &Job = &tracked.job;
         let steps = tracked.waiting.iter().filter_map(|&(occurrence, index)| {
             let step = job.steps.get(usize::from(index))?;
+            let tasks = tracked.occurrences.get(&occurrence)?;
             Some(WaitingStep {
                 occurrence,
                 index,
+                tasks: tasks.get(usize::from(index))?.unplaced.len(),
                 resources: step.resources,
                 allocation: step.allocation(),
                 only_waits: !step.gang && !step.long_running && job.queue.policy.is_none(),
--- a/crates/shard/tests/test_shard.rs
+++ b/crates/shard/tests/test_shard.rs
@@ -436,6 +436,46 @@
     assert_eq!(starts(&harness.store_batch()).len(), 3);
 }
 
+/// Guards against a quota that follows the demand one task at a time, while the pool has room.
+#[test]
+fn all_tasks_that_wait_for_a_quota_are_pending() {
+    let mut harness = Harness::new(&["w1", "w2"]);
+    harness.poll_all(&["w1", "w2"]);
+    for id in [1, 2] {
+        let mut team_job = job(id, vec![step(6, &[])]);
+        team_job.team = Some("team".into());
+        harness.submit(team_job);
+    }
+    let quota = Resources {
+        cpu: 3_500,
+        ..Resources::default()
+    };
+    harness.shard.set_quotas(&[("team".into(), quota)].into());
+    harness.tick();
+    let usage = harness.shard.team_usage();
+    assert_eq!((usage[0].used.cpu, usage[0].pending.cpu), (3_000, 9_000));
+}
+
+/// Guards against a gang whose quota grows by one task at a time, so that it starts late.
+#[test]
+fn all_tasks_of_a_gang_without_quota_are_pending() {
+    let mut harness = Harness::new(&["w1", "w2"]);
+    harness.poll_all(&["w1", "w2"]);
+    let mut gang = step(4, &[]);
+    gang.gang = true;
+    let mut team_job = job(1, vec![gang]);
+    team_job.team = Some("team".into());
+    harness.submit(team_job);
+    let quota = Resources {
+        cpu: 1_500,
+        ..Resources::default()
+    };
+    harness.shard.set_quotas(&[("team".into(), quota)].into());
+    harness.tick();
+    let usage = harness.shard.team_usage();
+    assert_eq!((usage[0].used.cpu, usage[0].pending.cpu), (0, 4_000));
+}
+
 /// Returns a harness in which three long-running tasks of one step run, each on a worker of its
 /// own, and their start requests. At most one of the tasks may be unavailable.
 fn three_long_running_tasks() -> (Harness, Vec<(Name, StartRequest)>) {
