--- a/crates/testing/src/process.rs
+++ b/crates/testing/src/process.rs
@@ -55,7 +55,8 @@
         let ports: [u16; 4] = free_ports();
         let settings_file = dir.join(format!("{vm}.toml"));
         std::fs::write(&settings_file, platform.settings_toml(vm, ports))?;
-        let own_settings_file = dir.join("own.json");
+        // Another process may be reading its own file at this time.
+        let own_settings_file = dir.join(format!("{vm}.json"));
         std::fs::write(&own_settings_file, OWN_SETTINGS)?;
         let log = std::fs::File::create(dir.join(format!("{vm}.log")))?;
         let child = Command::new(binary)
