node: publish an owner again after the record of an earlier one

A process that started at 15.25 s read only the last record of the shard, counted it for the wrong member, and left 659 to the member that it took for idle; the others took that process for idle. An owner that reads the record of an earlier owner after its own now publishes its own again.

Ruled out: the lists of members, which were the same in all processes from 35.09 s on, a lack of processor time (tasks ran 2 ms late at most) and failed claims (none is in the log). That the records were in this order follows from the times in the log and the code; the topic itself was not read.

Without the change the test finds the record of the earlier owner as the last.

--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -124,16 +124,10 @@
             {
                 Ok(changes) => {
                     failing = false;
-                    let mut cluster = self.context.router.cluster();
-                    for (key, value) in &changes.changed {
-                        let value = value.as_deref();
-                        if let Some((shard, owner)) =
-                            value.and_then(|v| claim::decode_owner(key, v))
-                        {
-                            cluster.update_owner(shard, owner);
-                        }
-                    }
-                    drop(cluster);
+                    let changed = changes.changed.iter();
+                    let owners = changed
+                        .filter_map(|(key, value)| claim::decode_owner(key, value.as_deref()?));
+                    self.apply_owners(owners.collect());
                     self.stop_superseded_owners();
                 }
                 Err(error) => {
@@ -148,6 +142,27 @@
         }
     }
 
+    /// Applies records of the owners' topic, and publishes the owners in this process again whose
+    /// record was replaced by that of an earlier owner. Processes that start read only the last
+    /// record of a shard, and all have to count the same shards of each member.
+    fn apply_owners(&self, owners: Vec<(ShardId, Ownership)>) {
+        let mut replaced = Vec::new();
+        {
+            let mut cluster = self.context.router.cluster();
+            for (shard, owner) in owners {
+                let known = cluster.owner(shard);
+                let is_mine = |o: &&Ownership| o.member == self.context.router.me;
+                let later = known.filter(|k| k.fencing_token > owner.fencing_token);
+                replaced.extend(later.filter(is_mine).map(|k| (shard, k.clone())));
+                cluster.update_owner(shard, owner);
+            }
+        }
+        for (shard, ownership) in replaced {
+            let platform = self.context.platform.clone();
+            tokio::spawn(async move { claim::publish_owner(&platform, shard, &ownership).await });
+        }
+    }
+
     /// Stops the owners in this process whose shards have been claimed by other processes, so that
     /// callers' requests go to the new owners.
     fn stop_superseded_owners(&self) {
--- a/crates/node/tests/test_claim.rs
+++ b/crates/node/tests/test_claim.rs
@@ -152,3 +152,30 @@
     let taken = removed.elapsed();
     assert!(taken < Duration::from_millis(2_000), "{taken:?}");
 }
+
+/// Guards against an earlier owner that is published after a later one, so that processes that start
+/// then count its shards differently from the others and each leaves a shard to another.
+#[tokio::test(start_paused = true)]
+async fn an_owner_published_late_does_not_replace_a_later_one() {
+    let store = MemoryStore::new();
+    let _node = store.start_node("vm-1").await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let owners = |store: &MemoryStore| {
+        let records = store.state().topics[&Topic::Owners].clone();
+        let values = records.iter().filter_map(|r| r.value.clone());
+        let decoded = values.map(|v| postcard::from_bytes(&v).expect("a valid owner"));
+        decoded.collect::<Vec<Ownership>>()
+    };
+    let published = owners(&store);
+    let late = Ownership {
+        member: member("vm-2", 120),
+        fencing_token: 0,
+        released: false,
+    };
+    let value = postcard::to_allocvec(&late).expect("a valid owner");
+    let key = ShardId::FLEET.to_string();
+    store.state().put(Topic::Owners, &key, &value);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(owners(&store).len(), 3);
+    assert_eq!(owners(&store).last(), published.last());
+}
