--- a/crates/shard/tests/test_shard.rs
+++ b/crates/shard/tests/test_shard.rs
@@ -258,6 +258,27 @@
     );
 }
 
+/// Guards against a takeover whose work grows with the workers times the runs, for which a small VM
+/// takes so long that it loses its membership before it has stored anything.
+#[test]
+fn a_new_owner_considers_each_recovered_run_once() {
+    let names: Vec<String> = (0..20).map(|i| format!("w{i}")).collect();
+    let workers: Vec<&str> = names.iter().map(String::as_str).collect();
+    let (mut harness, runs) = harness_with_running_job(&workers, 60);
+    harness.replace_owner(&workers);
+    let attached = harness.shard.placement_stats().attached;
+    assert_eq!(attached, runs.len() as u64);
+    // Only the workers' reports end the recovered runs.
+    harness.tick();
+    for worker in &workers {
+        let running = runs.iter().filter(|(name, _)| &**name == *worker);
+        let running = running.map(|(_, run)| run_status(*run, 50)).collect();
+        harness.answer_poll(worker, &report(5_000, running, vec![]));
+    }
+    harness.tick();
+    assert!(starts(&harness.store_batch()).is_empty());
+}
+
 /// Guards against waiting for the lease of a worker that the system itself terminated for
 /// maintenance.
 #[test]
