node: claim a shard that each member leaves to another

Callers of a pool get no answer while its shard has no owner. Nothing ended such a state if it came from another cause.

A member now claims a shard that has had no live owner for 4 s although another member should, the largest VM first and each further one half a second later.

The test fails without the change (one claimant after 4.5 s instead of two).

--- a/crates/node/src/assignment.rs
+++ b/crates/node/src/assignment.rs
@@ -46,6 +46,14 @@
 /// before it releases one. A move costs callers a change of owner.
 const MIN_GAIN: u64 = 2;
 
+/// How long a shard may have no live owner before members other than the best one claim it. Members
+/// that know different owners may each leave a shard to another; a claim takes a fraction of this
+/// unless the store is slow.
+const MAX_UNOWNED_PERIOD: Duration = Duration::from_secs(4);
+
+/// How much longer each further member waits, so that not all claim the shard at the same time.
+const CLAIM_STAGGER: Duration = Duration::from_millis(500);
+
 /// The relative load of one shard on a VM with one millicore.
 const LOAD_UNIT: u64 = 1_000_000_000;
 
@@ -173,6 +181,8 @@
     /// The live members, with the time at which this process first saw each.
     members: BTreeMap<Member, Instant>,
     owners: BTreeMap<ShardId, Ownership>,
+    /// Since when this process knows no live owner of a shard.
+    unowned_since: BTreeMap<ShardId, Instant>,
 }
 
 impl ClusterState {
@@ -229,6 +239,31 @@
         owner.is_some_and(|o| !o.released && self.members.contains_key(&o.member))
     }
 
+    /// Records which of the shards have no live owner at this time.
+    pub fn observe_owners(&mut self, now: Instant, shards: &BTreeSet<ShardId>) {
+        let unowned = shards.iter().filter(|s| !self.has_live_owner(**s));
+        let since = |s: &ShardId| self.unowned_since.get(s).copied().unwrap_or(now);
+        self.unowned_since = unowned.map(|s| (*s, since(s))).collect();
+    }
+
+    /// Returns whether a shard has had no live owner for so long that `me` claims it although another
+    /// member should.
+    fn is_left_to_others(
+        &self,
+        now: Instant,
+        shard: ShardId,
+        me: &Member,
+        sizes: &BTreeMap<&Member, u64>,
+    ) -> bool {
+        let Some(since) = self.unowned_since.get(&shard) else {
+            return false;
+        };
+        let order = |m: &Member| (Reverse(sizes.get(m).copied()), rank(shard, m));
+        let earlier = self.members.keys().filter(|m| order(m) < order(me));
+        let stagger = CLAIM_STAGGER * u32::try_from(earlier.count()).unwrap_or(u32::MAX);
+        now.saturating_duration_since(*since) >= MAX_UNOWNED_PERIOD + stagger
+    }
+
     /// Returns the number of shards that each live member owns.
     fn loads(&self, shards: &BTreeSet<ShardId>) -> BTreeMap<&Member, u64> {
         let mut loads: BTreeMap<&Member, u64> = self.members.keys().map(|m| (m, 0)).collect();
@@ -268,11 +303,9 @@
             let size = sizes.get(member).copied().unwrap_or(smallest);
             relative_load(owned + 1, size) + relative_load(handicap, smallest)
         };
-        // Processes of an older build rank by this name, too.
-        let rank = |m: &Member| stable_hash(format!("{shard}/{}", m.sized_vm()).as_bytes());
         loads
             .iter()
-            .min_by_key(|(m, owned)| (releasing == Some(**m), load(m, **owned), rank(m)))
+            .min_by_key(|(m, owned)| (releasing == Some(**m), load(m, **owned), rank(shard, m)))
             .map(|(&member, _)| member)
     }
 
@@ -296,7 +329,7 @@
             if let Some(load) = loads.get_mut(best) {
                 *load += 1;
             }
-            if best == me {
+            if best == me || self.is_left_to_others(now, shard, me, &sizes) {
                 to_claim.push(shard);
             }
         }
@@ -335,6 +368,12 @@
     }
 }
 
+/// Returns the position of a member among equal ones for a shard; the lowest claims it. Processes of
+/// an older build rank by this name, too.
+fn rank(shard: ShardId, member: &Member) -> u64 {
+    stable_hash(format!("{shard}/{}", member.sized_vm()).as_bytes())
+}
+
 /// Returns the load of `owned` shards on a VM with `size` millicores.
 fn relative_load(owned: u64, size: u64) -> u64 {
     owned.saturating_mul(LOAD_UNIT) / size.max(1)
--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -224,11 +224,11 @@
             }
             let shards = self.context.current_config.load().shards();
             let me = &self.context.router.me;
-            let to_claim = self
-                .context
-                .router
-                .cluster()
-                .shards_to_claim(now, me, &shards);
+            let to_claim = {
+                let mut cluster = self.context.router.cluster();
+                cluster.observe_owners(now, &shards);
+                cluster.shards_to_claim(now, me, &shards)
+            };
             for shard in to_claim {
                 let owned = self.context.router.local_owners().contains_key(&shard);
                 if !owned && lock(&self.claiming).insert(shard) {
--- a/crates/node/tests/test_assignment.rs
+++ b/crates/node/tests/test_assignment.rs
@@ -373,3 +373,24 @@
         [ShardId(0)]
     );
 }
+
+/// Guards against a shard that stays without an owner because each member leaves it to another.
+#[test]
+fn a_shard_that_the_best_member_does_not_claim_is_claimed_by_another() {
+    let members = [sized("a", 1, 120), sized("b", 1, 120), sized("c", 1, 500)];
+    let start = Instant::now();
+    let mut cluster = ClusterState::default();
+    cluster.set_members(start, members.clone());
+    let claimants = |cluster: &mut ClusterState, ms| {
+        let now = start + Duration::from_millis(ms);
+        cluster.observe_owners(now, &shards(1));
+        let claims = |m: &&Member| !cluster.shards_to_claim(now, m, &shards(1)).is_empty();
+        members.iter().filter(claims).count()
+    };
+    assert_eq!(claimants(&mut cluster, 0), 1);
+    assert_eq!(claimants(&mut cluster, 3_900), 1);
+    assert_eq!(claimants(&mut cluster, 4_500), 2);
+    assert_eq!(claimants(&mut cluster, 5_000), 3);
+    cluster.update_owner(ShardId(0), owned(&members[0], 1));
+    assert_eq!(claimants(&mut cluster, 5_100), 0);
+}
