rebalancer: plan only as many moves as can be sent

In a shortage the owner of the fleet shard planned the moves of the whole peak every 60 ms and dropped all but the few that the machine interface accepts, 12 at a time with duty_per_s = 64. Each move looks at all machines that may move, so that a plan grows with the machines for each move. Meanwhile the same task answers no usage reports, so that owners get no quotas.

A plan now ends at the number of moves that can be sent and one more, which shows that there is more to plan. The moves that are sent and their order are the same.

--- a/crates/node/src/fleet/moves.rs
+++ b/crates/node/src/fleet/moves.rs
@@ -46,15 +46,16 @@
         if self.commands.all_blocked(now) {
             return Ok(());
         }
-        let mut moves = self.wanted_moves(now, list);
+        let available = self.command_budget.available(now);
+        // One more shows that there are more than can be sent now.
+        let mut moves = self.wanted_moves(now, list, available + 1);
         if !moves.is_empty() && !self.list.is_recent(now, MAX_LIST_AGE) {
             let clock = &*self.context.clock;
             let Some(list) = self.list.get(machines, clock, MAX_LIST_AGE).await else {
                 return Ok(());
             };
-            moves = self.wanted_moves(self.context.clock.now(), &list);
+            moves = self.wanted_moves(self.context.clock.now(), &list, available + 1);
         }
-        let available = self.command_budget.available(now);
         if moves.len() > available {
             // The rest is planned again soon. Its workers stay in use meanwhile.
             moves.truncate(available);
@@ -79,18 +80,20 @@
         self.request_moves(now, machines, &moves).await
     }
 
-    /// Returns the moves whose command got no response, and those that the demands call for.
-    fn wanted_moves(&self, now: Instant, list: &[Machine]) -> Vec<PlannedMove> {
+    /// Returns the moves whose command got no response, and those that the demands call for, up to
+    /// `limit` altogether.
+    fn wanted_moves(&self, now: Instant, list: &[Machine], limit: usize) -> Vec<PlannedMove> {
         let mut moves = self.rebalancer.unconfirmed();
         if self.automatic.is_enabled(FleetAction::Moves) {
-            moves.extend(self.planned_moves(now, list));
+            let limit = limit.saturating_sub(moves.len());
+            moves.extend(self.planned_moves(now, list, limit));
         }
         moves
     }
 
     /// Plans moves from the recent reports. Machines of waves, and those to which an earlier owner
-    /// recently sent a command, are excluded.
-    fn planned_moves(&self, now: Instant, list: &[Machine]) -> Vec<PlannedMove> {
+    /// recently sent a command, are excluded. Returns at most `limit`.
+    fn planned_moves(&self, now: Instant, list: &[Machine], limit: usize) -> Vec<PlannedMove> {
         let config = self.context.current_config.load();
         let standby: BTreeSet<Name> = config
             .pools
@@ -110,7 +113,8 @@
             .values()
             .flat_map(|active_wave| active_wave.in_progress());
         let excluded: BTreeSet<Name> = excluded.chain(self.commands.blocked(now)).collect();
-        self.rebalancer.plan(list, &demands, &standby, &excluded)
+        self.rebalancer
+            .plan(list, &demands, &standby, &excluded, limit)
     }
 
     /// Asks the owners of the pools to release the workers. Returns the moves whose workers are
--- a/crates/node/src/rebalancer.rs
+++ b/crates/node/src/rebalancer.rs
@@ -193,13 +193,15 @@
     /// Plans moves to pools that lack capacity, and of idle machines back to their origin pools.
     ///
     /// `demands` holds the recent reports of the pools' owners, `standby` the pools whose machines
-    /// are off, and `excluded` the machines that must not move.
+    /// are off, and `excluded` the machines that must not move. Returns the most urgent moves, at most
+    /// `limit`: the work of a plan grows with the machines for each move.
     pub fn plan(
         &self,
         list: &[Machine],
         demands: &BTreeMap<Name, PoolDemand>,
         standby: &BTreeSet<Name>,
         excluded: &BTreeSet<Name>,
+        limit: usize,
     ) -> Vec<PlannedMove> {
         let mut pools = self.pool_states(list, demands, standby);
         let mut candidates: Vec<&Machine> = list
@@ -212,7 +214,7 @@
         let mut moves = Vec::new();
         // Each iteration assigns one machine to the pool with the largest shortage for which there
         // is a machine.
-        loop {
+        while moves.len() < limit {
             let mut shortages: Vec<(&Name, f64)> = pools
                 .iter()
                 .map(|(name, pool)| (name, pool.shortage()))
@@ -237,6 +239,9 @@
             moves.push(planned_move(machine, &to));
         }
         for machine in candidates {
+            if moves.len() >= limit {
+                break;
+            }
             let Some(origin) = self.origin_pools.get(&machine.name) else {
                 continue;
             };
--- a/crates/node/tests/test_rebalancer.rs
+++ b/crates/node/tests/test_rebalancer.rs
@@ -98,10 +98,15 @@
 
     /// Returns the planned moves, each as `machine:source>destination`.
     fn plan(&self) -> Vec<String> {
+        self.plan_at_most(usize::MAX)
+    }
+
+    /// Returns at most `limit` planned moves, each as `machine:source>destination`.
+    fn plan_at_most(&self, limit: usize) -> Vec<String> {
         let standby = BTreeSet::from([Name::from("spare")]);
         let plan = self
             .rebalancer
-            .plan(&self.list, &self.demands, &standby, &self.excluded);
+            .plan(&self.list, &self.demands, &standby, &self.excluded, limit);
         plan.iter()
             .map(|m| format!("{}:{}>{}", m.machine, m.from, m.to))
             .collect()
@@ -110,9 +115,13 @@
     /// Plans moves and marks them as requested.
     fn mark_moves_requested(&mut self) {
         let standby = BTreeSet::from([Name::from("spare")]);
-        let plan = self
-            .rebalancer
-            .plan(&self.list, &self.demands, &standby, &self.excluded);
+        let plan = self.rebalancer.plan(
+            &self.list,
+            &self.demands,
+            &standby,
+            &self.excluded,
+            usize::MAX,
+        );
         for planned in plan {
             self.rebalancer.mark_requested(self.now, &planned);
         }
@@ -361,3 +370,20 @@
             .any(|m| &*m.machine == "s1" && &*m.to == "b")
     );
 }
+
+/// Guards against an owner that plans the moves of a whole peak, of which it can send only a few,
+/// each time that it sends some.
+#[test]
+fn a_plan_has_the_most_urgent_moves_up_to_its_limit() {
+    let mut fleet = TestFleet::new();
+    fleet.set_demand("a", 8, Duration::ZERO);
+    let all = fleet.plan();
+    assert_eq!(all, ["s1:spare>a", "s2:spare>a", "b1:b>a", "b2:b>a"]);
+    for limit in 0..all.len() {
+        assert_eq!(fleet.plan_at_most(limit), all[..limit]);
+    }
+    fleet.move_machine("s1", "a");
+    fleet.set_demand("a", 0, LONG_IDLE);
+    assert_eq!(fleet.plan(), ["s1:a>spare"]);
+    assert_eq!(fleet.plan_at_most(0), Vec::<String>::new());
+}
