shard: leave tasks without room out of the pending resources

A team whose limit binds got too little served in one pool while another pool was full: a shard reported all tasks that its quota held back as pending, also when its pool had no room for any of them. It was granted almost the whole limit for them, used none of it, and reported nothing as pending with that quota, so that it got the small one back; then the tasks were pending again. What a shard may be using counts as the larger of two quotas, so the other shards lacked the large one all the time.

Tasks count as pending if at least one worker of the pool has room for one of them, or if the pool has no schedulable workers, as for a new owner that has reached none yet.

The new test fails without the change with 41,000 instead of 0 millicores pending.

--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -182,11 +182,16 @@
     ) {
         let pool = &waiting.pool;
         for step in &waiting.steps {
-            if step.only_waits
-                && (!self.check_quota(waiting.team.as_ref(), step.resources, step.tasks)
-                    || pass.is_unplaceable(pool, step.allocation))
-            {
-                continue;
+            if step.only_waits {
+                if pass.is_unplaceable(pool, step.allocation) {
+                    continue;
+                }
+                let team = waiting.team.as_ref();
+                if !self.within_quota(team, step.resources) {
+                    let has_room = self.has_room(pool, step.allocation, pass);
+                    self.add_pending(team, step.resources, step.tasks, has_room);
+                    continue;
+                }
             }
             self.placement.steps += 1;
             let step_id = StepId {
@@ -244,11 +249,13 @@
         pass: &mut PlacementPass,
     ) -> bool {
         let team = self.team_of(id.job);
-        let waiting = self.unplaced(StepId::of(id), 0).count();
-        if !self.check_quota(team.as_ref(), step.resources, waiting) {
+        self.workers.update(at.now, &mut self.placement);
+        if !self.within_quota(team.as_ref(), step.resources) {
+            let waiting = self.unplaced(StepId::of(id), 0).count();
+            let has_room = self.has_room(pool, step.allocation(), pass);
+            self.add_pending(team.as_ref(), step.resources, waiting, has_room);
             return false;
         }
-        self.workers.update(at.now, &mut self.placement);
         let Some(worker) = self.select_worker(at.now, id, step, pool, pass) else {
             if self.needs_ticket(id.job) {
                 self.settled = false;
@@ -293,9 +300,13 @@
         let deferred_len = self.deferred_len();
         let team = self.team_of(id.job);
         for &task in &tasks {
-            // None of the tasks runs unless all of them do.
-            let within_quota = self.check_quota(team.as_ref(), step.resources, tasks.len());
             self.workers.update(at.now, &mut self.placement);
+            let within_quota = self.within_quota(team.as_ref(), step.resources);
+            if !within_quota {
+                // None of the tasks runs unless all of them do.
+                let has_room = self.has_room(pool, step.allocation(), pass);
+                self.add_pending(team.as_ref(), step.resources, tasks.len(), has_room);
+            }
             let worker = within_quota
                 .then(|| self.select_worker(at.now, task, step, pool, pass))
                 .flatten();
@@ -378,22 +389,52 @@
         self.jobs.get(&id).and_then(|j| j.job.team.clone())
     }
 
-    /// Returns whether the quota of a team has room for a task that needs `resources`. If not, those
-    /// of all `waiting` tasks of its step are added to the team's pending resources.
-    ///
-    /// A job without a team has no quota.
-    fn check_quota(&mut self, team: Option<&Name>, resources: Resources, waiting: usize) -> bool {
+    /// Returns whether the quota of a team has room for a task that needs `resources`. A job without
+    /// a team has no quota.
+    fn within_quota(&self, team: Option<&Name>, resources: Resources) -> bool {
         let Some(team) = team else {
             return true;
         };
-        let team = self.teams.entry(Arc::clone(team)).or_default();
-        let mut total = team.used;
-        total.add(resources);
-        let within_quota = team.quota.is_some_and(|quota| total.within_limit(quota));
-        if !within_quota {
+        self.teams.get(team).is_some_and(|team| {
+            let mut total = team.used;
+            total.add(resources);
+            team.quota.is_some_and(|quota| total.within_limit(quota))
+        })
+    }
+
+    /// Adds the resources of all `waiting` tasks of a step, which the quota of a team holds back, to
+    /// the team's pending resources if the pool has room for a task of it. Otherwise this shard would
+    /// be granted a part of the team's limit that it can't use and that other shards lack.
+    fn add_pending(
+        &mut self,
+        team: Option<&Name>,
+        resources: Resources,
+        waiting: usize,
+        has_room: bool,
+    ) {
+        if let Some(team) = team.filter(|_| has_room) {
+            let team = self.teams.entry(Arc::clone(team)).or_default();
             team.pending.add(resources.scaled(waiting as f64));
         }
-        within_quota
+    }
+
+    /// Returns whether an allocation fits on a worker of a pool. Labels and limits per worker don't
+    /// count. A pool without schedulable workers counts as having room, because a new owner has
+    /// reached none yet.
+    fn has_room(&self, pool: &Name, allocation: Resources, pass: &mut PlacementPass) -> bool {
+        if self.workers.capacity(pool).capacity == 0 {
+            return true;
+        }
+        if pass.is_unplaceable(pool, allocation) {
+            return false;
+        }
+        let has_room = self.workers.by_free(pool, allocation.cpu).any(|(name, w)| {
+            !pass.reserved_workers.contains(name) && w.info.capacity.fits(w.used, allocation)
+        });
+        if !has_room {
+            pass.add_unplaceable(pool, allocation);
+        }
+        has_room
     }
 
     /// Selects the worker for a task among those that are eligible and have room, as of the last
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -130,7 +130,8 @@
     pub used: Resources,
     /// The quota on this shard. No task of the team starts until [`Shard::set_quotas`] sets it.
     pub quota: Option<Resources>,
-    /// The resources requested by tasks that the quota held back in the last placement pass.
+    /// The resources requested by tasks that the quota held back in the last placement pass, although
+    /// the pool has room for some of them.
     pub pending: Resources,
 }
 
--- a/crates/shard/tests/test_shard.rs
+++ b/crates/shard/tests/test_shard.rs
@@ -477,6 +477,39 @@
     assert_eq!((usage[0].used.cpu, usage[0].pending.cpu), (3_000, 9_000));
 }
 
+/// Guards against a shard that asks for a quota which it can't use since its pool is full, while other
+/// shards with room lack it.
+#[test]
+fn tasks_without_room_are_not_pending() {
+    let mut harness = Harness::new(&["w1"]);
+    let mut gang = step(2, &[]);
+    gang.gang = true;
+    let mut long_running = step(3, &[]);
+    long_running.long_running = true;
+    for (id, waiting) in [(1, step(40, &[])), (2, gang), (3, long_running)] {
+        let mut team_job = job(id, vec![waiting]);
+        team_job.team = Some("team".into());
+        harness.submit(team_job);
+    }
+    harness.tick();
+    let pending = harness.shard.team_usage()[0].pending.cpu;
+    assert_eq!(pending, 45_000, "no worker has been reached yet");
+    harness.poll_all(&["w1"]);
+    let quota = |cpu| Resources {
+        cpu,
+        ..Resources::default()
+    };
+    for (cpu, pending) in [(2_000, 43_000), (4_000, 0), (30_000, 0), (4_000, 0)] {
+        harness
+            .shard
+            .set_quotas(&[("team".into(), quota(cpu))].into());
+        harness.tick();
+        let usage = harness.shard.team_usage();
+        let expected = (cpu.min(4_000), pending);
+        assert_eq!((usage[0].used.cpu, usage[0].pending.cpu), expected, "{cpu}");
+    }
+}
+
 /// Guards against a gang whose quota grows by one task at a time, so that it starts late.
 #[test]
 fn all_tasks_of_a_gang_without_quota_are_pending() {
