membership: claim nothing while others rejoin after an outage of the store

Callers of a shard wait for a change of owner after an outage of the store, although its owner works: all memberships lapse in an outage of over 1.5 s, and the processes renew theirs at different times, up to 0.4 s apart. The first one reads a list of members without the others, and claims their shards. The read of the members before a claim is as early, and the append of the claim fails only if the owner has just appended.

A process whose membership has lapsed claims nothing in the first second after it is a member again. A shard whose owner has ended during the outage is claimed a second later than before.

The first test fails without the change: with two nodes whose renewals are 0.2 s apart, 5 of 10 outages of 3 to 3.4 s change the owner of the shard. The second passes with and without it, and guards the claim after an outage.

--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -43,6 +43,10 @@
 /// The time after which a process claims shards even if the members keep changing.
 const MAX_SETTLE_TIME: Duration = Duration::from_secs(3);
 
+/// How long a process whose membership has lapsed claims no shards after it is a member again. The
+/// cause may be the store, and the other processes then renew their memberships within this time.
+const REJOIN_DELAY: Duration = Duration::from_secs(1);
+
 /// What the store said about the set of members.
 #[derive(Debug, Default)]
 struct Generation {
@@ -67,6 +71,10 @@
     stopping: watch::Sender<bool>,
     /// When this process became a member.
     joined_at: watch::Sender<Option<Instant>>,
+    /// When the store last answered a renewal.
+    renewed_at: Mutex<Option<Instant>>,
+    /// When this process became a member again after its membership had lapsed.
+    rejoined_at: Mutex<Option<Instant>>,
     /// When the live members last changed or this process last released a shard to rebalance.
     changed_at: Mutex<Instant>,
 }
@@ -84,6 +92,8 @@
             pending: watch::Sender::new(0),
             stopping: watch::Sender::new(false),
             joined_at: watch::Sender::new(None),
+            renewed_at: Mutex::default(),
+            rejoined_at: Mutex::default(),
             changed_at: Mutex::new(now),
         }
     }
@@ -134,6 +144,8 @@
         let result = self.store.join(&me, MEMBER_TTL, known).await;
         match result {
             Ok(value) => {
+                let now = self.clock.now();
+                self.note_renewal(now);
                 let mut generation = lock(&self.generation);
                 // Responses may overtake each other.
                 if renewal > generation.renewal {
@@ -142,7 +154,6 @@
                         |current: &mut Option<u64>| current.replace(value) != Some(value);
                     self.current.send_if_modified(is_other);
                 }
-                let now = self.clock.now();
                 self.joined_at.send_if_modified(|at| {
                     let is_first = at.is_none();
                     at.get_or_insert(now);
@@ -157,6 +168,15 @@
         self.pending.send_modify(|n| *n -= 1);
     }
 
+    /// Notes that the store has answered a renewal, and whether the membership had lapsed before.
+    fn note_renewal(&self, now: Instant) {
+        let previous = lock(&self.renewed_at).replace(now);
+        if previous.is_some_and(|at| now.saturating_duration_since(at) > MEMBER_TTL) {
+            *lock(&self.rejoined_at) = Some(now);
+            log::info!("membership_lapsed");
+        }
+    }
+
     /// Reads the members again whenever their generation changes, and after failed renewals.
     async fn follow_members(self: Arc<Self>) {
         let mut current = self.current.subscribe();
@@ -235,6 +255,11 @@
         })
     }
 
+    /// Returns whether the process is a member again only since a short time ago.
+    pub(crate) fn is_rejoining(&self, now: Instant) -> bool {
+        lock(&self.rejoined_at).is_some_and(|at| now < at + REJOIN_DELAY)
+    }
+
     /// Ends the renewals, once the shards of this process are about to be released.
     pub(crate) fn stop(&self) {
         self.stopping.send_replace(true);
--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -219,7 +219,7 @@
                 return;
             }
             let now = self.context.clock.now();
-            if !self.membership.is_settled(now) {
+            if !self.membership.is_settled(now) || self.membership.is_rejoining(now) {
                 continue;
             }
             let shards = self.context.current_config.load().shards();
--- a/crates/node/tests/memory_store.rs
+++ b/crates/node/tests/memory_store.rs
@@ -65,6 +65,8 @@
     pub(crate) owners_hang: bool,
     /// Whether someone else appends to a shard after each read of its end.
     pub(crate) rival_appends: bool,
+    /// Whether the store rejects all calls.
+    pub(crate) outage: bool,
     /// How many appends failed because the topic ended elsewhere.
     pub(crate) mismatches: usize,
 }
@@ -123,6 +125,16 @@
         tokio::time::sleep(time).await;
     }
 
+    /// Returns an error if the store is unavailable.
+    fn check_available(&self) -> Result<(), StoreError> {
+        match self.state().outage {
+            true => Err(StoreError::Rejected {
+                detail: "unavailable".to_owned(),
+            }),
+            false => Ok(()),
+        }
+    }
+
     pub(crate) fn state(&self) -> MutexGuard<'_, State> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -164,6 +176,7 @@
         expected_end: Option<u64>,
         records: &[Record],
     ) -> Result<u64, StoreError> {
+        self.check_available()?;
         let result = {
             let mut state = self.state();
             let log = state.topics.entry(topic).or_default();
@@ -181,6 +194,7 @@
     }
 
     async fn read(&self, topic: Topic, from: u64, wait: Duration) -> Result<Page, StoreError> {
+        self.check_available()?;
         let deadline = Instant::now() + wait;
         self.delay().await;
         while topic == Topic::Owners && !wait.is_zero() && self.state().owners_hang {
@@ -205,6 +219,7 @@
     }
 
     async fn read_latest(&self, topic: Topic, after: Option<&str>) -> Result<Page, StoreError> {
+        self.check_available()?;
         self.delay().await;
         let mut state = self.state();
         let log = state.topics.entry(topic).or_default();
@@ -227,6 +242,7 @@
     }
 
     async fn join(&self, member: &str, ttl: Duration, _: u64) -> Result<u64, StoreError> {
+        self.check_available()?;
         let delay = {
             let mut state = self.state();
             state.joins.push(Instant::now());
@@ -251,6 +267,7 @@
     }
 
     async fn members(&self) -> Result<Vec<Name>, StoreError> {
+        self.check_available()?;
         let (members, delay) = {
             let mut state = self.state();
             state.expire();
--- a/crates/node/tests/test_claim.rs
+++ b/crates/node/tests/test_claim.rs
@@ -179,3 +179,37 @@
     assert_eq!(owners(&store).len(), 3);
     assert_eq!(owners(&store).last(), published.last());
 }
+
+/// Guards against processes that claim each other's shards after an outage of the store in which all
+/// memberships have expired, because some renew theirs sooner than others.
+#[tokio::test(start_paused = true)]
+async fn an_outage_of_the_store_changes_no_owner() {
+    let store = MemoryStore::new();
+    let _first = store.start_node("vm-1").await;
+    tokio::time::sleep(Duration::from_millis(4_200)).await;
+    let _second = store.start_node("vm-2").await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    assert_eq!(claimants(&store).len(), 1);
+    for i in 0..10 {
+        store.state().outage = true;
+        tokio::time::sleep(Duration::from_millis(3_000 + i * 40)).await;
+        store.state().outage = false;
+        tokio::time::sleep(Duration::from_secs(4)).await;
+    }
+    assert_eq!(claimants(&store).len(), 1, "{:?}", claimants(&store));
+}
+
+/// Guards against a shard that stays without an owner after an outage of the store in which its owner
+/// has ended.
+#[tokio::test(start_paused = true)]
+async fn a_shard_of_an_owner_that_ended_in_an_outage_is_claimed() {
+    let store = MemoryStore::new();
+    let owner = member("vm-2", 120);
+    let _node = start_beside(&store, &owner).await;
+    store.state().outage = true;
+    remove(&store, &owner);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    store.state().outage = false;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(claimants(&store).len(), 2);
+}
