--- a/crates/node/tests/runner.rs
+++ b/crates/node/tests/runner.rs
@@ -1,4 +1,4 @@
-//! Tests of the parts of a node, without a store, workers or other processes.
+//! Tests of the parts of a node, with a store in memory and without workers or other processes.
 
 mod memory_store;
 mod test_assignment;
