membership: claim released shards at once while others rejoin

A shard that is released in the second after an outage of the store waited for the process that should claim it, if that one had just become a member again, although the owner had released it and does not return.

The second now holds only for shards that the last owner has not released. The test fails without the change: the shard is not claimed within a second after the outage.

--- a/crates/node/src/assignment.rs
+++ b/crates/node/src/assignment.rs
@@ -215,6 +215,11 @@
         self.owners.get(&shard)
     }
 
+    /// Returns whether a shard has a published owner, live or not, that has not released it.
+    pub(crate) fn has_unreleased(&self, shard: ShardId) -> bool {
+        self.owners.get(&shard).is_some_and(|o| !o.released)
+    }
+
     /// Returns the published owners of all shards, live or not.
     pub fn owners(&self) -> impl Iterator<Item = (ShardId, &Ownership)> {
         self.owners.iter().map(|(&shard, owner)| (shard, owner))
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -43,8 +43,9 @@
 /// The time after which a process claims shards even if the members keep changing.
 const MAX_SETTLE_TIME: Duration = Duration::from_secs(3);
 
-/// How long a process whose membership has lapsed claims no shards after it is a member again. The
-/// cause may be the store, and the other processes then renew their memberships within this time.
+/// How long a process whose membership has lapsed claims no shards from other processes after it is a
+/// member again. The cause may be the store, and the others then renew their memberships within this
+/// time.
 const REJOIN_DELAY: Duration = Duration::from_secs(1);
 
 /// What the store said about the set of members.
--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -219,7 +219,7 @@
                 return;
             }
             let now = self.context.clock.now();
-            if !self.membership.is_settled(now) || self.membership.is_rejoining(now) {
+            if !self.membership.is_settled(now) {
                 continue;
             }
             let shards = self.context.current_config.load().shards();
@@ -229,9 +229,12 @@
                 cluster.observe_owners(now, &shards);
                 cluster.shards_to_claim(now, me, &shards)
             };
+            let is_rejoining = self.membership.is_rejoining(now);
             for shard in to_claim {
                 let owned = self.context.router.local_owners().contains_key(&shard);
-                if !owned && lock(&self.claiming).insert(shard) {
+                // An owner that released its shard does not return to it.
+                let waits = is_rejoining && self.context.router.cluster().has_unreleased(shard);
+                if !owned && !waits && lock(&self.claiming).insert(shard) {
                     tokio::spawn(Arc::clone(&self).claim(shard));
                 }
             }
--- a/crates/node/tests/test_claim.rs
+++ b/crates/node/tests/test_claim.rs
@@ -27,15 +27,26 @@
 }
 
 fn publish(store: &MemoryStore, shard: ShardId, owner: &Member, fencing_token: u64) {
+    let mut state = store.state();
+    state.put(Topic::Shard(shard), "owner", owner.to_string().as_bytes());
+    drop(state);
+    publish_ownership(store, shard, owner, fencing_token, false);
+}
+
+fn publish_ownership(
+    store: &MemoryStore,
+    shard: ShardId,
+    owner: &Member,
+    fencing_token: u64,
+    released: bool,
+) {
     let ownership = Ownership {
         member: owner.clone(),
         fencing_token,
-        released: false,
+        released,
     };
     let value = postcard::to_allocvec(&ownership).expect("a valid owner");
-    let mut state = store.state();
-    state.put(Topic::Shard(shard), "owner", owner.to_string().as_bytes());
-    state.put(Topic::Owners, &shard.to_string(), &value);
+    store.state().put(Topic::Owners, &shard.to_string(), &value);
 }
 
 fn remove(store: &MemoryStore, member: &Member) {
@@ -213,3 +224,18 @@
     tokio::time::sleep(Duration::from_secs(2)).await;
     assert_eq!(claimants(&store).len(), 2);
 }
+
+/// Guards against a released shard that waits for a process that has just become a member again.
+#[tokio::test(start_paused = true)]
+async fn a_shard_released_after_an_outage_is_claimed_at_once() {
+    let store = MemoryStore::new();
+    let owner = member("vm-2", 120);
+    let _node = start_beside(&store, &owner).await;
+    store.state().outage = true;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    publish_ownership(&store, ShardId::FLEET, &owner, 1, true);
+    remove(&store, &owner);
+    store.state().outage = false;
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    assert_eq!(claimants(&store).len(), 2);
+}
