membership: share a read of the members among claims

Callers of the shards of an owner that ended waited for one call of a slow store for each shard: a process that claims several shards at once read the members anew for each claim, one read after the other, since only one may be in progress.

Claims that wait for the members at the same time now share a read that is started after them.

The new test, with calls of 0.6 s: 2.6 s after the owner of five shards had gone, one process had claimed 2 of them without the change, and has claimed all with it.

--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -65,8 +65,8 @@
     generation: Mutex<Generation>,
     /// The generation to read the members of; `None` after a failed renewal.
     current: watch::Sender<Option<u64>>,
-    /// Locked while the members are read.
-    refreshing: tokio::sync::Mutex<()>,
+    /// When the last successful read of the members was started; locked while they are read.
+    refreshing: tokio::sync::Mutex<Option<Instant>>,
     /// The number of renewals that have no response yet.
     pending: watch::Sender<usize>,
     stopping: watch::Sender<bool>,
@@ -191,14 +191,20 @@
         }
     }
 
-    /// Reads the live members from the store.
+    /// Reads the live members from the store. Calls that wait at the same time share a read that is
+    /// started after them.
     ///
     /// # Errors
     ///
     /// Returns the error of a failed read.
     pub(crate) async fn refresh(&self) -> Result<(), StoreError> {
+        let called_at = self.clock.now();
         // Responses may overtake each other, and an older list must not replace a newer one.
-        let _guard = self.refreshing.lock().await;
+        let mut refreshed_at = self.refreshing.lock().await;
+        if refreshed_at.is_some_and(|at| at > called_at) {
+            return Ok(());
+        }
+        let started_at = self.clock.now();
         let members = self.store.members().await?;
         let members: Vec<Member> = members.iter().filter_map(|m| m.parse().ok()).collect();
         self.remove_stale_members(&members).await;
@@ -219,6 +225,7 @@
                 members = after.len(), gone = gone.as_str(), new = new.as_str(); "members_changed"
             );
         }
+        *refreshed_at = Some(started_at);
         Ok(())
     }
 
--- a/crates/node/tests/memory_store.rs
+++ b/crates/node/tests/memory_store.rs
@@ -323,22 +323,19 @@
     }
 }
 
-/// Decodes a configuration that is the name of its only pool, or empty if it has none.
+/// Decodes a configuration that has the names of its pools, separated by spaces.
 struct PoolCodec;
 
 impl Codec for PoolCodec {
     fn config(&self, value: &[u8]) -> Result<ClusterConfig, String> {
-        let name = String::from_utf8_lossy(value);
-        let pool = Pool {
-            name: name.as_ref().into(),
+        let names = String::from_utf8_lossy(value);
+        let pools = names.split_whitespace().map(|name| Pool {
+            name: name.into(),
             standby: false,
-        };
+        });
         Ok(ClusterConfig {
             version: 1,
-            pools: Some(pool)
-                .into_iter()
-                .filter(|p| !p.name.is_empty())
-                .collect(),
+            pools: pools.collect(),
             ..ClusterConfig::default()
         })
     }
--- a/crates/node/tests/test_claim.rs
+++ b/crates/node/tests/test_claim.rs
@@ -239,3 +239,30 @@
     tokio::time::sleep(Duration::from_millis(1_000)).await;
     assert_eq!(claimants(&store).len(), 2);
 }
+
+/// Guards against shards of an owner that wait for each other's reads of the members while the store
+/// is slow.
+#[tokio::test(start_paused = true)]
+async fn several_claims_share_a_read_of_the_members() {
+    let store = MemoryStore::new();
+    let pools = ["pool-1", "pool-2", "pool-3", "pool-4"];
+    store
+        .state()
+        .put(Topic::Operator, "config", pools.join(" ").as_bytes());
+    let owner = member("vm-2", 120);
+    let mut shards: Vec<ShardId> = pools.iter().map(|p| ShardId::of_pool(p)).collect();
+    shards.push(ShardId::FLEET);
+    for &shard in &shards[..4] {
+        publish(&store, shard, &owner, 1);
+    }
+    let _node = start_beside(&store, &owner).await;
+    store.state().call_time = Duration::from_millis(600);
+    store.state().members_time = Duration::from_millis(600);
+    remove(&store, &owner);
+    tokio::time::sleep(Duration::from_millis(2_600)).await;
+    let claimed = shards.iter().filter(|&&shard| {
+        let claims = store.state().values(Topic::Shard(shard), "owner");
+        claims.len() == 2
+    });
+    assert_eq!(claimed.count(), shards.len());
+}
