membership: let a process without responses lose its membership

Since renewals do not wait for responses, a process whose calls reach the store but which gets no responses stays a member for ever: four renewals may be pending, a call is given up after 1.5 s, and one is sent every 0.4 s. Its owners are suspended after 3.5 s without a confirmation, and no other member claims their shards, so that callers wait until the path is whole again.

After 3 s without a response a renewal is sent only once the store has responded to a read of the members.

The new test fails without the change: the process is still a member 6 s after the last response. When all processes are without responses for over 3 s, all memberships lapse now, as they did for a part of the time before.

--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -29,6 +29,11 @@
 /// which the store's client gives a call up.
 const MAX_PENDING: usize = 4;
 
+/// The time without a response after which a process renews its membership only once the store has
+/// responded to a read. Its calls may reach the store although no response reaches the process, and
+/// its owners are suspended then.
+const MAX_UNANSWERED: Duration = Duration::from_secs(3);
+
 /// How long a process that stops waits for its last renewals, which would make it a member again if
 /// they arrived after it left.
 const LEAVE_DELAY: Duration = Duration::from_millis(500);
@@ -76,6 +81,8 @@
     renewed_at: Mutex<Option<Instant>>,
     /// When this process became a member again after its membership had lapsed.
     rejoined_at: Mutex<Option<Instant>>,
+    /// When the store last responded.
+    answered_at: Mutex<Instant>,
     /// When the live members last changed or this process last released a shard to rebalance.
     changed_at: Mutex<Instant>,
 }
@@ -95,6 +102,7 @@
             joined_at: watch::Sender::new(None),
             renewed_at: Mutex::default(),
             rejoined_at: Mutex::default(),
+            answered_at: Mutex::new(now),
             changed_at: Mutex::new(now),
         }
     }
@@ -116,7 +124,7 @@
             if *self.pending.borrow() < MAX_PENDING {
                 renewal += 1;
                 self.pending.send_modify(|n| *n += 1);
-                tokio::spawn(Arc::clone(&self).renew(renewal));
+                tokio::spawn(Arc::clone(&self).renew_if_answered(renewal));
             }
             let has_joined = joined.borrow_and_update().is_some();
             let is_settling = has_joined && !self.is_settled(self.clock.now());
@@ -136,8 +144,34 @@
         }
     }
 
+    /// Renews the membership once, unless the store has not responded for [`MAX_UNANSWERED`] and
+    /// doesn't respond to a read now.
+    async fn renew_if_answered(self: Arc<Self>, renewal: u64) {
+        let unanswered = self.clock.now();
+        let unanswered = unanswered.saturating_duration_since(*lock(&self.answered_at));
+        let is_answered = unanswered < MAX_UNANSWERED || self.probe().await;
+        if is_answered && !*self.stopping.borrow() {
+            self.renew(renewal).await;
+        }
+        self.pending.send_modify(|n| *n -= 1);
+    }
+
+    /// Returns whether the store responds to a read of the members.
+    async fn probe(&self) -> bool {
+        match self.store.members().await {
+            Ok(_) => {
+                *lock(&self.answered_at) = self.clock.now();
+                true
+            }
+            Err(error) => {
+                log::warn!(error:display; "store_unanswered");
+                false
+            }
+        }
+    }
+
     /// Renews the membership once and notes the generation of the members.
-    async fn renew(self: Arc<Self>, renewal: u64) {
+    async fn renew(&self, renewal: u64) {
         let me = self.router.me.to_string();
         // The store moves partitions to new members only after this member has reported the
         // generation of the change.
@@ -155,6 +189,7 @@
                         |current: &mut Option<u64>| current.replace(value) != Some(value);
                     self.current.send_if_modified(is_other);
                 }
+                *lock(&self.answered_at) = now;
                 self.joined_at.send_if_modified(|at| {
                     let is_first = at.is_none();
                     at.get_or_insert(now);
@@ -166,7 +201,6 @@
                 self.current.send_replace(None);
             }
         }
-        self.pending.send_modify(|n| *n -= 1);
     }
 
     /// Notes that the store has answered a renewal, and whether the membership had lapsed before.
--- a/crates/node/tests/memory_store.rs
+++ b/crates/node/tests/memory_store.rs
@@ -40,6 +40,9 @@
 /// The time that a call takes at first.
 const CALL_TIME: Duration = Duration::from_millis(4);
 
+/// The time after which a caller gives up a call without a response.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// The interval at which a read that waits looks for new records.
 const READ_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -59,6 +62,8 @@
     pub(crate) join_time: Duration,
     /// How long the response with the members takes.
     pub(crate) members_time: Duration,
+    /// Whether the responses to calls to join and to list the members are lost.
+    pub(crate) responses_lost: bool,
     /// How many responses with the members were sent.
     pub(crate) member_lists: usize,
     /// Whether reads of the owners' topic that wait for a record get no response.
@@ -135,6 +140,17 @@
         }
     }
 
+    /// Waits until the caller gives up if responses are lost.
+    async fn lose_response(&self) -> Result<(), StoreError> {
+        if !self.state().responses_lost {
+            return Ok(());
+        }
+        tokio::time::sleep(CALL_TIMEOUT).await;
+        Err(StoreError::OutcomeUnknown {
+            detail: "no response".to_owned(),
+        })
+    }
+
     pub(crate) fn state(&self) -> MutexGuard<'_, State> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -251,6 +267,7 @@
         tokio::time::sleep(delay).await;
         self.state().join(member, ttl);
         tokio::time::sleep(delay).await;
+        self.lose_response().await?;
         let mut state = self.state();
         state.expire();
         Ok(state.generation)
@@ -275,6 +292,7 @@
             (members, state.members_time)
         };
         tokio::time::sleep(delay).await;
+        self.lose_response().await?;
         self.state().member_lists += 1;
         Ok(members)
     }
--- a/crates/node/tests/test_membership.rs
+++ b/crates/node/tests/test_membership.rs
@@ -43,3 +43,23 @@
     tokio::time::sleep(Duration::from_secs(3)).await;
     assert!(store.state().members.is_empty());
 }
+
+/// Guards against shards that stay with a process whose calls reach the store but which gets no
+/// responses, so that its owners are suspended and no other member claims their shards.
+#[tokio::test(start_paused = true)]
+async fn a_process_without_responses_loses_its_membership() {
+    let store = MemoryStore::new();
+    let _node = store.start_node("vm-1").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    store.state().responses_lost = true;
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    for _ in 0..40 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let mut state = store.state();
+        state.expire();
+        assert!(state.members.is_empty());
+    }
+    store.state().responses_lost = false;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(store.state().members.len(), 1);
+}
