membership: leave again after a late renewal of a stopped process

A process that stops waits 0.5 s for its last renewals and then leaves. With a store that takes longer, such a renewal made it a member again for 1.5 s. It owns nothing, so that the others take it for the member that should claim the next shard, and that shard waits.

The process now leaves once more after these renewals, while it answers its last callers. The stop does not take longer.

--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -307,13 +307,30 @@
         self.stopping.send_replace(true);
     }
 
-    /// Ends the membership after [`Self::stop`].
-    pub(crate) async fn leave(&self) {
-        let mut pending = self.pending.subscribe();
-        let ended = pending.wait_for(|&n| n == 0);
-        if tokio::time::timeout(LEAVE_DELAY, ended).await.is_err() {
+    /// Ends the membership after [`Self::stop`]. A renewal that is answered only afterwards may have
+    /// made the process a member again, so the process then leaves once more, in the background while
+    /// it answers its last callers.
+    pub(crate) async fn leave(self: &Arc<Self>) {
+        let are_ended = self.wait_for_renewals(LEAVE_DELAY).await;
+        self.leave_once().await;
+        if !are_ended {
             log::warn!("renewals_pending");
+            let membership = Arc::clone(self);
+            tokio::spawn(async move {
+                membership.wait_for_renewals(MEMBER_TTL).await;
+                membership.leave_once().await;
+            });
         }
+    }
+
+    /// Waits until no renewal is pending, and returns whether that was so within `timeout`.
+    async fn wait_for_renewals(&self, timeout: Duration) -> bool {
+        let mut pending = self.pending.subscribe();
+        let ended = pending.wait_for(|&n| n == 0);
+        tokio::time::timeout(timeout, ended).await.is_ok()
+    }
+
+    async fn leave_once(&self) {
         let me = self.router.me.to_string();
         if let Err(error) = self.store.leave(&me).await {
             log::warn!(error:display; "leave_failed");
--- a/crates/node/tests/test_membership.rs
+++ b/crates/node/tests/test_membership.rs
@@ -63,3 +63,19 @@
     tokio::time::sleep(Duration::from_secs(2)).await;
     assert_eq!(store.state().members.len(), 1);
 }
+
+/// Guards against a process that is a member again after it left, because a renewal took longer than
+/// it waits for its last ones, so that shards wait for it.
+#[tokio::test(start_paused = true)]
+async fn a_late_renewal_makes_a_stopped_process_no_member() {
+    let store = MemoryStore::new();
+    let node = store.start_node("vm-1").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    store.state().join_time = Duration::from_millis(2_400);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    node.release_shards(Duration::from_secs(5)).await;
+    tokio::time::sleep(Duration::from_millis(1_600)).await;
+    assert!(store.state().members.is_empty());
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(store.state().members.is_empty());
+}
