--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -147,8 +147,8 @@
     /// Renews the membership once, unless the store has not responded for [`MAX_UNANSWERED`] and
     /// doesn't respond to a read now.
     async fn renew_if_answered(self: Arc<Self>, renewal: u64) {
-        let unanswered = self.clock.now();
-        let unanswered = unanswered.saturating_duration_since(*lock(&self.answered_at));
+        let now = self.clock.now();
+        let unanswered = now.saturating_duration_since(*lock(&self.answered_at));
         let is_answered = unanswered < MAX_UNANSWERED || self.probe().await;
         if is_answered && !*self.stopping.borrow() {
             self.renew(renewal).await;
