shard, node: use one runner of random cases and one delay after failed calls to the store

Three tests set up the same seeded runner, and three files had the same delay before a call to the store is repeated. Seeds, numbers of cases and assertions stay; a failed case of two tests is now shrunk in at most 4,000 steps.

--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -12,6 +12,7 @@
 use crate::backend::Store;
 use crate::backend::StoreError;
 use crate::router::Router;
+use crate::shard_manager::STORE_RETRY_DELAY;
 use crate::shard_manager::lock;
 
 /// How often the process renews its membership in the store; several times per [`MEMBER_TTL`].
@@ -38,9 +39,6 @@
 /// they arrived after it left.
 const LEAVE_DELAY: Duration = Duration::from_millis(500);
 
-/// The delay before a failed read of the members is repeated.
-const READ_RETRY_DELAY: Duration = Duration::from_millis(250);
-
 /// How long the members have to be unchanged before a process that has just started claims shards,
 /// so that processes that start at the same time see each other first.
 const SETTLE_TIME: Duration = Duration::from_millis(350);
@@ -219,7 +217,7 @@
             let is_known = current.borrow_and_update().is_some();
             if is_known && let Err(error) = self.refresh().await {
                 log::warn!(error:display; "members_read_failed");
-                tokio::time::sleep(READ_RETRY_DELAY).await;
+                tokio::time::sleep(STORE_RETRY_DELAY).await;
                 current.mark_changed();
             }
         }
@@ -297,7 +295,7 @@
         })
     }
 
-    /// Returns whether the process is a member again only since a short time ago.
+    /// Returns whether the process became a member again less than [`REJOIN_DELAY`] ago.
     pub(crate) fn is_rejoining(&self, now: Instant) -> bool {
         lock(&self.rejoined_at).is_some_and(|at| now < at + REJOIN_DELAY)
     }
--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -42,7 +42,7 @@
 const OWNERS_READ_WAIT: Duration = Duration::from_secs(1);
 
 /// The delay before a failed call to the store is repeated.
-const STORE_RETRY_DELAY: Duration = Duration::from_millis(250);
+pub(crate) const STORE_RETRY_DELAY: Duration = Duration::from_millis(250);
 
 /// The delay before a shard is claimed again after its owner has appended during a claim. That owner
 /// still works, and is likely to have renewed its membership by then.
--- a/crates/node/src/worker_registry.rs
+++ b/crates/node/src/worker_registry.rs
@@ -20,6 +20,7 @@
 use crate::backend::Platform;
 use crate::backend::Topic;
 use crate::shard_id::ShardId;
+use crate::shard_manager::STORE_RETRY_DELAY;
 use crate::topic_cache::Changes;
 use crate::topic_cache::TopicCache;
 
@@ -27,9 +28,6 @@
 /// announces this some seconds before.
 const READ_INTERVAL: Duration = Duration::from_millis(300);
 
-/// The delay before a failed read is repeated.
-const READ_RETRY_DELAY: Duration = Duration::from_millis(250);
-
 /// The registered workers of a shard; `None` until the topic was read for the subscriber.
 pub(crate) type WorkerUpdates = watch::Receiver<Option<Vec<WorkerInfo>>>;
 
@@ -120,7 +118,7 @@
                 }
                 Err(error) => {
                     log::warn!(error:display; "workers_read_failed");
-                    READ_RETRY_DELAY
+                    STORE_RETRY_DELAY
                 }
             };
             tokio::select! {
--- a/crates/shard/tests/support/mod.rs
+++ b/crates/shard/tests/support/mod.rs
@@ -28,6 +28,10 @@
 use lavenderhollow_shard::WorkerInfo;
 use lavenderhollow_shard::WorkerReport;
 use lavenderhollow_shard::decode_record;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
 
 /// The wall-clock time at which tests start, as time since 1970.
 const START_UNIX_TIME: Duration = Duration::from_secs(1_000_000);
@@ -250,3 +254,16 @@
     });
     requests.collect()
 }
+
+/// Returns a runner of random cases, which are the same for the same seed.
+pub(crate) fn case_runner(seed: u64, cases: u32) -> TestRunner {
+    let config = Config {
+        cases,
+        max_shrink_iters: 4_000,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let mut bytes = [0u8; 32];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &bytes))
+}
--- a/crates/shard/tests/test_cost.rs
+++ b/crates/shard/tests/test_cost.rs
@@ -6,12 +6,9 @@
 use lavenderhollow_shard::PlacementPolicy;
 use lavenderhollow_shard::RunOutcome;
 use proptest::collection::vec;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngAlgorithm;
-use proptest::test_runner::TestRng;
-use proptest::test_runner::TestRunner;
 
 use crate::support::Harness;
+use crate::support::case_runner;
 use crate::support::finished_run;
 use crate::support::job;
 use crate::support::report;
@@ -107,14 +104,6 @@
 /// Guards against a placement pass that is left out although it would place a task.
 #[test]
 fn no_pass_is_left_out_that_would_place_a_task() {
-    let config = Config {
-        cases: 60,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let mut bytes = [0u8; 32];
-    bytes[..8].copy_from_slice(&SEED.to_le_bytes());
-    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
     let starts_of = |ops: &[Op], repeats_passes: bool| {
         let mut simulation = Simulation::new(WORKERS);
         simulation.repeats_passes = repeats_passes;
@@ -124,7 +113,7 @@
         simulation.run_to_completion();
         simulation.starts
     };
-    let mut runner = TestRunner::new_with_rng(config, rng);
+    let mut runner = case_runner(SEED, 60);
     let result = runner.run(&vec(op(), 1..40), |ops| {
         assert_eq!(starts_of(&ops, false), starts_of(&ops, true));
         Ok(())
--- a/crates/shard/tests/test_selection.rs
+++ b/crates/shard/tests/test_selection.rs
@@ -16,12 +16,9 @@
 use proptest::prelude::Strategy;
 use proptest::prelude::any;
 use proptest::sample::select;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngAlgorithm;
-use proptest::test_runner::TestRng;
-use proptest::test_runner::TestRunner;
 
 use crate::support::Harness;
+use crate::support::case_runner;
 use crate::support::job;
 use crate::support::report;
 use crate::support::starts;
@@ -158,15 +155,7 @@
 /// Guards against an index that changes which worker a task is placed on.
 #[test]
 fn the_index_chooses_the_same_worker_as_a_walk() {
-    let config = Config {
-        cases: 300,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let mut bytes = [0u8; 32];
-    bytes[..8].copy_from_slice(&SEED.to_le_bytes());
-    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
-    let mut runner = TestRunner::new_with_rng(config, rng);
+    let mut runner = case_runner(SEED, 300);
     let result = runner.run(
         &(vec(random_step(), 1..20), 0u64..12),
         |(steps, drained)| {
--- a/crates/shard/tests/test_simulation.rs
+++ b/crates/shard/tests/test_simulation.rs
@@ -8,11 +8,8 @@
 use proptest::collection::vec;
 use proptest::prelude::Strategy;
 use proptest::prop_oneof;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngAlgorithm;
-use proptest::test_runner::TestRng;
-use proptest::test_runner::TestRunner;
 
+use crate::support::case_runner;
 use crate::support::simulation::Fault;
 use crate::support::simulation::Op;
 use crate::support::simulation::Simulation;
@@ -76,16 +73,7 @@
 }
 
 fn run_cases(seed: u64, cases: u32, workers: usize, op: impl Strategy<Value = Op>) {
-    let config = Config {
-        cases,
-        max_shrink_iters: 4_000,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let mut bytes = [0u8; 32];
-    bytes[..8].copy_from_slice(&seed.to_le_bytes());
-    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
-    let mut runner = TestRunner::new_with_rng(config, rng);
+    let mut runner = case_runner(seed, cases);
     let result = runner.run(&vec(op, 1..40), |ops| {
         let mut simulation = Simulation::new(workers);
         for op in ops {
