--- a/crates/node/src/assignment.rs
+++ b/crates/node/src/assignment.rs
@@ -42,8 +42,9 @@
 /// one.
 const MIN_IMBALANCE: u64 = 2;
 
-/// How many times as loaded as a member on a VM of another size, with the shard, an owner must be
-/// before it releases one. A move costs callers a change of owner.
+/// The factor by which the load of an owner must exceed that of a member on a VM of another size,
+/// counted with the shard, before the owner releases the shard. A move costs callers a change of
+/// owner.
 const MIN_GAIN: u64 = 2;
 
 /// How long a shard may have no live owner before members other than the best one claim it. Members
--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -53,7 +53,7 @@
 /// The number of waiting jobs up to which each change is followed by a pass at once.
 const UNSPACED_JOBS: usize = 32;
 
-/// The intermediate results of one placement pass over all unfinished jobs.
+/// The intermediate results of one placement pass over the jobs with waiting tasks.
 #[derive(Debug, Default)]
 struct PlacementPass {
     /// The workers that get no tasks in the rest of this pass, so that room for a long-running task
