platform, node: read past records whose key can't be decoded

Cause: a record whose key is not UTF-8, as another writer of the workers' topic may leave it, was left out without a line, and the position of the next read came from the last record that was decoded. A read of the changes that ends in such a record was repeated for ever; four of them with 256 KiB fill a read, after which the reader got nothing more. A page of the latest records of which one key does not decode failed as a whole, so that no registration was read at all.

Change: a page says itself where the next one begins, as the bytes of its last key or as an offset. One function reads all pages, where there were three loops; it ends if the store leads back to the same page.

--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -83,15 +83,27 @@
     pub value: Option<Vec<u8>>,
 }
 
-/// One page of records, and the offset at which the topic ends.
+/// Consecutive records of a topic. Records that can't be decoded are left out.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Page {
-    /// The records, ordered by offset ([`Store::read`]) or by key ([`Store::read_latest`]).
+    /// The records, ordered by offset.
     pub entries: Vec<Entry>,
+    /// The offset after the last record of this page, whether that could be decoded or not.
+    pub next_offset: u64,
+    /// The offset after the last record of the topic.
+    pub end_offset: u64,
+}
+
+/// One page of the latest record of each key of a topic. Records whose key can't be decoded are left
+/// out.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// The records, ordered by key.
+    pub entries: Vec<Entry>,
+    /// The last key of this page, as it is stored, if more records follow. It need not be UTF-8.
+    pub next_after: Option<Vec<u8>>,
     /// The offset after the last record of the topic.
     pub end_offset: u64,
-    /// Whether more records follow this page.
-    pub has_more: bool,
 }
 
 /// The platform's store: an append-only log of records per topic, and the set of live members.
@@ -122,7 +134,7 @@
     /// # Errors
     ///
     /// Returns a [`StoreError`] if the store rejects the call or has no usable response.
-    async fn read_latest(&self, topic: Topic, after: Option<&str>) -> Result<Page, StoreError>;
+    async fn read_latest(&self, topic: Topic, after: Option<&[u8]>) -> Result<Listing, StoreError>;
 
     /// Registers a member as live, or renews its registration, for `ttl`. `generation` is the
     /// number that the last call returned, or zero. The returned number changes with the set of
@@ -292,8 +304,12 @@
     /// Returns a description of what is wrong with a configuration that can't be used.
     fn config(&self, value: &[u8]) -> Result<ClusterConfig, String>;
 
-    /// Decodes a worker's registration. Returns `None` if it describes no usable worker.
-    fn worker_info(&self, id: &str, value: &[u8]) -> Option<WorkerInfo>;
+    /// Decodes a worker's registration.
+    ///
+    /// # Errors
+    ///
+    /// Returns a description of what is wrong with a record that describes no usable worker.
+    fn worker_info(&self, id: &str, value: &[u8]) -> Result<WorkerInfo, String>;
 
     /// Decodes a maintenance wave. Returns `None` if the key is not that of a wave or the value
     /// can't be decoded.
--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -12,6 +12,7 @@
 use crate::backend::Platform;
 use crate::backend::StoreError;
 use crate::backend::Topic;
+use crate::listing::read_all_latest;
 use crate::shard_id::ShardId;
 
 /// The key of the record with which a process claims a shard.
@@ -62,7 +63,7 @@
 pub async fn read_head(platform: &Platform, shard: ShardId) -> Result<PartitionHead, StoreError> {
     let page = platform
         .store
-        .read_latest(Topic::Shard(shard), Some(BEFORE_LEASES))
+        .read_latest(Topic::Shard(shard), Some(BEFORE_LEASES.as_bytes()))
         .await?;
     Ok(PartitionHead {
         end_offset: page.end_offset,
@@ -102,16 +103,7 @@
     }
     // An offset may be zero, and workers treat a missing token as zero.
     let fencing_token = end_offset + 1;
-    let mut entries = Vec::new();
-    let mut after: Option<String> = None;
-    loop {
-        let page = platform.store.read_latest(topic, after.as_deref()).await?;
-        after = page.entries.last().map(|e| e.key.clone());
-        entries.extend(page.entries);
-        if !page.has_more || after.is_none() {
-            break;
-        }
-    }
+    let mut entries = read_all_latest(&*platform.store, topic).await?.entries;
     // A record at a lower offset did not hold, or it would have been stored again.
     entries.retain(|e| e.key != LEASES_KEY || e.offset > end_offset);
     let released = entries
@@ -164,21 +156,10 @@
 pub(crate) async fn read_owners(
     platform: &Platform,
 ) -> Result<Vec<(ShardId, Ownership)>, StoreError> {
-    let mut owners = Vec::new();
-    let mut after: Option<String> = None;
-    loop {
-        let page = platform.store.read_latest(Topic::Owners, after.as_deref());
-        let page = page.await?;
-        after = page.entries.last().map(|e| e.key.clone());
-        let decoded = page
-            .entries
-            .iter()
-            .filter_map(|e| decode_owner(&e.key, e.value.as_deref()?));
-        owners.extend(decoded);
-        if !page.has_more || after.is_none() {
-            return Ok(owners);
-        }
-    }
+    let listing = read_all_latest(&*platform.store, Topic::Owners).await?;
+    let entries = listing.entries.iter();
+    let owners = entries.filter_map(|e| decode_owner(&e.key, e.value.as_deref()?));
+    Ok(owners.collect())
 }
 
 /// Decodes a record of the owners' topic; `None` if it is not valid.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod current_config;
 mod fleet;
 mod job_api;
+mod listing;
 mod load_monitor;
 mod machine_list;
 mod membership;
--- a/crates/node/src/topic_cache.rs
+++ b/crates/node/src/topic_cache.rs
@@ -9,6 +9,7 @@
 use crate::backend::Store;
 use crate::backend::StoreError;
 use crate::backend::Topic;
+use crate::listing::read_all_latest;
 
 /// A copy of the latest record of each key of a topic.
 #[derive(Debug)]
@@ -63,9 +64,8 @@
     /// Applies the records of a page that was read from the offset `from`.
     fn apply_page(&mut self, page: Page, from: u64) -> Changes {
         let mut changes = Changes::default();
-        let mut next_offset = from;
+        let next_offset = page.next_offset.max(from);
         for entry in page.entries {
-            next_offset = next_offset.max(entry.offset + 1);
             self.apply_entry(entry, &mut changes);
         }
         self.next_offset = Some(next_offset);
@@ -88,19 +88,8 @@
     /// Reads the latest record of every key. The pages are not a snapshot, so further reads start
     /// at the offset at which the topic ended when the first page was read.
     async fn rebuild(&mut self, store: &dyn Store) -> Result<Changes, StoreError> {
-        let mut entries = Vec::new();
-        let mut first_end = None;
-        let mut after: Option<String> = None;
-        loop {
-            let page = store.read_latest(self.topic, after.as_deref()).await?;
-            let end = *first_end.get_or_insert(page.end_offset);
-            after = page.entries.last().map(|e| e.key.clone());
-            let more = page.has_more && after.is_some();
-            entries.extend(page.entries);
-            if !more {
-                return Ok(self.replace_records(entries, end));
-            }
-        }
+        let listing = read_all_latest(store, self.topic).await?;
+        Ok(self.replace_records(listing.entries, listing.end_offset))
     }
 
     /// Replaces the copy by a listing of the topic that was started when the topic ended at `end`.
--- a/crates/node/src/worker_registry.rs
+++ b/crates/node/src/worker_registry.rs
@@ -40,7 +40,7 @@
     fn apply(&mut self, codec: &dyn Codec, changes: Changes) -> BTreeSet<ShardId> {
         let mut affected = BTreeSet::new();
         for (id, value) in changes.changed {
-            let worker = value.and_then(|value| codec.worker_info(&id, &value));
+            let worker = value.and_then(|value| codec.worker_info(&id, &value).ok());
             let previous = self.0.get(&*id);
             if previous == worker.as_ref() {
                 continue;
--- a/crates/node/tests/memory_store.rs
+++ b/crates/node/tests/memory_store.rs
@@ -18,6 +18,7 @@
 use lavenderhollow_node::Wave;
 use lavenderhollow_node::backend::Codec;
 use lavenderhollow_node::backend::Entry;
+use lavenderhollow_node::backend::Listing;
 use lavenderhollow_node::backend::Page;
 use lavenderhollow_node::backend::Platform;
 use lavenderhollow_node::backend::PollError;
@@ -223,8 +224,8 @@
                 let entries = (0..).zip(log.iter()).filter(|(offset, _)| *offset >= from);
                 Page {
                     entries: entries.map(entry).collect(),
+                    next_offset: log.len() as u64,
                     end_offset: log.len() as u64,
-                    has_more: false,
                 }
             };
             if !page.entries.is_empty() || Instant::now() >= deadline {
@@ -234,7 +235,7 @@
         }
     }
 
-    async fn read_latest(&self, topic: Topic, after: Option<&str>) -> Result<Page, StoreError> {
+    async fn read_latest(&self, topic: Topic, after: Option<&[u8]>) -> Result<Listing, StoreError> {
         self.check_available()?;
         self.delay().await;
         let mut state = self.state();
@@ -245,11 +246,11 @@
             .collect();
         let listed = latest
             .into_iter()
-            .filter(|(key, (_, r))| after.is_none_or(|a| *key > a) && r.value.is_some());
-        let page = Page {
+            .filter(|(key, (_, r))| after.is_none_or(|a| key.as_bytes() > a) && r.value.is_some());
+        let page = Listing {
             entries: listed.map(|(_, row)| entry(row)).collect(),
+            next_after: None,
             end_offset: log.len() as u64,
-            has_more: false,
         };
         if state.rival_appends && matches!(topic, Topic::Shard(_)) {
             state.put(topic, "j1", b"progress");
@@ -358,8 +359,8 @@
         })
     }
 
-    fn worker_info(&self, _: &str, _: &[u8]) -> Option<WorkerInfo> {
-        None
+    fn worker_info(&self, _: &str, _: &[u8]) -> Result<WorkerInfo, String> {
+        Err("there are no workers".to_owned())
     }
 
     fn wave(&self, _: &str, _: &[u8]) -> Option<Wave> {
--- a/crates/testing/src/fakes/http.rs
+++ b/crates/testing/src/fakes/http.rs
@@ -24,15 +24,20 @@
 pub(super) struct HttpRequest {
     pub(super) method: Method,
     pub(super) path: String,
-    pub(super) query: BTreeMap<String, String>,
+    pub(super) query: BTreeMap<String, Vec<u8>>,
     pub(super) headers: http::HeaderMap,
     pub(super) body: Bytes,
 }
 
 impl HttpRequest {
+    /// Returns a query parameter as text, or `None` when it is missing or not UTF-8.
+    pub(super) fn query_text(&self, name: &str) -> Option<&str> {
+        std::str::from_utf8(self.query.get(name)?).ok()
+    }
+
     /// Returns a query parameter as a number, or `None` when it is missing or malformed.
     pub(super) fn query_u64(&self, name: &str) -> Option<u64> {
-        self.query.get(name)?.parse().ok()
+        self.query_text(name)?.parse().ok()
     }
 
     /// Returns the body as JSON, or null when it is not JSON.
@@ -130,14 +135,14 @@
     Ok(response)
 }
 
-fn parse_query(text: &str) -> BTreeMap<String, String> {
+fn parse_query(text: &str) -> BTreeMap<String, Vec<u8>> {
     let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
     pairs
         .map(|(key, value)| (key.to_owned(), percent_decode(value)))
         .collect()
 }
 
-fn percent_decode(text: &str) -> String {
+fn percent_decode(text: &str) -> Vec<u8> {
     let mut bytes = Vec::new();
     let mut rest = text.bytes();
     while let Some(byte) = rest.next() {
@@ -147,5 +152,5 @@
         });
         bytes.push(escaped.flatten().unwrap_or(byte));
     }
-    String::from_utf8_lossy(&bytes).into_owned()
+    bytes
 }
--- a/crates/testing/src/fakes/platform.rs
+++ b/crates/testing/src/fakes/platform.rs
@@ -167,7 +167,7 @@
         let (rows, _) = self.store.state().read_latest("keyed.status", 0, None);
         let key = format!("wave/{wave}");
         rows.iter()
-            .any(|(k, v, _)| *k == key && v.windows(9).any(|w| w == b"completed"))
+            .any(|(k, v, _)| k == key.as_bytes() && v.windows(9).any(|w| w == b"completed"))
     }
 
     /// Returns the machines that had maintenance in a wave.
@@ -184,8 +184,22 @@
 
     /// Writes a record to the workers' topic that need not be a registration, as the topic's other
     /// writers do.
-    pub fn put_raw_worker(&self, key: &str, value: &Value) {
-        self.put("keyed.servers", key, value);
+    pub fn put_raw_worker(&self, key: &[u8], value: &[u8]) {
+        self.store.state().put("keyed.servers", key, value);
+    }
+
+    /// Stops the workers' writing of their registrations; those that are written stay.
+    pub async fn stop_heartbeats(&self) {
+        self.heartbeats.abort();
+        while !self.heartbeats.is_finished() {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Returns the id of the worker with this index.
+    pub fn worker_id(&self, worker: usize) -> Option<&str> {
+        let (worker, _) = self.workers.get(worker)?;
+        Some(&worker.id)
     }
 
     /// Deletes the history of all topics of the store; the latest record of each key stays.
@@ -241,7 +255,7 @@
     fn put(&self, topic: &str, key: &str, value: &Value) {
         self.store
             .state()
-            .put(topic, key, value.to_string().as_bytes());
+            .put(topic, key.as_bytes(), value.to_string().as_bytes());
     }
 }
 
@@ -269,7 +283,8 @@
                 "labels": ["a", "r1-1"],
             });
             let value = registration.to_string();
-            store.state().put("keyed.servers", id, value.as_bytes());
+            let key = id.as_bytes();
+            store.state().put("keyed.servers", key, value.as_bytes());
         }
         tokio::time::sleep(HEARTBEAT_INTERVAL).await;
     }
--- a/crates/testing/src/fakes/store.rs
+++ b/crates/testing/src/fakes/store.rs
@@ -18,6 +18,7 @@
 use super::http::Handler;
 use super::http::HttpRequest;
 use super::http::HttpResponse;
+use super::store_state::LatestRecord;
 use super::store_state::StoreError;
 use super::store_state::StoreState;
 
@@ -57,7 +58,7 @@
     }
 
     fn append(&self, request: &HttpRequest) -> HttpResponse {
-        let (Some(topic), Some(part)) = (request.query.get("topic"), request.query_u64("part"))
+        let (Some(topic), Some(part)) = (request.query_text("topic"), request.query_u64("part"))
         else {
             return HttpResponse::empty(StatusCode::BAD_REQUEST);
         };
@@ -74,7 +75,7 @@
     }
 
     async fn read(&self, request: &HttpRequest) -> HttpResponse {
-        let (Some(topic), Some(part)) = (request.query.get("topic"), request.query_u64("part"))
+        let (Some(topic), Some(part)) = (request.query_text("topic"), request.query_u64("part"))
         else {
             return HttpResponse::empty(StatusCode::BAD_REQUEST);
         };
@@ -98,22 +99,18 @@
     }
 
     fn read_latest(&self, request: &HttpRequest) -> HttpResponse {
-        let (Some(topic), Some(part)) = (request.query.get("topic"), request.query_u64("part"))
+        let (Some(topic), Some(part)) = (request.query_text("topic"), request.query_u64("part"))
         else {
             return HttpResponse::empty(StatusCode::BAD_REQUEST);
         };
-        let after = request.query.get("after").map(String::as_str);
+        let after = request.query.get("after").map(Vec::as_slice);
         let (rows, end) = self.state().read_latest(topic, part, after);
         let more = rows.len() > PAGE_SIZE;
-        let items: Vec<Value> = rows
-            .into_iter()
-            .take(PAGE_SIZE)
-            .map(|(key, value, offset)| {
-                json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
-            })
-            .collect();
-        let body = json!({ "items": items, "has_more": more, "end_offset": end });
-        HttpResponse::json(StatusCode::OK, &body)
+        let items = rows.into_iter().take(PAGE_SIZE).map(encode_latest);
+        let mut body = b"{\"items\":[".to_vec();
+        body.extend(items.collect::<Vec<_>>().join(b",".as_slice()));
+        body.extend(format!("],\"has_more\":{more},\"end_offset\":{end}}}").bytes());
+        HttpResponse(StatusCode::OK, body.into())
     }
 
     fn join(&self, request: &HttpRequest) -> HttpResponse {
@@ -133,6 +130,17 @@
     }
 }
 
+/// Encodes a row of the latest records as JSON. A key that isn't UTF-8 is sent as it is.
+fn encode_latest((key, value, offset): LatestRecord) -> Vec<u8> {
+    let value = STANDARD.encode(value);
+    let key = match String::from_utf8(key) {
+        Ok(text) => json!(text).to_string().into_bytes(),
+        Err(error) => [b"\"", error.as_bytes(), b"\""].concat(),
+    };
+    let rest = format!(",\"value\":\"{value}\",\"offset\":{offset}}}");
+    [b"{\"key\":", key.as_slice(), rest.as_bytes()].concat()
+}
+
 /// Encodes the response to a read: the end offset and the first offset in eight bytes each, then
 /// the records, each after its length in four bytes, big-endian.
 fn encode_read(end: u64, first: u64, records: &[Vec<u8>]) -> HttpResponse {
@@ -175,8 +183,8 @@
                 HttpResponse::empty(StatusCode::OK)
             }
             "/api/log-owners" => {
-                let group = request.query.get("group").cloned().unwrap_or_default();
-                let rows = self.0.state().owners(&group);
+                let group = request.query_text("group").unwrap_or_default();
+                let rows = self.0.state().owners(group);
                 let rows: Vec<Value> = rows
                     .into_iter()
                     .map(|(topic, part, member)| json!([topic, part, member, 0]))
--- a/crates/testing/src/fakes/store_state.rs
+++ b/crates/testing/src/fakes/store_state.rs
@@ -25,7 +25,7 @@
     first: u64,
     records: Vec<Vec<u8>>,
     /// The offset and the value of the latest record of each key, in a keyed topic.
-    latest: BTreeMap<String, (u64, Vec<u8>)>,
+    latest: BTreeMap<Vec<u8>, (u64, Vec<u8>)>,
 }
 
 impl Partition {
@@ -58,7 +58,7 @@
 }
 
 /// The latest record of a key: key, value and offset.
-pub(super) type LatestRecord = (String, Vec<u8>, u64);
+pub(super) type LatestRecord = (Vec<u8>, Vec<u8>, u64);
 
 impl StoreState {
     /// Appends records and returns the offset of the first. With `expected_end`, appends only if
@@ -96,12 +96,12 @@
     }
 
     /// Appends one record to partition 0 of a keyed topic.
-    pub(super) fn put(&mut self, topic: &str, key: &str, value: &[u8]) {
+    pub(super) fn put(&mut self, topic: &str, key: &[u8], value: &[u8]) {
         let mut body = Vec::new();
         let length = u32::try_from(1 + key.len() + value.len()).unwrap_or(0);
         body.extend_from_slice(&length.to_be_bytes());
         body.push(u8::try_from(key.len()).unwrap_or(0));
-        body.extend_from_slice(key.as_bytes());
+        body.extend_from_slice(key);
         body.extend_from_slice(value);
         if let Err(error) = self.append(topic, 0, None, &body) {
             unreachable!("an unconditional append of one record: {error:?}");
@@ -133,13 +133,13 @@
         &mut self,
         topic: &str,
         part: u64,
-        after: Option<&str>,
+        after: Option<&[u8]>,
     ) -> (Vec<LatestRecord>, u64) {
         let partition = self.partition(topic, part);
         let rows = partition
             .latest
             .iter()
-            .filter(|(key, _)| after.is_none_or(|after| key.as_str() > after))
+            .filter(|(key, _)| after.is_none_or(|after| key.as_slice() > after))
             .map(|(key, (offset, value))| (key.clone(), value.clone(), *offset));
         (rows.collect(), partition.end())
     }
@@ -269,8 +269,8 @@
 
 /// Splits a record of a keyed topic into its key, which follows its length in one byte, and its
 /// value.
-fn split_key(record: &[u8]) -> Option<(String, &[u8])> {
+fn split_key(record: &[u8]) -> Option<(Vec<u8>, &[u8])> {
     let (length, rest) = record.split_first()?;
     let (key, value) = rest.split_at_checked(usize::from(*length))?;
-    Some((String::from_utf8(key.to_vec()).ok()?, value))
+    Some((key.to_vec(), value))
 }
