node: keep a worker whose registration can't be decoded

Cause: a record under the id of a live worker that doesn't decode (other type, deep nesting, port out of range, a number too large) counted as the worker's end until its next registration: it got no tasks, and its long-running tasks counted as unavailable. Nothing was logged.

Change: such a record leaves the last registration as it is, and is logged, five lines a second at most. An entry that was removed still ends the worker; one that is gone in truth is noticed by its polls.

--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -103,7 +103,8 @@
         self.membership.start();
         tokio::spawn(Arc::clone(self).watch_owners());
         let registry = Arc::clone(&self.registry);
-        tokio::spawn(registry.run(self.context.platform.clone()));
+        let clock = Arc::clone(&self.context.clock);
+        tokio::spawn(registry.run(self.context.platform.clone(), clock));
         tokio::spawn(Arc::clone(self).claim_periodically());
     }
 
--- a/crates/node/src/worker_registry.rs
+++ b/crates/node/src/worker_registry.rs
@@ -10,9 +10,12 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use lavenderhollow_shard::Name;
 use lavenderhollow_shard::WorkerInfo;
+use lavenderhollow_trace::LineLimiter;
+use lavenderhollow_types::Clock;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
@@ -31,33 +34,68 @@
 /// The registered workers of a shard; `None` until the topic was read for the subscriber.
 pub(crate) type WorkerUpdates = watch::Receiver<Option<Vec<WorkerInfo>>>;
 
+/// The most lines a second about registrations that can't be decoded.
+const MAX_INVALID_LINES: u32 = 5;
+
 /// The decoded registrations by the worker's id.
-#[derive(Debug, Default)]
-struct Registrations(BTreeMap<Name, WorkerInfo>);
+#[derive(Debug)]
+struct Registrations {
+    workers: BTreeMap<Name, WorkerInfo>,
+    invalid_lines: LineLimiter,
+}
 
 impl Registrations {
+    fn new(now: Instant) -> Self {
+        Self {
+            workers: BTreeMap::new(),
+            invalid_lines: LineLimiter::new(now, MAX_INVALID_LINES),
+        }
+    }
+
     /// Applies the changes of the workers' topic. Returns the shards whose workers changed.
-    fn apply(&mut self, codec: &dyn Codec, changes: Changes) -> BTreeSet<ShardId> {
+    ///
+    /// A record that can't be decoded comes from another writer of the topic, so that it leaves the
+    /// last registration of the worker as it is.
+    fn apply(&mut self, codec: &dyn Codec, now: Instant, changes: Changes) -> BTreeSet<ShardId> {
         let mut affected = BTreeSet::new();
         for (id, value) in changes.changed {
-            let worker = value.and_then(|value| codec.worker_info(&id, &value).ok());
-            let previous = self.0.get(&*id);
+            let worker = match value
+                .map(|value| codec.worker_info(&id, &value))
+                .transpose()
+            {
+                Ok(worker) => worker,
+                Err(error) => {
+                    self.log_invalid(now, &id, &error);
+                    continue;
+                }
+            };
+            let previous = self.workers.get(&*id);
             if previous == worker.as_ref() {
                 continue;
             }
             let versions = previous.into_iter().chain(worker.as_ref());
             affected.extend(versions.map(|worker| ShardId::of_pool(&worker.pool)));
             match worker {
-                Some(worker) => self.0.insert(Arc::clone(&worker.id), worker),
-                None => self.0.remove(&*id),
+                Some(worker) => self.workers.insert(Arc::clone(&worker.id), worker),
+                None => self.workers.remove(&*id),
             };
         }
         affected
     }
 
+    fn log_invalid(&mut self, now: Instant, id: &str, error: &str) {
+        if let Some(dropped) = self.invalid_lines.take_dropped(now) {
+            log::info!(dropped; "worker_decode_lines_dropped");
+        }
+        if self.invalid_lines.admit() {
+            let is_known = self.workers.contains_key(id);
+            log::info!(worker = id, is_known, error; "worker_decode_failed");
+        }
+    }
+
     /// Returns the workers of a shard in the order of their ids.
     fn of_shard(&self, shard: ShardId) -> Vec<WorkerInfo> {
-        let workers = self.0.values();
+        let workers = self.workers.values();
         let in_shard = workers.filter(|worker| ShardId::of_pool(&worker.pool) == shard);
         in_shard.cloned().collect()
     }
@@ -98,21 +136,21 @@
     }
 
     /// Reads the topic for as long as the process runs, pausing while there are no subscribers.
-    pub(crate) async fn run(self: Arc<Self>, platform: Platform) {
+    pub(crate) async fn run(self: Arc<Self>, platform: Platform, clock: Arc<dyn Clock>) {
         loop {
             self.subscribed.notified().await;
-            self.follow_topic(&platform).await;
+            self.follow_topic(&platform, &*clock).await;
         }
     }
 
     /// Reads the whole topic, and then its changes until there are no subscribers.
-    async fn follow_topic(&self, platform: &Platform) {
+    async fn follow_topic(&self, platform: &Platform, clock: &dyn Clock) {
         let mut cache = TopicCache::new(Topic::Workers);
-        let mut registrations = Registrations::default();
+        let mut registrations = Registrations::new(clock.now());
         while self.has_subscribers() {
             let delay = match cache.sync(&*platform.store, Duration::ZERO).await {
                 Ok(changes) => {
-                    let affected = registrations.apply(&*platform.codec, changes);
+                    let affected = registrations.apply(&*platform.codec, clock.now(), changes);
                     self.publish(&registrations, &affected);
                     READ_INTERVAL
                 }
