node: keep shards while the store rejects appends to them

What was tried: a process whose appends to a shard were rejected for a second left the members, so that others claim its shards. The store refused two partitions to everyone, not two machines. In such an outage a change of owner helps nobody, and the owner that left loses its shard as soon as the partition is back.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,7 +2,6 @@
 //! routes callers' requests to the owners of shards, and manages the fleet of machines. It reaches
 //! the platform's store, workers, machines and policy service through the traits of [`backend`].
 
-mod append_monitor;
 mod appender;
 mod assignment;
 mod automatic;
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -8,7 +8,6 @@
 use lavenderhollow_types::Clock;
 use tokio::sync::watch;
 
-use crate::append_monitor::AppendMonitor;
 use crate::assignment::Member;
 use crate::backend::Store;
 use crate::backend::StoreError;
@@ -63,7 +62,7 @@
 
 /// The membership of this process, and the members that it sees.
 pub(crate) struct Membership {
-    store: Arc<AppendMonitor>,
+    store: Arc<dyn Store>,
     router: Arc<Router>,
     clock: Arc<dyn Clock>,
     generation: Mutex<Generation>,
@@ -73,8 +72,6 @@
     refreshing: tokio::sync::Mutex<Option<Instant>>,
     /// The number of renewals that have no response yet.
     pending: watch::Sender<usize>,
-    /// Whether the process is no member because the store rejects its appends.
-    withdrawn: Mutex<bool>,
     stopping: watch::Sender<bool>,
     /// When this process became a member.
     joined_at: watch::Sender<Option<Instant>>,
@@ -89,11 +86,7 @@
 }
 
 impl Membership {
-    pub(crate) fn new(
-        store: Arc<AppendMonitor>,
-        router: Arc<Router>,
-        clock: Arc<dyn Clock>,
-    ) -> Self {
+    pub(crate) fn new(store: Arc<dyn Store>, router: Arc<Router>, clock: Arc<dyn Clock>) -> Self {
         let now = clock.now();
         Self {
             store,
@@ -103,7 +96,6 @@
             current: watch::Sender::new(None),
             refreshing: tokio::sync::Mutex::default(),
             pending: watch::Sender::new(0),
-            withdrawn: Mutex::default(),
             stopping: watch::Sender::new(false),
             joined_at: watch::Sender::new(None),
             renewed_at: Mutex::default(),
@@ -151,32 +143,17 @@
     }
 
     /// Renews the membership once, unless the store has not responded for [`MAX_UNANSWERED`] and
-    /// doesn't respond to a read now, or rejects the appends of this process.
+    /// doesn't respond to a read now.
     async fn renew_if_answered(self: Arc<Self>, renewal: u64) {
         let now = self.clock.now();
         let unanswered = now.saturating_duration_since(*lock(&self.answered_at));
         let is_answered = unanswered < MAX_UNANSWERED || self.probe().await;
-        if is_answered && !*self.stopping.borrow() && !self.withdraw_if_rejected().await {
+        if is_answered && !*self.stopping.borrow() {
             self.renew(renewal).await;
         }
         self.pending.send_modify(|n| *n -= 1);
     }
 
-    /// Ends the membership while the store rejects the appends of this process, so that others claim
-    /// its shards. Returns whether it does. The shards' owners go on until they are superseded.
-    async fn withdraw_if_rejected(&self) -> bool {
-        let is_rejected = self.store.is_rejecting();
-        let was_withdrawn = std::mem::replace(&mut *lock(&self.withdrawn), is_rejected);
-        if is_rejected != was_withdrawn {
-            log::warn!(withdrawn = is_rejected; "appends_rejected");
-        }
-        if is_rejected {
-            // Also a renewal that was on its way when the first call to leave was sent.
-            self.leave_once().await;
-        }
-        is_rejected
-    }
-
     /// Returns whether the store responds to a read of the members.
     async fn probe(&self) -> bool {
         match self.store.members().await {
--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -13,7 +13,6 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
-use crate::append_monitor::AppendMonitor;
 use crate::assignment::Ownership;
 use crate::backend::Platform;
 use crate::backend::StoreError;
@@ -83,12 +82,9 @@
 }
 
 impl ShardManager {
-    pub(crate) fn new(mut context: ManagerContext) -> Arc<Self> {
-        let store = Arc::clone(&context.platform.store);
-        let store = Arc::new(AppendMonitor::new(store, Arc::clone(&context.clock)));
-        context.platform.store = Arc::<AppendMonitor>::clone(&store);
+    pub(crate) fn new(context: ManagerContext) -> Arc<Self> {
         let membership = Membership::new(
-            store,
+            Arc::clone(&context.platform.store),
             Arc::clone(&context.router),
             Arc::clone(&context.clock),
         );
