fleet: keep the pace of a wave while owners change and the store is slow

Each machine cost three calls to the store, one after the other: a record or a check before the command, and a record after it. At 0.2 to 0.3 s a call that is most of a second a machine. 2. Each owner waited lease_ms before its first command, since machines that an earlier one took down may not show it. 3. Each owner began the wave's time anew, after 0.45 of which pools under load release their machines.

Change: commands for machines whose drains are granted are recorded together, sent at the same time within the interface's rate, and their outcome stored together. Their age is checked after the record, so that an owner that was delayed in between sends none. The machines that the earlier owner recorded before its commands, and those that the list shows under maintenance, count as unavailable; the others go on at once. The time at which the first owner began to track a wave is stored (key t<wave>, which older builds ignore).

Also: a command was repeated although the ownership could not be checked, because the store could not be read.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -30,6 +30,7 @@
 use crate::backend::StoreError;
 use crate::backend::Topic;
 use crate::claim::ClaimedShard;
+use crate::clock::timestamp;
 use crate::cluster_config::Wave;
 use crate::command_budget::CommandBudget;
 use crate::current_config::CurrentConfig;
@@ -80,6 +81,9 @@
 /// The prefix of the keys of the machines whose maintenance was started, one record for each wave.
 const WAVE_PREFIX: &str = "w";
 
+/// The prefix of the keys of the times at which the first owner began to track a wave.
+const WAVE_START_PREFIX: &str = "t";
+
 /// The key of the machines that recently got a command.
 const COMMANDS_KEY: &str = "orders";
 
@@ -110,6 +114,9 @@
     quotas: ShardQuotas,
     /// The machines whose maintenance earlier owners started, by the number of the wave.
     started_machines: BTreeMap<u64, BTreeSet<Name>>,
+    /// When the first owner began to track each wave, since the Unix epoch. The clocks of two VMs may
+    /// differ, which moves only the time from which a wave is urgent.
+    wave_starts: BTreeMap<u64, Duration>,
     active_waves: BTreeMap<u64, ActiveWave>,
     completed_waves: BTreeSet<u64>,
     rebalancer: Rebalancer,
@@ -150,6 +157,7 @@
         appender: claimed.appender,
         quotas: ShardQuotas::default(),
         started_machines: BTreeMap::new(),
+        wave_starts: BTreeMap::new(),
         active_waves: BTreeMap::new(),
         completed_waves: BTreeSet::new(),
         owned_since: now,
@@ -184,10 +192,7 @@
                     .handle_request(request, responder)
                     .await,
             },
-            Some(list) = waves.recv() => {
-                fleet.update_waves(list);
-                Ok(())
-            }
+            Some(list) = waves.recv() => fleet.update_waves(list).await,
             () = tokio::time::sleep(pause) => {
                 fleet.has_shortage = false;
                 let result = fleet.reconcile().await;
@@ -221,6 +226,17 @@
                 }
                 Err(error) => log::error!(key, error:display; "record_decode_failed"),
             }
+        } else if let Some(wave) = key
+            .strip_prefix(WAVE_START_PREFIX)
+            .and_then(|s| s.parse().ok())
+        {
+            match postcard::from_bytes::<u64>(value) {
+                Ok(unix_ms) => {
+                    self.wave_starts
+                        .insert(wave, Duration::from_millis(unix_ms));
+                }
+                Err(error) => log::error!(key, error:display; "record_decode_failed"),
+            }
         } else if key == COMMANDS_KEY {
             match postcard::from_bytes::<StoredCommands>(value) {
                 Ok(stored) => self.commands.restore(self.owned_since, &stored),
@@ -342,7 +358,7 @@
     }
 
     /// Starts tracking new waves and updates known ones from the list of published waves.
-    fn update_waves(&mut self, waves: Vec<Wave>) {
+    async fn update_waves(&mut self, waves: Vec<Wave>) -> Result<(), OwnershipLost> {
         for wave in waves {
             let number = wave.number;
             if self.completed_waves.contains(&number) {
@@ -361,18 +377,36 @@
                 .get(&number)
                 .cloned()
                 .unwrap_or_default();
-            let active_wave = ActiveWave::new(
-                self.context.clock.now(),
-                wave,
-                started,
-                self.context.maintenance_time,
+            let tracked_since = self.wave_start(number).await?;
+            let mut active_wave =
+                ActiveWave::new(tracked_since, wave, started, self.context.maintenance_time);
+            active_wave.inherit(
+                self.commands.inherited(),
+                self.owned_since + self.context.takeover_delay,
             );
             self.active_waves.insert(number, active_wave);
         }
+        Ok(())
+    }
+
+    /// Returns when the first owner began to track a wave, and stores it if this is the first one. A
+    /// wave that starts over with each owner would never become urgent.
+    async fn wave_start(&mut self, number: u64) -> Result<Instant, OwnershipLost> {
+        let at = timestamp(&*self.context.clock);
+        if let Some(start) = self.wave_starts.get(&number) {
+            let age = at.unix.saturating_sub(*start);
+            return Ok(at.now.checked_sub(age).unwrap_or(at.now));
+        }
+        let unix_ms = u64::try_from(at.unix.as_millis()).unwrap_or(0);
+        self.store(format!("{WAVE_START_PREFIX}{number}"), &unix_ms)
+            .await?;
+        self.wave_starts.insert(number, at.unix);
+        Ok(at.now)
     }
 
     /// Checks the ownership if it was not confirmed recently, advances the waves and rebalances the
-    /// pools. A new owner leaves the waves alone for [`FleetContext::takeover_delay`].
+    /// pools. A new owner that does not know what an earlier one commanded leaves the waves alone for
+    /// [`FleetContext::takeover_delay`].
     async fn reconcile(&mut self) -> Result<(), OwnershipLost> {
         let now = self.context.clock.now();
         let check_due = now.saturating_duration_since(self.confirmed_at) > OWNERSHIP_CHECK_INTERVAL;
@@ -391,7 +425,7 @@
         let Some(list) = self.list.get(&*machines, clock, max_age).await else {
             return Ok(());
         };
-        if now.saturating_duration_since(self.owned_since) < self.context.takeover_delay {
+        if self.commands.all_blocked(now) {
             // Machines that an earlier owner took down may still be listed as up.
             return self.rebalance(&*machines, &list).await;
         }
@@ -446,24 +480,24 @@
                 active_wave.defer(now, name);
             }
         }
-        for name in drained {
-            let age = self.context.clock.now().saturating_duration_since(now);
-            // A command without a response is repeated, but only while its worker is drained.
-            let is_repeated = unconfirmed.contains(&name);
-            let below_limit = || {
-                self.active_waves
-                    .get(&number)
-                    .is_some_and(ActiveWave::below_limit)
-            };
-            if age > DRAIN_GRANT_TTL || !(is_repeated || below_limit()) {
-                continue;
-            }
-            let worker = by_name.get(&name).and_then(|m| m.worker.clone());
-            let worker = worker.filter(|_| !is_repeated);
-            self.request_maintenance(number, machines, &name, worker)
-                .await?;
-        }
-        Ok(())
+        // A command without a response is repeated, but only while its worker is drained.
+        let (mut repeated, mut first): (Vec<Name>, Vec<Name>) =
+            drained.into_iter().partition(|n| unconfirmed.contains(n));
+        let free_slots = self.active_waves.get(&number);
+        let free_slots = free_slots.map_or(0, ActiveWave::free_slots);
+        first.truncate(free_slots);
+        repeated.append(&mut first);
+        repeated.truncate(self.command_budget.available(now));
+        let commands: Vec<(Name, Option<Name>)> = repeated
+            .into_iter()
+            .map(|name| {
+                let worker = by_name.get(&name).and_then(|m| m.worker.clone());
+                let worker = worker.filter(|_| !unconfirmed.contains(&name));
+                (name, worker)
+            })
+            .collect();
+        self.request_maintenance(number, machines, now, &commands)
+            .await
     }
 
     /// Tells the owner of a pool that a worker was terminated. Otherwise its runs count as running
@@ -525,12 +559,16 @@
 
     /// Stores that machines are about to get a command, or only checks the ownership if that is
     /// stored already. A successor sends these machines no commands for a while, and an owner that
-    /// has lost the shard stops here.
-    async fn record_commands(&mut self, machines: &[Name]) -> Result<(), OwnershipLost> {
+    /// has lost the shard stops here. Returns whether the commands may be sent: not if the store can't
+    /// be read, since a successor may have sent commands.
+    async fn record_commands(&mut self, machines: &[Name]) -> Result<bool, OwnershipLost> {
         let now = self.context.clock.now();
         match self.commands.begin(now, machines) {
-            Some(to_store) => self.store(COMMANDS_KEY.to_owned(), &to_store).await,
-            None => self.check_ownership().await.map(|_| ()),
+            Some(to_store) => {
+                self.store(COMMANDS_KEY.to_owned(), &to_store).await?;
+                Ok(true)
+            }
+            None => self.check_ownership().await,
         }
     }
 
@@ -575,24 +613,69 @@
         }
     }
 
-    /// Sends the maintenance command for a machine and records its response.
+    /// Sends the maintenance commands for machines at the same time and records their responses.
+    /// Each machine comes with the worker that the command terminates; their drains were requested
+    /// at `requested_at`. One after the other, with a record before and after each, the commands of a
+    /// wave would take longer than its time limit while the store is slow.
     async fn request_maintenance(
         &mut self,
         number: u64,
         machines: &dyn Machines,
-        name: &Name,
-        worker: Option<Name>,
+        requested_at: Instant,
+        commands: &[(Name, Option<Name>)],
     ) -> Result<(), OwnershipLost> {
-        self.record_commands(std::slice::from_ref(name)).await?;
-        let holder = self.holder();
+        if commands.is_empty() {
+            return Ok(());
+        }
+        let names: Vec<Name> = commands.iter().map(|(name, _)| Arc::clone(name)).collect();
+        if !self.record_commands(&names).await? {
+            return Ok(());
+        }
         let now = self.context.clock.now();
-        if let Some(wave) = self.active_waves.get_mut(&number) {
-            wave.mark_requested(now, name, worker);
+        let age = now.saturating_duration_since(requested_at);
+        if age > DRAIN_GRANT_TTL {
+            let age_ms = age.as_millis() as u64;
+            log::info!(wave = number, machines = names.len(), age_ms; "drains_expired");
+            return Ok(());
         }
-        self.command_budget.take(now, 1);
-        let answer = machines.start_maintenance(&holder, name, number).await;
+        let Some(wave) = self.active_waves.get_mut(&number) else {
+            return Ok(());
+        };
+        for (name, worker) in commands {
+            wave.mark_requested(now, name, worker.clone());
+        }
+        self.command_budget.take(now, names.len());
+        let holder = self.holder();
+        let calls = names
+            .iter()
+            .map(|name| machines.start_maintenance(&holder, name, number));
+        let answers = futures::future::join_all(calls).await;
         self.list.invalidate();
-        self.commands.mark_finished(self.context.clock.now(), name);
+        let mut started_before = 0;
+        let mut result = Ok(());
+        if let Some(wave) = self.active_waves.get(&number) {
+            started_before = wave.started().len();
+        }
+        for (name, answer) in names.iter().zip(answers) {
+            result = result.and(self.record_maintenance(number, name, answer));
+        }
+        result?;
+        let started = self.active_waves.get(&number).map(|w| w.started().clone());
+        match started.filter(|started| started.len() > started_before) {
+            Some(started) => self.store(format!("{WAVE_PREFIX}{number}"), &started).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Records the response to a maintenance command.
+    fn record_maintenance(
+        &mut self,
+        number: u64,
+        name: &Name,
+        answer: MachineResponse,
+    ) -> Result<(), OwnershipLost> {
+        let now = self.context.clock.now();
+        self.commands.mark_finished(now, name);
         log::info!(
             wave = number, machine = &**name, token = self.fencing_token, answer:display;
             "maintenance_requested"
@@ -605,12 +688,7 @@
             MachineResponse::StaleToken => return Err(OwnershipLost),
             MachineResponse::Busy | MachineResponse::Unavailable => wave.mark_rejected(now, name),
             MachineResponse::Invalid => wave.mark_skipped(name),
-            MachineResponse::OutcomeUnknown => return Ok(()),
-        }
-        let started = wave.started().clone();
-        if matches!(answer, MachineResponse::Done | MachineResponse::Invalid) {
-            self.store(format!("{WAVE_PREFIX}{number}"), &started)
-                .await?;
+            MachineResponse::OutcomeUnknown => {}
         }
         Ok(())
     }
--- a/crates/node/src/fleet/moves.rs
+++ b/crates/node/src/fleet/moves.rs
@@ -68,7 +68,9 @@
         let moves = self.request_releases(moves).await;
         self.store_origins(&moves).await?;
         let names: Vec<Name> = moves.iter().map(|m| Arc::clone(&m.machine)).collect();
-        self.record_commands(&names).await?;
+        if !self.record_commands(&names).await? {
+            return Ok(());
+        }
         let now = self.context.clock.now();
         let age = now.saturating_duration_since(requested_at);
         if age > DRAIN_GRANT_TTL {
--- a/crates/node/src/recent_commands.rs
+++ b/crates/node/src/recent_commands.rs
@@ -6,6 +6,7 @@
 //! commands to, and for how long.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -87,6 +88,11 @@
             .collect()
     }
 
+    /// Returns the machines for which earlier owners may have sent commands when this one took over.
+    pub fn inherited(&self) -> BTreeSet<Name> {
+        self.blocked.keys().cloned().collect()
+    }
+
     /// Records that commands for machines are about to be sent. Returns the set that must be stored
     /// first; `None` if the stored one has an age of zero for all of them.
     pub fn begin(&mut self, now: Instant, machines: &[Name]) -> Option<StoredCommands> {
--- a/crates/node/src/wave.rs
+++ b/crates/node/src/wave.rs
@@ -50,16 +50,23 @@
     draining: BTreeMap<Name, Instant>,
     /// The machines that could not go down in their turn, with the time at which they were deferred.
     deferred: BTreeMap<Name, Instant>,
+    /// The machines that an earlier owner may have taken down without a trace in the list yet.
+    inherited: BTreeSet<Name>,
+    /// The time from which the list shows what earlier owners have done.
+    inherited_until: Option<Instant>,
+    /// The machines that the last list shows under maintenance.
+    listed_down: BTreeSet<Name>,
     maintenance_time: Duration,
-    /// When this owner began to track the wave.
+    /// When the first owner began to track the wave.
     tracked_since: Instant,
 }
 
 impl ActiveWave {
-    /// Starts tracking a wave. `started` are the machines whose maintenance an earlier owner
-    /// started, and `maintenance_time` is how long the platform takes to maintain a machine.
+    /// Starts tracking a wave that the first owner has tracked since `tracked_since`. `started` are
+    /// the machines whose maintenance an earlier owner started, and `maintenance_time` is how long
+    /// the platform takes to maintain a machine.
     pub fn new(
-        now: Instant,
+        tracked_since: Instant,
         wave: Wave,
         started: BTreeSet<Name>,
         maintenance_time: Duration,
@@ -70,11 +77,21 @@
             down: BTreeMap::new(),
             draining: BTreeMap::new(),
             deferred: BTreeMap::new(),
+            inherited: BTreeSet::new(),
+            inherited_until: None,
+            listed_down: BTreeSet::new(),
             maintenance_time,
-            tracked_since: now,
+            tracked_since,
         }
     }
 
+    /// Counts machines as unavailable until `until`, since an earlier owner may have sent a command
+    /// for them. They get no command before that.
+    pub fn inherit(&mut self, machines: BTreeSet<Name>, until: Instant) {
+        self.inherited = machines;
+        self.inherited_until = Some(until);
+    }
+
     /// Returns whether pools under load must release their machines as well, so that the wave ends
     /// in time.
     pub fn is_urgent(&self, now: Instant) -> bool {
@@ -128,6 +145,15 @@
                     || now.saturating_duration_since(command.since) > maintenance_time * 2);
             !(command.confirmed && is_back)
         });
+        if self.inherited_until.is_some_and(|until| now >= until) {
+            self.inherited.clear();
+        }
+        let is_under_maintenance = |name: &&Name| {
+            let machine = by_name.get(name);
+            machine.is_some_and(|m| m.state == MachineState::Maintenance)
+        };
+        let listed_down = self.wave.machines.iter().filter(is_under_maintenance);
+        self.listed_down = listed_down.cloned().collect();
         let is_remaining =
             |name: &&Name| by_name.contains_key(name) && !self.started.contains(*name);
         let remaining: Vec<Name> = self
@@ -140,11 +166,11 @@
         self.draining.retain(|name, _| remaining.contains(name));
         self.rotate_drains(now, remaining.len());
         let free_slots = (self.wave.max_unavailable + EXTRA_DRAINS)
-            .saturating_sub(self.down.len())
+            .saturating_sub(self.unavailable_count())
             .saturating_sub(self.draining.len());
         let mut waiting: Vec<&Name> = remaining
             .iter()
-            .filter(|n| !self.draining.contains_key(*n))
+            .filter(|n| !self.draining.contains_key(*n) && !self.inherited.contains(*n))
             .filter(|n| by_name.get(n).is_some_and(|m| m.state == MachineState::Up))
             .collect();
         waiting.sort_by_key(|n| self.deferred.get(*n).copied());
@@ -152,7 +178,15 @@
         for name in next {
             self.draining.insert(name, now);
         }
-        remaining.is_empty() && self.down.is_empty()
+        remaining.is_empty() && self.unavailable_count() == 0
+    }
+
+    /// Returns how many machines of the wave are down or may be.
+    fn unavailable_count(&self) -> usize {
+        let inherited = self.inherited.iter();
+        let inherited = inherited.filter(|name| self.wave.machines.contains(name));
+        let unavailable = self.down.keys().chain(inherited).chain(&self.listed_down);
+        unavailable.collect::<BTreeSet<_>>().len()
     }
 
     /// Defers machines that were not drained within [`DRAIN_TURN`], if others wait.
@@ -209,9 +243,10 @@
         pending.map(|(name, _)| Arc::clone(name)).collect()
     }
 
-    /// Returns whether fewer machines are down than the wave allows.
-    pub fn below_limit(&self) -> bool {
-        self.down.len() < self.wave.max_unavailable
+    /// Returns how many more machines may go down now.
+    pub fn free_slots(&self) -> usize {
+        let limit = self.wave.max_unavailable;
+        limit.saturating_sub(self.unavailable_count())
     }
 
     /// Records that the maintenance command for a machine is about to be sent, with the worker that
--- a/crates/node/tests/test_wave.rs
+++ b/crates/node/tests/test_wave.rs
@@ -49,12 +49,13 @@
     ];
     assert!(!active_wave.observe(now, &list));
     assert_eq!(active_wave.draining().len(), 2);
-    assert!(active_wave.below_limit());
+    assert_eq!(active_wave.free_slots(), 1);
     active_wave.mark_requested(now, &"m1".into(), Some("w1".into()));
-    assert!(!active_wave.below_limit());
+    assert_eq!(active_wave.free_slots(), 0);
     active_wave.observe(now + MAINTENANCE_TIME * 3, &list);
-    assert!(
-        !active_wave.below_limit(),
+    assert_eq!(
+        active_wave.free_slots(),
+        0,
         "a command without a response may have been executed"
     );
     active_wave.mark_confirmed(&"m1".into());
@@ -62,7 +63,7 @@
         now + MAINTENANCE_TIME * 3,
         &[machine("m1", "w3", MachineState::Up), list[1].clone()],
     );
-    assert!(active_wave.below_limit());
+    assert_eq!(active_wave.free_slots(), 1);
 }
 
 /// Guards against reporting a live worker as terminated: a command for a machine whose maintenance
@@ -134,3 +135,42 @@
     assert!(!active_wave.is_urgent(now + Duration::from_secs(5)));
     assert!(active_wave.is_urgent(now + Duration::from_secs(10)));
 }
+
+/// Guards against more unavailable machines than the wave allows after a change of owner, against two
+/// owners that command one machine in turn, and against an owner that waits although it knows what
+/// the earlier one commanded.
+#[test]
+fn machines_that_an_earlier_owner_commanded_count_as_unavailable() {
+    let now = Instant::now();
+    let until = now + Duration::from_secs(3);
+    let names = ["m1", "m2", "m3", "m4", "m5"];
+    let mut active_wave = ActiveWave::new(now, wave(&names, 3), BTreeSet::new(), MAINTENANCE_TIME);
+    // The list shows the maintenance of m2, and not yet that of m1; m9 is not part of the wave.
+    active_wave.inherit(["m1", "m9"].map(Name::from).into(), until);
+    let mut list: Vec<Machine> = names
+        .iter()
+        .map(|m| machine(m, m, MachineState::Up))
+        .collect();
+    list[1].state = MachineState::Maintenance;
+    assert!(!active_wave.observe(now, &list));
+    assert_eq!(active_wave.free_slots(), 1);
+    assert_eq!(active_wave.draining(), ["m3", "m4"].map(Name::from));
+    list[1].state = MachineState::Up;
+    active_wave.observe(until, &list);
+    assert_eq!(active_wave.free_slots(), 3);
+    assert_eq!(
+        active_wave.draining(),
+        ["m1", "m2", "m3", "m4"].map(Name::from)
+    );
+}
+
+/// Guards against a wave that counts as completed while the last machines of an earlier owner are
+/// down.
+#[test]
+fn a_wave_waits_for_the_machines_of_an_earlier_owner() {
+    let now = Instant::now();
+    let started = BTreeSet::from(["m1".into()]);
+    let mut active_wave = ActiveWave::new(now, wave(&["m1"], 1), started, MAINTENANCE_TIME);
+    assert!(!active_wave.observe(now, &[machine("m1", "w1", MachineState::Maintenance)]));
+    assert!(active_wave.observe(now, &[machine("m1", "w2", MachineState::Up)]));
+}
