fleet: move machines to a peak while the store is slow

Each report whose quota grew cost the owner another append, and each check of the ownership a read before the append that confirms it as well. Ruled out: processor time (tasks of that process run 1.8 ms late at most), and the maintenance commands alone (with these sent together, moves_expired again at 16.7 s).

Change: one append holds the origins and the commands of a turn's moves, and comes before the release of the workers. Commands go out only while that append is younger than half of the time for which a successor leaves these machines alone. Requests that have arrived together share an append. An owner that stores ages needs no check besides.

Load: peaks beyond a pool's capacity while calls to the store take 0.3 to 0.5 s.

Evidence: the_records_of_moves_take_one_call_to_the_store (before: two).

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -45,6 +45,7 @@
 use crate::router::LocalRequest;
 use crate::router::Router;
 use crate::shard_id::ShardId;
+use crate::shard_quotas::QuotaGrant;
 use crate::shard_quotas::ShardQuotas;
 use crate::status::FleetView;
 use crate::status::LoadView;
@@ -179,19 +180,19 @@
         let pause =
             (last_reconciled + interval).saturating_duration_since(fleet.context.clock.now());
         let result = tokio::select! {
-            Some(request) = requests.recv() => match request {
-                LocalRequest::Release(done) => {
+            Some(request) = requests.recv() => {
+                let (sent, release) = split_requests(request, &mut requests);
+                let result = fleet.handle_requests(sent).await;
+                if let (Ok(()), Some(done)) = (result, release) {
                     let stored = tokio::time::timeout(RELEASE_RECORD_TIMEOUT, fleet.store_ages());
-                    if !matches!(stored.await, Ok(Ok(()))) {
+                    if !matches!(stored.await, Ok(Ok(_))) {
                         // The successor uses the ages that were stored before.
                         log::info!(token = fleet.fencing_token; "command_ages_not_stored");
                     }
                     break Some(done);
                 }
-                LocalRequest::Send(request, responder) => fleet
-                    .handle_request(request, responder)
-                    .await,
-            },
+                result
+            }
             Some(list) = waves.recv() => fleet.update_waves(list).await,
             () = tokio::time::sleep(pause) => {
                 fleet.has_shortage = false;
@@ -211,6 +212,45 @@
     }
 }
 
+/// Encodes a record of the fleet shard.
+///
+/// # Errors
+///
+/// Returns [`OwnershipLost`] if the value can't be encoded: the owner stops rather than go on with a
+/// state that is not stored.
+fn encode_record<T: serde::Serialize>(key: String, value: &T) -> Result<Record, OwnershipLost> {
+    match postcard::to_allocvec(value) {
+        Ok(value) => Ok(Record {
+            key,
+            value: Some(value),
+        }),
+        Err(error) => {
+            log::error!(key:display, error:display; "record_encode_failed");
+            Err(OwnershipLost)
+        }
+    }
+}
+
+/// A request of another process or of this one, and where its response goes.
+type SentRequest = (ShardRequest, oneshot::Sender<ShardResponse>);
+
+/// Takes the requests that have arrived, and a request to release the shard if there is one.
+fn split_requests(
+    first: LocalRequest,
+    requests: &mut mpsc::Receiver<LocalRequest>,
+) -> (Vec<SentRequest>, Option<oneshot::Sender<()>>) {
+    let (mut sent, mut release) = (Vec::new(), None);
+    let mut next = Some(first);
+    while let Some(request) = next {
+        match request {
+            LocalRequest::Send(request, responder) => sent.push((request, responder)),
+            LocalRequest::Release(done) => release = Some(done),
+        }
+        next = requests.try_recv().ok();
+    }
+    (sent, release)
+}
+
 impl Fleet {
     /// Restores the state from a record of an earlier owner.
     fn restore(&mut self, key: &str, value: &[u8]) {
@@ -267,35 +307,50 @@
         }
     }
 
-    async fn handle_request(
-        &mut self,
-        request: ShardRequest,
-        responder: oneshot::Sender<ShardResponse>,
-    ) -> Result<(), OwnershipLost> {
-        let response = match request {
-            ShardRequest::ReportUsage(report) => {
-                let now = self.context.clock.now();
-                for (pool, demand) in &report.pools {
-                    self.has_shortage |= demand.is_short();
-                    let pool = Arc::clone(pool);
-                    self.demands.insert(pool, (now, demand.clone()));
+    /// Handles the requests that have arrived. What they change is stored together before any of them
+    /// is answered, so that a slow store delays the owner once.
+    async fn handle_requests(&mut self, requests: Vec<SentRequest>) -> Result<(), OwnershipLost> {
+        let mut records = Vec::new();
+        let mut automatic = self.automatic;
+        let mut switched = Vec::new();
+        let mut responses = Vec::new();
+        for (request, responder) in requests {
+            let response = match request {
+                ShardRequest::ReportUsage(report) => {
+                    let now = self.context.clock.now();
+                    for (pool, demand) in &report.pools {
+                        self.has_shortage |= demand.is_short();
+                        let pool = Arc::clone(pool);
+                        self.demands.insert(pool, (now, demand.clone()));
+                    }
+                    let grant = self.update_quotas(&report);
+                    if grant.increased {
+                        let key = format!("{QUOTA_PREFIX}{}", report.shard);
+                        records.push(encode_record(key, &grant.quotas)?);
+                    }
+                    ShardResponse::Quotas(grant.quotas)
                 }
-                self.grant_quotas(&report).await?
-            }
-            ShardRequest::FleetStatus => ShardResponse::Fleet(Box::new(self.view())),
-            ShardRequest::SetSwitch { action, on } => {
-                let mut automatic = self.automatic;
-                automatic.set(action, on);
-                self.store(SWITCHES_KEY.to_owned(), &automatic).await?;
-                self.automatic = automatic;
-                let action = action.map_or_else(|| "all".to_owned(), |a| a.to_string());
-                log::info!(action = &*action, on; "automatic_switched");
-                ShardResponse::Accepted
-            }
-            _ => ShardResponse::NotOwner,
-        };
-        // The caller may have stopped waiting; it repeats the request.
-        let _ = responder.send(response);
+                ShardRequest::FleetStatus => ShardResponse::Fleet(Box::new(self.view())),
+                ShardRequest::SetSwitch { action, on } => {
+                    automatic.set(action, on);
+                    records.push(encode_record(SWITCHES_KEY.to_owned(), &automatic)?);
+                    switched.push((action, on));
+                    ShardResponse::Accepted
+                }
+                _ => ShardResponse::NotOwner,
+            };
+            responses.push((responder, response));
+        }
+        self.append(&records).await?;
+        self.automatic = automatic;
+        for (action, on) in switched {
+            let action = action.map_or_else(|| "all".to_owned(), |a| a.to_string());
+            log::info!(action = &*action, on; "automatic_switched");
+        }
+        for (responder, response) in responses {
+            // The caller may have stopped waiting; it repeats the request.
+            let _ = responder.send(response);
+        }
         Ok(())
     }
 
@@ -321,17 +376,12 @@
         }
     }
 
-    /// Computes the quotas of a shard and stores them before they are granted if any increased.
-    async fn grant_quotas(&mut self, report: &ShardUsage) -> Result<ShardResponse, OwnershipLost> {
+    /// Computes the quotas of a shard. Increased ones have to be stored before they are granted.
+    fn update_quotas(&mut self, report: &ShardUsage) -> QuotaGrant {
         let config = self.context.current_config.load();
         let shards = config.shards().len().saturating_sub(1);
         let limits = config.team_limits();
-        let grant = self.quotas.update(&limits, shards, report);
-        if grant.increased {
-            let key = format!("{QUOTA_PREFIX}{}", report.shard);
-            self.store(key, &grant.quotas).await?;
-        }
-        Ok(ShardResponse::Quotas(grant.quotas))
+        self.quotas.update(&limits, shards, report)
     }
 
     /// Appends a record, which also confirms the ownership.
@@ -340,19 +390,17 @@
         key: String,
         value: &T,
     ) -> Result<(), OwnershipLost> {
-        let value = match postcard::to_allocvec(value) {
-            Ok(value) => value,
-            Err(error) => {
-                log::error!(key:display, error:display; "record_encode_failed");
-                return Err(OwnershipLost);
-            }
-        };
-        let record = Record {
-            key,
-            value: Some(value),
-        };
+        let record = encode_record(key, value)?;
+        self.append(&[record]).await
+    }
+
+    /// Appends records, which also confirms the ownership if there are any.
+    async fn append(&mut self, records: &[Record]) -> Result<(), OwnershipLost> {
+        if records.is_empty() {
+            return Ok(());
+        }
         let sent = self.context.clock.now();
-        self.appender.append(&[record]).await?;
+        self.appender.append(records).await?;
         self.confirmed_at = sent;
         Ok(())
     }
@@ -572,22 +620,22 @@
         }
     }
 
-    /// Stores the current ages of the commands if they differ from the stored ones.
-    async fn store_ages(&mut self) -> Result<(), OwnershipLost> {
+    /// Stores the current ages of the commands if they differ from the stored ones. Returns whether
+    /// they do.
+    async fn store_ages(&mut self) -> Result<bool, OwnershipLost> {
         match self.commands.refresh_ages(self.context.clock.now()) {
-            Some(to_store) => self.store(COMMANDS_KEY.to_owned(), &to_store).await,
-            None => Ok(()),
+            Some(to_store) => {
+                self.store(COMMANDS_KEY.to_owned(), &to_store).await?;
+                Ok(true)
+            }
+            None => Ok(false),
         }
     }
 
-    /// Checks that this process still owns the shard, and stores the ages of the commands. Returns
-    /// `false` if the store can't be read.
+    /// Stores the ages of the commands, which also confirms that this process still owns the shard,
+    /// or else checks that. Returns `false` if the store can't be read.
     async fn check_ownership_and_ages(&mut self) -> Result<bool, OwnershipLost> {
-        let is_owner = self.check_ownership().await?;
-        if is_owner {
-            self.store_ages().await?;
-        }
-        Ok(is_owner)
+        Ok(self.store_ages().await? || self.check_ownership().await?)
     }
 
     /// Checks that this process still owns the shard. Returns `false` if the store can't be read.
--- a/crates/node/src/fleet/moves.rs
+++ b/crates/node/src/fleet/moves.rs
@@ -10,9 +10,11 @@
 use lavenderhollow_shard::PoolDemand;
 use lavenderhollow_shard::Record;
 
+use super::COMMANDS_KEY;
 use super::DRAIN_GRANT_TTL;
 use super::Fleet;
 use super::MAX_LIST_AGE;
+use super::encode_record;
 use crate::appender::OwnershipLost;
 use crate::automatic::FleetAction;
 use crate::backend::Machine;
@@ -64,18 +66,20 @@
         if moves.is_empty() {
             return Ok(());
         }
-        let requested_at = self.context.clock.now();
-        let moves = self.request_releases(moves).await;
-        self.store_origins(&moves).await?;
-        let names: Vec<Name> = moves.iter().map(|m| Arc::clone(&m.machine)).collect();
-        if !self.record_commands(&names).await? {
+        if !self.record_moves(&moves).await? {
             return Ok(());
         }
+        // A slow store delays the moves only before the workers are released: a release is valid for
+        // a short time.
+        let requested_at = self.context.clock.now();
+        let moves = self.request_releases(moves).await;
         let now = self.context.clock.now();
-        let age = now.saturating_duration_since(requested_at);
-        if age > DRAIN_GRANT_TTL {
+        let age = |since| now.saturating_duration_since(since);
+        let (released, confirmed) = (age(requested_at), age(self.confirmed_at));
+        if released > DRAIN_GRANT_TTL || confirmed > self.context.takeover_delay / 2 {
             log::info!(
-                machines = moves.len(), age_ms = age.as_millis() as u64; "moves_expired"
+                machines = moves.len(), released_ms = released.as_millis() as u64,
+                confirmed_ms = confirmed.as_millis() as u64; "moves_expired"
             );
             return Ok(());
         }
@@ -149,8 +153,24 @@
         released.into_iter().flatten().collect()
     }
 
-    /// Stores the origin pools of machines that are about to move, so that a successor knows them.
-    async fn store_origins(&mut self, moves: &[PlannedMove]) -> Result<(), OwnershipLost> {
+    /// Stores that machines are about to move, or only checks the ownership if that is stored
+    /// already. Returns whether the commands may be sent, see [`Fleet::record_commands`].
+    async fn record_moves(&mut self, moves: &[PlannedMove]) -> Result<bool, OwnershipLost> {
+        let names: Vec<Name> = moves.iter().map(|m| Arc::clone(&m.machine)).collect();
+        let mut records = self.origin_records(moves);
+        if let Some(to_store) = self.commands.begin(self.context.clock.now(), &names) {
+            records.push(encode_record(COMMANDS_KEY.to_owned(), &to_store)?);
+        }
+        if records.is_empty() {
+            return self.check_ownership().await;
+        }
+        self.append(&records).await?;
+        Ok(true)
+    }
+
+    /// Returns the records of the origin pools of machines that are about to move, so that a successor
+    /// knows them. Each is returned once.
+    fn origin_records(&mut self, moves: &[PlannedMove]) -> Vec<Record> {
         let mut records = Vec::new();
         for planned in moves {
             if !self.stored_origins.insert(Arc::clone(&planned.machine)) {
@@ -165,13 +185,7 @@
                 value: Some(origin.as_bytes().to_vec()),
             });
         }
-        if records.is_empty() {
-            return Ok(());
-        }
-        let sent = self.context.clock.now();
-        self.appender.append(&records).await?;
-        self.confirmed_at = sent;
-        Ok(())
+        records
     }
 
     /// Sends the move commands at the same time and records their responses. One after the other,
