node: notice a configuration that can't be decoded, and restart tasks that panic

Two faults of the process that follows the operators' topic: 1. A configuration that can't be decoded kept the one before from being confirmed by that read alone. The next read had nothing new and confirmed it, so that a key that the later configuration withdraws stayed valid. 2. A panic in a background task ended this task for good. The process went on as a member, and followed no configuration, no registrations or no owners any more.

Change: nothing is confirmed until a later configuration is decoded.

Evidence: a_configuration_is_not_confirmed_while_a_later_one_is_invalid and the_configuration_is_followed_after_a_panic fail without the changes (the process stays ready; it is never ready again).

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,6 +30,7 @@
 mod shard_manager;
 mod shard_quotas;
 mod status;
+mod supervisor;
 mod topic_cache;
 mod wave;
 mod worker_registry;
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -14,6 +14,7 @@
 use crate::router::Router;
 use crate::shard_manager::STORE_RETRY_DELAY;
 use crate::shard_manager::lock;
+use crate::supervisor;
 
 /// How often the process renews its membership in the store; several times per [`MEMBER_TTL`].
 const JOIN_INTERVAL: Duration = Duration::from_millis(400);
@@ -107,8 +108,14 @@
 
     /// Starts the background tasks that renew the membership and read the members.
     pub(crate) fn start(self: &Arc<Self>) {
-        tokio::spawn(Arc::clone(self).renew_periodically());
-        tokio::spawn(Arc::clone(self).follow_members());
+        let membership = Arc::clone(self);
+        supervisor::spawn("renew_periodically", move || {
+            Arc::clone(&membership).renew_periodically()
+        });
+        let membership = Arc::clone(self);
+        supervisor::spawn("follow_members", move || {
+            Arc::clone(&membership).follow_members()
+        });
     }
 
     /// Renews the membership at fixed times. A renewal waits for nothing else: neither for the
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -29,6 +29,7 @@
 use crate::router::RouterHandler;
 use crate::shard_manager::ManagerContext;
 use crate::shard_manager::ShardManager;
+use crate::supervisor;
 use crate::topic_cache::TopicCache;
 
 /// How long one read of the operators' topic waits for a new record. The configuration counts as
@@ -124,12 +125,15 @@
         });
         manager.start();
         tokio::spawn(load_monitor::run(Arc::clone(&router), Arc::clone(&clock)));
-        tokio::spawn(follow_operator_topic(
-            platform,
-            Arc::clone(&current_config),
-            Arc::clone(&clock),
-            waves,
-        ));
+        let (config, config_clock) = (Arc::clone(&current_config), Arc::clone(&clock));
+        supervisor::spawn("follow_operator_topic", move || {
+            follow_operator_topic(
+                platform.clone(),
+                Arc::clone(&config),
+                Arc::clone(&config_clock),
+                waves.clone(),
+            )
+        });
         let max_config_age = settings.key_revocation.mul_f64(CONFIG_AGE_FRACTION);
         if let Some(metrics) = metrics {
             let context = OperatorContext {
@@ -191,6 +195,9 @@
     waves: watch::Sender<Vec<Wave>>,
 ) {
     let mut cache = TopicCache::new(Topic::Operator);
+    // Whether the latest configuration could be decoded. While it can't, the one in force is not known
+    // to be up to date: the latest may withdraw keys.
+    let mut is_valid = true;
     let mut unreachable_since: Option<Instant> = None;
     loop {
         let read_started = clock.now();
@@ -200,7 +207,6 @@
                     let outage = clock.now().saturating_duration_since(since);
                     log::info!(away_ms = outage.as_millis() as u64; "store_recovered");
                 }
-                let mut is_valid = true;
                 for (key, value) in &changes.changed {
                     let Some(value) = value else {
                         continue;
--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -29,6 +29,7 @@
 use crate::router::OwnerHandle;
 use crate::router::Router;
 use crate::shard_id::ShardId;
+use crate::supervisor;
 use crate::topic_cache::TopicCache;
 use crate::worker_registry::WorkerRegistry;
 
@@ -101,11 +102,20 @@
     /// and claim shards.
     pub(crate) fn start(self: &Arc<Self>) {
         self.membership.start();
-        tokio::spawn(Arc::clone(self).watch_owners());
+        let manager = Arc::clone(self);
+        supervisor::spawn("watch_owners", move || Arc::clone(&manager).watch_owners());
         let registry = Arc::clone(&self.registry);
-        let clock = Arc::clone(&self.context.clock);
-        tokio::spawn(registry.run(self.context.platform.clone(), clock));
-        tokio::spawn(Arc::clone(self).claim_periodically());
+        let (platform, clock) = (
+            self.context.platform.clone(),
+            Arc::clone(&self.context.clock),
+        );
+        supervisor::spawn("worker_registry", move || {
+            Arc::clone(&registry).run(platform.clone(), Arc::clone(&clock))
+        });
+        let manager = Arc::clone(self);
+        supervisor::spawn("claim_periodically", move || {
+            Arc::clone(&manager).claim_periodically()
+        });
     }
 
     /// Returns whether [`Self::stop`] was called.
--- a/crates/node/src/worker_registry.rs
+++ b/crates/node/src/worker_registry.rs
@@ -138,7 +138,10 @@
     /// Reads the topic for as long as the process runs, pausing while there are no subscribers.
     pub(crate) async fn run(self: Arc<Self>, platform: Platform, clock: Arc<dyn Clock>) {
         loop {
-            self.subscribed.notified().await;
+            // After a restart of this task there may be subscribers already.
+            if !self.has_subscribers() {
+                self.subscribed.notified().await;
+            }
             self.follow_topic(&platform, &*clock).await;
         }
     }
--- a/crates/node/tests/memory_store.rs
+++ b/crates/node/tests/memory_store.rs
@@ -342,11 +342,21 @@
     }
 }
 
+/// A configuration that can't be decoded.
+pub(crate) const INVALID_CONFIG: &[u8] = b"invalid";
+
+/// A configuration whose decoding panics.
+pub(crate) const PANICKING_CONFIG: &[u8] = b"panic";
+
 /// Decodes a configuration that has the names of its pools, separated by spaces.
 struct PoolCodec;
 
 impl Codec for PoolCodec {
     fn config(&self, value: &[u8]) -> Result<ClusterConfig, String> {
+        assert_ne!(value, PANICKING_CONFIG);
+        if value == INVALID_CONFIG {
+            return Err("invalid".to_owned());
+        }
         let names = String::from_utf8_lossy(value);
         let pools = names.split_whitespace().map(|name| Pool {
             name: name.into(),
--- /dev/null
+++ b/crates/node/tests/test_operator_topic.rs
@@ -0,0 +1,43 @@
+//! Tests of how a process follows what operators publish.
+
+use std::time::Duration;
+
+use lavenderhollow_node::backend::Topic;
+
+use crate::memory_store::INVALID_CONFIG;
+use crate::memory_store::MemoryStore;
+use crate::memory_store::PANICKING_CONFIG;
+
+/// A time after which a configuration that is not confirmed any more is too old to check keys with.
+const LONG_TIME: Duration = Duration::from_secs(6);
+
+/// Guards against a withdrawn key that stays valid because the configuration that withdraws it can't
+/// be decoded, and the one before is taken for the latest.
+#[tokio::test(start_paused = true)]
+async fn a_configuration_is_not_confirmed_while_a_later_one_is_invalid() {
+    let store = MemoryStore::new();
+    let node = store.start_node("vm-1").await;
+    tokio::time::sleep(LONG_TIME).await;
+    assert!(node.is_ready());
+    store.state().put(Topic::Operator, "config", INVALID_CONFIG);
+    tokio::time::sleep(LONG_TIME).await;
+    assert!(!node.is_ready());
+    store.state().put(Topic::Operator, "config", b"");
+    tokio::time::sleep(LONG_TIME).await;
+    assert!(node.is_ready());
+}
+
+/// Guards against a process that follows no configuration any more after an unexpected error.
+#[tokio::test(start_paused = true)]
+async fn the_configuration_is_followed_after_a_panic() {
+    let store = MemoryStore::new();
+    let node = store.start_node("vm-1").await;
+    store
+        .state()
+        .put(Topic::Operator, "config", PANICKING_CONFIG);
+    tokio::time::sleep(LONG_TIME).await;
+    assert!(!node.is_ready());
+    store.state().put(Topic::Operator, "config", b"");
+    tokio::time::sleep(LONG_TIME).await;
+    assert!(node.is_ready());
+}
