shard: notice lost responses of workers sooner

Cause: a long poll whose response is lost hides the runs that finish meanwhile for its wait and the time limit of a call, 2.0 s, and the worker got no tasks until 0.3 s later.

Change: after the first lost response a worker is polled again at once. While responses are lost, and for 3 s after, polls wait 0.4 s.

Load: peaks while workers leave some calls without a response (carried out late, or not at all).

Evidence: test_lossy_polls.rs; both tests fail without the change.

--- a/crates/shard/src/polling.rs
+++ b/crates/shard/src/polling.rs
@@ -25,6 +25,14 @@
 /// takes to end them.
 pub(crate) const EXPIRY_MARGIN: Duration = Duration::from_millis(150);
 
+/// How long after a poll without a response the workers are polled with short waits.
+const LOSSY_PERIOD: Duration = Duration::from_secs(3);
+
+/// How long a worker may delay the response to a poll while responses of workers are lost. A poll
+/// takes this and the time limit of a call until its loss is noticed, so that the wait is shorter than
+/// that time limit; the workers are polled at most three times as often.
+const LOSSY_POLL_WAIT: Duration = Duration::from_millis(400);
+
 /// Why a poll of a worker failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PollFailure {
@@ -102,6 +110,14 @@
     /// Sends the polls that are due.
     pub(crate) fn send_polls(&mut self, now: Instant) {
         let timings = self.timings;
+        // A long poll without a response hides the runs that finish meanwhile for its whole wait.
+        let is_lossy = self
+            .last_unanswered
+            .is_some_and(|at| now.saturating_duration_since(at) < LOSSY_PERIOD);
+        let poll_wait = match is_lossy {
+            true => timings.poll_wait.min(LOSSY_POLL_WAIT),
+            false => timings.poll_wait,
+        };
         let due = self.workers.iter();
         let due = due.filter(|(_, w)| !w.poll_pending && w.next_poll <= now);
         let due: Vec<Name> = due.map(|(id, _)| Arc::clone(id)).collect();
@@ -125,11 +141,7 @@
             let request = PollRequest {
                 lease_deadline,
                 acked_until: worker.stored_seq,
-                wait: if may_wait {
-                    timings.poll_wait
-                } else {
-                    Duration::ZERO
-                },
+                wait: if may_wait { poll_wait } else { Duration::ZERO },
             };
             self.effects.push(Effect::Poll(worker_id, request));
         }
@@ -149,6 +161,11 @@
         worker.poll_pending = false;
         worker.next_poll = at.now + retry;
         if worker.reachable {
+            if failure == PollFailure::NoResponse {
+                // Most workers that miss one call respond to the next.
+                worker.next_poll = at.now;
+                self.last_unanswered = Some(at.now);
+            }
             worker.mark_unreachable(at.now);
             self.log_event("worker_unreachable", worker_id, || {
                 format!("cause={failure:?}")
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -173,6 +173,8 @@
     pub(crate) settled: bool,
     /// When the next placement pass may be made.
     pub(crate) next_pass: Instant,
+    /// When a poll of a reachable worker last got no response.
+    pub(crate) last_unanswered: Option<Instant>,
     pub(crate) workers: Workers,
     /// The load of the unfinished jobs on each pool.
     pub(crate) backlog: Backlog,
@@ -219,6 +221,7 @@
             due: BTreeSet::new(),
             settled: false,
             next_pass: now,
+            last_unanswered: None,
             workers: Workers::default(),
             backlog: Backlog::default(),
             terminated_incarnations: BTreeMap::new(),
--- a/crates/shard/tests/runner.rs
+++ b/crates/shard/tests/runner.rs
@@ -7,6 +7,7 @@
 mod test_job;
 mod test_kinds;
 mod test_lease;
+mod test_lossy_polls;
 mod test_overload;
 mod test_selection;
 mod test_shard;
