node: answer callers in time while no connection to the owner opens

Cause: a call to a peer waited up to 0.4 s for a connection, however little of the caller's time was left.

Change: the time for a connection counts against that of the call. The connection goes on opening for the next one.

--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -83,10 +83,16 @@
         timeout: Duration,
     ) -> Result<ShardResponse, PeerError> {
         let span = parent.map(|context| Span::child("peer", context));
+        let deadline = tokio::time::Instant::now() + timeout;
         let connection = self.connection(address);
-        let client = self.client(address, &connection).await?;
+        let client = tokio::time::timeout_at(deadline, self.client(address, &connection));
+        // The connection is still being opened for the next call.
+        let client = client.await.map_err(|_| PeerError::NotSent {
+            detail: "no connection in time".to_owned(),
+        })??;
+        let remaining = deadline.saturating_duration_since(tokio::time::Instant::now());
         let context = span.as_ref().map(Span::context);
-        let call = client.send(rpc_context(timeout), context, shard, request);
+        let call = client.send(rpc_context(remaining), context, shard, request);
         let result = call.await;
         self.handle_result(address, &connection, result)
     }
--- a/crates/node/tests/memory_store.rs
+++ b/crates/node/tests/memory_store.rs
@@ -308,7 +308,7 @@
 }
 
 /// The time of the paused runtime.
-struct SimulatedClock;
+pub(crate) struct SimulatedClock;
 
 impl Clock for SimulatedClock {
     fn now(&self) -> std::time::Instant {
--- a/crates/node/tests/test_peers.rs
+++ b/crates/node/tests/test_peers.rs
@@ -1,6 +1,8 @@
 //! Tests of the connections to peers, which a listener that never responds counts.
 
 use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -14,6 +16,9 @@
 use lavenderhollow_node::ShardRequest;
 use lavenderhollow_types::Clock;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+
+use crate::memory_store::SimulatedClock;
 
 const SHARD: ShardId = ShardId(7);
 
@@ -40,14 +45,25 @@
             connections.push(connection);
         }
     });
+    (router_to(&address, clock), accepted)
+}
+
+/// Returns a router that knows an owner at an address.
+fn router_to(address: &str, clock: Arc<dyn Clock>) -> Arc<Router> {
     let router = Arc::new(Router::new(member("vm-1", "127.0.0.1:1"), clock));
     let owner = Ownership {
-        member: member("vm-2", &address),
+        member: member("vm-2", address),
         fencing_token: 1,
         released: false,
     };
     router.cluster().update_owner(SHARD, owner);
-    (router, accepted)
+    router
+}
+
+/// Opens connections to a listener that accepts none, until further ones are not answered.
+fn fill_backlog(address: SocketAddr) -> Vec<TcpStream> {
+    let open = || TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok();
+    std::iter::from_fn(open).collect()
 }
 
 /// Sends a request that gets no response within `limit`.
@@ -93,3 +109,20 @@
     }
     assert_eq!(before_second_fails, 2);
 }
+
+/// Guards against a caller that gets no response because its entry VM waits for a connection to the
+/// owner beyond the caller's deadline, as in a zone that is cut off.
+#[tokio::test(start_paused = true)]
+async fn a_request_fails_by_its_deadline_while_no_connection_opens() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    let _connections = fill_backlog(address);
+    let clock: Arc<dyn Clock> = Arc::new(SimulatedClock);
+    let router = router_to(&address.to_string(), Arc::clone(&clock));
+    let (start, limit) = (clock.now(), Duration::from_millis(100));
+    send(router, Arc::clone(&clock), limit).await;
+    let taken = clock.now() - start;
+    assert!(taken < limit * 2, "{taken:?}");
+}
