--- a/crates/shard/tests/test_simulation.rs
+++ b/crates/shard/tests/test_simulation.rs
@@ -197,7 +197,6 @@
 /// a deadline on the clock of its earlier incarnation, and holds its lease for longer than the owner
 /// knows. Found with WORLD_SEED=77.
 #[test]
-#[ignore = "KNOWN-RED.txt"]
 fn a_start_with_the_deadline_of_an_earlier_incarnation_extends_no_lease() {
     let mut simulation = Simulation::new(WORKERS);
     for op in [
@@ -217,6 +216,28 @@
     simulation.run_to_completion();
 }
 
+/// Guards against the same fault when the start is on its way while the worker restarts, after a change
+/// of owner. Found with WORLD_SEED=13.
+#[test]
+#[ignore = "KNOWN-RED.txt"]
+fn a_start_under_way_while_its_worker_restarts_extends_no_lease() {
+    let mut simulation = Simulation::new(LEASE_WORKERS);
+    for op in [
+        Op::Fault(Fault::OwnerCrash(0)),
+        Op::Fault(Fault::LinkCut(1, 0, 77)),
+        Op::Wait(29),
+        Op::SubmitLong(1),
+        Op::Fault(Fault::WorkerRestart(0)),
+        Op::Fault(Fault::Partition(0, 212)),
+        Op::Wait(32),
+        Op::Wait(87),
+        Op::Wait(89),
+    ] {
+        simulation.apply(op);
+    }
+    simulation.run_to_completion();
+}
+
 /// Guards against any violation of the rules that the simulation checks, under random faults.
 #[test]
 fn the_rules_hold_under_faults() {
