node: log a check of the ownership that fails

An owner that ended because the partition ended elsewhere, or because a worker had seen a later fencing token, left only "shard_owner_stopped" in the log: the reasons could not be told apart. The check now logs the offset that it expected and the one that it found, and the owner the stale token.

--- a/crates/node/src/appender.rs
+++ b/crates/node/src/appender.rs
@@ -96,12 +96,16 @@
             .store
             .read(self.topic, self.end_offset, Duration::ZERO)
             .await?;
-        match page.end_offset == self.end_offset {
-            true => Ok(()),
-            false => Err(StoreError::OffsetMismatch {
-                end_offset: page.end_offset,
-            }),
+        if page.end_offset == self.end_offset {
+            return Ok(());
         }
+        log::info!(
+            topic:display = self.topic, expected = self.end_offset, end = page.end_offset;
+            "ownership_check_mismatch"
+        );
+        Err(StoreError::OffsetMismatch {
+            end_offset: page.end_offset,
+        })
     }
 
     /// Reads the records at the expected end to find out whether an earlier copy of this append
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -388,6 +388,10 @@
             self.shard.tick(at);
         }
         if self.shard.is_superseded() {
+            log::info!(
+                shard:display = self.context.shard_id, token = self.fencing_token;
+                "fencing_token_stale"
+            );
             return Err(OwnershipLost);
         }
         let decided_at = self.add_work(Work::Decisions, at.now);
