node: don't take an owner's own append for a successor's

Cause: an owner without appends for 1.5 s reads the end of its partition. If an append of the same owner starts while that read is under way, the read may see the end after the append. The mismatch was ignored only while the append was still in progress; when its response was handled first, the owner took its own records for those of a successor and stopped.

Change: the result of a check names the offset at which the partition was expected to end. A mismatch counts only if the owner's end is still at that offset.

Test: an_append_during_a_check_ends_no_owner failed before (the twenty submissions end with no owner), and passes.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -83,7 +83,8 @@
     Throttled(Name, RunId, bool),
     Stored(Instant, Result<Appender, OwnershipLost>),
     PolicyAnswered(StepId, Option<PolicyDecision>),
-    OwnershipChecked(Instant, Result<(), StoreError>),
+    /// The check began at the given time, when the partition was expected to end at the offset.
+    OwnershipChecked(Instant, u64, Result<(), StoreError>),
     Quotas(Option<Vec<(Name, Resources)>>),
 }
 
@@ -341,12 +342,11 @@
                 self.record_confirmation(sent);
                 self.shard.batch_stored(at);
             }
-            Event::OwnershipChecked(sent, result) => {
+            Event::OwnershipChecked(sent, offset, result) => {
                 self.check_pending = false;
                 match result {
                     Ok(()) => self.record_confirmation(sent),
-                    // An append of this owner is in progress and may have moved the end.
-                    Err(StoreError::OffsetMismatch { .. }) if self.appender.is_none() => {}
+                    Err(StoreError::OffsetMismatch { .. }) if self.has_appended_since(offset) => {}
                     Err(StoreError::OffsetMismatch { .. }) => return Err(OwnershipLost),
                     Err(error) => {
                         log::warn!(
@@ -366,6 +366,13 @@
         Ok(())
     }
 
+    /// Returns whether an append of this owner has moved the end of the partition from `offset`, or is
+    /// in progress and may have done so.
+    fn has_appended_since(&self, offset: u64) -> bool {
+        let end = self.appender.as_ref().map(Appender::end_offset);
+        end != Some(offset)
+    }
+
     /// Records that this process owned the shard at the time `sent`.
     fn record_confirmation(&mut self, sent: Instant) {
         self.confirmed_at = self.confirmed_at.max(sent);
@@ -470,7 +477,8 @@
                 // Delays the next check, so that a failing store is not called without a pause.
                 tokio::time::sleep(Duration::from_millis(200)).await;
             }
-            send_event(&events, Event::OwnershipChecked(now, result)).await;
+            let event = Event::OwnershipChecked(now, appender.end_offset(), result);
+            send_event(&events, event).await;
         });
     }
 
--- a/crates/node/tests/memory_store.rs
+++ b/crates/node/tests/memory_store.rs
@@ -15,6 +15,7 @@
 use lavenderhollow_node::Node;
 use lavenderhollow_node::NodeSettings;
 use lavenderhollow_node::Pool;
+use lavenderhollow_node::Route;
 use lavenderhollow_node::Wave;
 use lavenderhollow_node::backend::Codec;
 use lavenderhollow_node::backend::Entry;
@@ -59,6 +60,8 @@
     pub(crate) joins: Vec<Instant>,
     /// How long reads, appends and calls to leave take.
     pub(crate) call_time: Duration,
+    /// How much longer reads of a shard's partition take, before they see its end.
+    pub(crate) shard_read_time: Duration,
     /// How long a call to join takes; it takes effect after half of it.
     pub(crate) join_time: Duration,
     /// How long the response with the members takes.
@@ -71,6 +74,8 @@
     pub(crate) owners_hang: bool,
     /// Whether someone else appends to a shard after each read of its end.
     pub(crate) rival_appends: bool,
+    /// Whether the store rejects appends to the owners' topic.
+    pub(crate) owner_appends_fail: bool,
     /// Whether the store rejects all calls.
     pub(crate) outage: bool,
     /// How many appends failed because the topic ended elsewhere.
@@ -133,12 +138,8 @@
 
     /// Returns an error if the store is unavailable.
     fn check_available(&self) -> Result<(), StoreError> {
-        match self.state().outage {
-            true => Err(StoreError::Rejected {
-                detail: "unavailable".to_owned(),
-            }),
-            false => Ok(()),
-        }
+        let outage = self.state().outage;
+        reject_if(outage)
     }
 
     /// Waits until the caller gives up if responses are lost.
@@ -194,6 +195,7 @@
         records: &[Record],
     ) -> Result<u64, StoreError> {
         self.check_available()?;
+        reject_if(topic == Topic::Owners && self.state().owner_appends_fail)?;
         let result = {
             let mut state = self.state();
             let log = state.topics.entry(topic).or_default();
@@ -214,6 +216,10 @@
         self.check_available()?;
         let deadline = Instant::now() + wait;
         self.delay().await;
+        if matches!(topic, Topic::Shard(_)) {
+            let time = self.state().shard_read_time;
+            tokio::time::sleep(time).await;
+        }
         while topic == Topic::Owners && !wait.is_zero() && self.state().owners_hang {
             tokio::time::sleep(READ_INTERVAL).await;
         }
@@ -299,6 +305,16 @@
     }
 }
 
+/// Returns an error if a call is rejected.
+fn reject_if(rejected: bool) -> Result<(), StoreError> {
+    match rejected {
+        true => Err(StoreError::Rejected {
+            detail: "unavailable".to_owned(),
+        }),
+        false => Ok(()),
+    }
+}
+
 fn entry((offset, record): (u64, &Record)) -> Entry {
     Entry {
         offset,
@@ -348,25 +364,55 @@
 /// A configuration whose decoding panics.
 pub(crate) const PANICKING_CONFIG: &[u8] = b"panic";
 
-/// Decodes a configuration that has the names of its pools, separated by spaces.
+/// The host of callers' requests to the queues of [`PoolCodec`].
+pub(crate) const HOST: &str = "jobs.test";
+
+/// Decodes a configuration of words, separated by spaces: `POOL` is a pool, `QUEUE>POOL` a queue at
+/// the path `/QUEUE/` and its pool, and `@N` the version.
 struct PoolCodec;
 
+fn route(queue: &str, pool: &str) -> Arc<Route> {
+    Arc::new(Route {
+        name: queue.into(),
+        host: HOST.into(),
+        prefix: format!("/{queue}/").into(),
+        pool: pool.into(),
+        allow_anonymous: true,
+        priority: 0,
+        max_attempts: 2,
+        slack_factor: 2.0,
+        base_objective: Duration::from_secs(1),
+        policy: None,
+    })
+}
+
 impl Codec for PoolCodec {
     fn config(&self, value: &[u8]) -> Result<ClusterConfig, String> {
         assert_ne!(value, PANICKING_CONFIG);
         if value == INVALID_CONFIG {
             return Err("invalid".to_owned());
         }
-        let names = String::from_utf8_lossy(value);
-        let pools = names.split_whitespace().map(|name| Pool {
-            name: name.into(),
-            standby: false,
-        });
-        Ok(ClusterConfig {
+        let mut config = ClusterConfig {
             version: 1,
-            pools: pools.collect(),
             ..ClusterConfig::default()
-        })
+        };
+        for word in String::from_utf8_lossy(value).split_whitespace() {
+            if let Some(version) = word.strip_prefix('@') {
+                config.version = version.parse().map_err(|_| word.to_owned())?;
+                continue;
+            }
+            let pool = word.split_once('>').map_or(word, |(queue, pool)| {
+                config.routes.push(route(queue, pool));
+                pool
+            });
+            if config.pools.iter().all(|p| &*p.name != pool) {
+                config.pools.push(Pool {
+                    name: pool.into(),
+                    standby: false,
+                });
+            }
+        }
+        Ok(config)
     }
 
     fn worker_info(&self, _: &str, _: &[u8]) -> Result<WorkerInfo, String> {
--- a/crates/node/tests/runner.rs
+++ b/crates/node/tests/runner.rs
@@ -7,6 +7,7 @@
 mod test_command_budget;
 mod test_membership;
 mod test_operator_topic;
+mod test_owner;
 mod test_peers;
 mod test_rebalancer;
 mod test_recent_commands;
--- /dev/null
+++ b/crates/node/tests/test_owner.rs
@@ -0,0 +1,64 @@
+//! Tests of how the owner of a pool's shard treats the outcomes of its calls to the store.
+
+use std::time::Duration;
+
+use lavenderhollow_node::ApiResponse;
+use lavenderhollow_node::Node;
+use lavenderhollow_node::ShardId;
+use lavenderhollow_node::Submission;
+use lavenderhollow_node::backend::Topic;
+use lavenderhollow_shard::JobId;
+use lavenderhollow_shard::Resources;
+use lavenderhollow_shard::Step;
+
+use crate::memory_store::HOST;
+use crate::memory_store::MemoryStore;
+
+/// A time after which a node that has just started owns its shards.
+const START_TIME: Duration = Duration::from_secs(5);
+
+/// The time after which an owner without appends checks its ownership.
+const CHECK_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// Submits a job with one task to a queue.
+pub(crate) async fn submit(node: &Node, queue: &str, id: u64) -> ApiResponse {
+    let api = node.job_api();
+    let path = format!("/{queue}/{id:016x}");
+    let authorized = match api.authorize(HOST, &path, None, None, None) {
+        Ok(authorized) => authorized,
+        Err(response) => return response,
+    };
+    let step = Step {
+        count: 1,
+        resources: Resources {
+            cpu: 1_000,
+            memory: 100,
+            gpu: 0,
+        },
+        estimate: Duration::from_millis(500),
+        ..Step::default()
+    };
+    let submission = Submission {
+        payload: "text".into(),
+        steps: vec![step],
+        repeat: None,
+    };
+    api.submit(&authorized, JobId(id), submission).await
+}
+
+/// Guards against an owner that takes its own append for that of a successor, because a check of its
+/// ownership reads the end of the partition after the append and is handled after it.
+#[tokio::test(start_paused = true)]
+async fn an_append_during_a_check_ends_no_owner() {
+    let store = MemoryStore::new();
+    store.state().put(Topic::Operator, "config", b"queue>pool");
+    let node = store.start_node("vm-1").await;
+    tokio::time::sleep(START_TIME).await;
+    store.state().shard_read_time = Duration::from_millis(300);
+    for id in 0..20 {
+        assert_eq!(submit(&node, "queue", id).await, ApiResponse::Accepted);
+        tokio::time::sleep(CHECK_INTERVAL + Duration::from_millis(15 * id)).await;
+    }
+    let topic = Topic::Shard(ShardId::of_pool("pool"));
+    assert_eq!(store.state().values(topic, "owner").len(), 1);
+}
