node: publish a shard as released when its owner has stopped by itself

Cause: an owner that ends with OwnershipLost left its published ownership as it was. Its process is a live member, so every process counted the shard as owned, and nobody claimed it. The owner need not have been wrong for this: a successor whose reads after the claim fail gives up unpublished, and the earlier owner's process may be a member again by then.

Change: an owner reports why it ended. Unless it was released, or a later owner is known, the shard is published as released under the owner's own token, as it was already after a panic. A record of a later owner goes before this one, and the partition is not marked as released, so that a successor still waits for what the owner may have sent. New log line and counter: shard_given_up, shards_given_up_total.

Test: a_shard_whose_owner_stopped_by_itself_is_claimed failed before (two claims instead of three, shard of a pool) and passes for a pool's shard and for the fleet shard.

--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -128,24 +128,28 @@
     })
 }
 
-/// Publishes the owner of a shard in the owners' topic. This only helps other processes to
-/// find the owner sooner, so a failure is logged and not returned.
-pub(crate) async fn publish_owner(platform: &Platform, shard: ShardId, owner: &Ownership) {
-    let value = match postcard::to_allocvec(owner) {
-        Ok(value) => value,
-        Err(error) => {
-            log::error!(shard:display, error:display; "owner_encode_failed");
-            return;
-        }
-    };
+/// Publishes the owner of a shard in the owners' topic, so that other processes find it.
+///
+/// # Errors
+///
+/// Returns the error of the append, or an error if the record can't be encoded.
+pub(crate) async fn publish_owner(
+    platform: &Platform,
+    shard: ShardId,
+    owner: &Ownership,
+) -> Result<(), StoreError> {
+    let value = postcard::to_allocvec(owner).map_err(|error| StoreError::Rejected {
+        detail: format!("can't encode the owner: {error}"),
+    })?;
     let record = Record {
         key: shard.to_string(),
         value: Some(value),
     };
-    let appended = platform.store.append(Topic::Owners, None, &[record]).await;
-    if let Err(error) = appended {
-        log::warn!(shard:display, error:display; "owner_publish_failed");
-    }
+    platform
+        .store
+        .append(Topic::Owners, None, &[record])
+        .await?;
+    Ok(())
 }
 
 /// Reads the published owners of all shards.
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -38,6 +38,7 @@
 use crate::message::ShardRequest;
 use crate::message::ShardResponse;
 use crate::message::ShardUsage;
+use crate::owner::OwnerEnd;
 use crate::owner::RELEASE_RECORD_TIMEOUT;
 use crate::rebalancer::Rebalancer;
 use crate::recent_commands::RecentCommands;
@@ -142,7 +143,7 @@
     claimed: ClaimedShard,
     mut requests: mpsc::Receiver<LocalRequest>,
     mut waves: mpsc::Receiver<Vec<Wave>>,
-) {
+) -> OwnerEnd {
     let now = context.clock.now();
     let mut fleet = Fleet {
         rebalancer: Rebalancer::new(context.move_time),
@@ -206,10 +207,12 @@
         }
     };
     log::info!(token = fleet.fencing_token, released = released.is_some(); "fleet_owner_stopped");
-    if let Some(done) = released {
-        // The receiver is dropped only when the process ends.
-        let _ = done.send(());
-    }
+    let Some(done) = released else {
+        return OwnerEnd::OwnershipLost;
+    };
+    // The receiver is dropped only when the process ends.
+    let _ = done.send(());
+    OwnerEnd::Released
 }
 
 /// Encodes a record of the fleet shard.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -112,13 +112,22 @@
     load: OwnerLoad,
 }
 
+/// Why the owner of a shard ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OwnerEnd {
+    /// The process released the shard.
+    Released,
+    /// The owner found that another process owns the shard, or could not go on.
+    OwnershipLost,
+}
+
 /// Runs the owner of a shard until the shard is released or another process owns it.
 pub(crate) async fn run(
     context: OwnerContext,
     claimed: ClaimedShard,
     mut requests: mpsc::Receiver<LocalRequest>,
     mut worker_updates: WorkerUpdates,
-) {
+) -> OwnerEnd {
     let (events, mut incoming) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let at = timestamp(&*context.clock);
     let mut timings = context.timings;
@@ -215,33 +224,35 @@
             break;
         }
     }
-    owner.stop().await;
+    owner.stop().await
 }
 
 impl Owner {
-    /// Stores that the shard is released, unless another process owns it.
-    async fn stop(mut self) {
+    /// Ends the owner. If the shard is being released, stores this, unless another process owns it.
+    async fn stop(mut self) -> OwnerEnd {
         log::info!(
             shard:display = self.context.shard_id, token = self.fencing_token,
             released = self.release_reply.is_some(), open_jobs = self.shard.unfinished_jobs();
             "shard_owner_stopped"
         );
-        if let Some(done) = self.release_reply.take() {
-            if let Some(mut appender) = self.appender.take() {
-                let at = timestamp(&*self.context.clock);
-                let mut records = self.shard.release_records(at);
-                records.push(claim::release_record(self.fencing_token));
-                let appended = appender.append(&records);
-                if tokio::time::timeout(RELEASE_RECORD_TIMEOUT, appended)
-                    .await
-                    .is_err()
-                {
-                    log::warn!(shard:display = self.context.shard_id; "release_record_timed_out");
-                }
+        let Some(done) = self.release_reply.take() else {
+            return OwnerEnd::OwnershipLost;
+        };
+        if let Some(mut appender) = self.appender.take() {
+            let at = timestamp(&*self.context.clock);
+            let mut records = self.shard.release_records(at);
+            records.push(claim::release_record(self.fencing_token));
+            let appended = appender.append(&records);
+            if tokio::time::timeout(RELEASE_RECORD_TIMEOUT, appended)
+                .await
+                .is_err()
+            {
+                log::warn!(shard:display = self.context.shard_id; "release_record_timed_out");
             }
-            // The receiver is dropped only when the process ends.
-            let _ = done.send(());
         }
+        // The receiver is dropped only when the process ends.
+        let _ = done.send(());
+        OwnerEnd::Released
     }
 
     /// Returns the time until the shard has to make its next decisions.
--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -24,6 +24,7 @@
 use crate::fleet;
 use crate::membership::Membership;
 use crate::owner;
+use crate::owner::OwnerEnd;
 use crate::router::LocalRequest;
 use crate::router::OWNER_QUEUE_CAPACITY;
 use crate::router::OwnerHandle;
@@ -156,7 +157,7 @@
     /// Applies records of the owners' topic, and publishes the owners in this process again whose
     /// record was replaced by that of an earlier owner. Processes that start read only the last
     /// record of a shard, and all have to count the same shards of each member.
-    fn apply_owners(&self, owners: Vec<(ShardId, Ownership)>) {
+    fn apply_owners(self: &Arc<Self>, owners: Vec<(ShardId, Ownership)>) {
         let mut replaced = Vec::new();
         {
             let mut cluster = self.context.router.cluster();
@@ -169,8 +170,8 @@
             }
         }
         for (shard, ownership) in replaced {
-            let platform = self.context.platform.clone();
-            tokio::spawn(async move { claim::publish_owner(&platform, shard, &ownership).await });
+            let manager = Arc::clone(self);
+            tokio::spawn(async move { manager.publish(shard, &ownership).await });
         }
     }
 
@@ -326,8 +327,7 @@
             .local_owners()
             .insert(shard, requests.clone());
         let manager = Arc::clone(self);
-        let mut release = ownership.clone();
-        release.released = true;
+        let owned = ownership.clone();
         tokio::spawn(async move {
             let runner = Arc::clone(&manager);
             let task =
@@ -339,19 +339,38 @@
                     local.remove(&shard);
                 }
             }
-            if let Err(error) = result {
-                // The owner task panicked. The shard is published as released, so that it does not
-                // stay without an owner.
-                log::error!(shard:display, error:display; "owner_task_failed");
-                manager
-                    .context
-                    .router
-                    .cluster()
-                    .update_owner(shard, release.clone());
-                claim::publish_owner(&manager.context.platform, shard, &release).await;
+            match result {
+                Ok(OwnerEnd::Released) => return,
+                Ok(OwnerEnd::OwnershipLost) => {}
+                Err(error) => log::error!(shard:display, error:display; "owner_task_failed"),
             }
+            manager.give_up(shard, owned).await;
         });
-        claim::publish_owner(&self.context.platform, shard, &ownership).await;
+        self.publish(shard, &ownership).await;
+    }
+
+    /// Publishes a shard as released whose owner in this process has ended by itself, unless a later
+    /// owner is known. This process stays a member, so nobody would claim the shard otherwise: the
+    /// owner may have ended in error, and a successor may have failed to publish itself.
+    async fn give_up(&self, shard: ShardId, mut ownership: Ownership) {
+        {
+            let mut cluster = self.context.router.cluster();
+            if cluster.owner(shard) != Some(&ownership) {
+                return;
+            }
+            ownership.released = true;
+            cluster.update_owner(shard, ownership.clone());
+        }
+        log::warn!(shard:display, token = ownership.fencing_token; "shard_given_up");
+        metrics::counter!("shards_given_up_total").increment(1);
+        self.publish(shard, &ownership).await;
+    }
+
+    /// Publishes the owner of a shard or its release.
+    async fn publish(&self, shard: ShardId, ownership: &Ownership) {
+        if let Err(error) = claim::publish_owner(&self.context.platform, shard, ownership).await {
+            log::warn!(shard:display, error:display; "owner_publish_failed");
+        }
     }
 
     /// Runs the owner of a shard until the owner ends.
@@ -360,7 +379,7 @@
         shard: ShardId,
         claimed: ClaimedShard,
         incoming: mpsc::Receiver<LocalRequest>,
-    ) {
+    ) -> OwnerEnd {
         let context = &self.context;
         if shard == ShardId::FLEET {
             let (waves, wave_updates) = mpsc::channel(4);
@@ -383,9 +402,9 @@
                 move_time: context.move_time,
                 command_rate: context.command_rate,
             };
-            fleet::run(fleet_context, claimed, incoming, wave_updates).await;
+            let end = fleet::run(fleet_context, claimed, incoming, wave_updates).await;
             watcher.abort();
-            return;
+            return end;
         }
         let worker_updates = self.registry.subscribe(shard);
         let owner_context = owner::OwnerContext {
@@ -396,7 +415,7 @@
             current_config: Arc::clone(&context.current_config),
             timings: context.timings,
         };
-        owner::run(owner_context, claimed, incoming, worker_updates).await;
+        owner::run(owner_context, claimed, incoming, worker_updates).await
     }
 
     /// Stops the owner of a shard and publishes the shard as released.
@@ -424,7 +443,7 @@
             .router
             .cluster()
             .update_owner(shard, ownership.clone());
-        claim::publish_owner(&self.context.platform, shard, &ownership).await;
+        self.publish(shard, &ownership).await;
     }
 
     /// Releases every shard of this process and ends its membership.
--- a/crates/node/tests/test_claim.rs
+++ b/crates/node/tests/test_claim.rs
@@ -59,6 +59,15 @@
     store.state().values(FLEET, "owner")
 }
 
+/// Returns the records of the owners' topic.
+fn owners(store: &MemoryStore) -> Vec<Ownership> {
+    let state = store.state();
+    let records = state.topics.get(&Topic::Owners).into_iter().flatten();
+    let values = records.filter_map(|r| r.value.as_deref());
+    let decoded = values.map(|v| postcard::from_bytes(v).expect("a valid owner"));
+    decoded.collect()
+}
+
 /// Starts a node beside an owner of the fleet shard that is a live member.
 async fn start_beside(store: &Arc<MemoryStore>, owner: &Member) -> Node {
     store.state().join(&owner.to_string(), LONG);
@@ -123,6 +132,25 @@
     assert_eq!(claimants(&store).len(), 2);
 }
 
+/// Guards against a shard without an owner for good, because its last owner has stopped and is still
+/// published, while the process that claimed it since has published nothing.
+#[tokio::test(start_paused = true)]
+async fn a_shard_whose_owner_stopped_by_itself_is_claimed() {
+    let store = MemoryStore::new();
+    store.state().put(Topic::Operator, "config", b"pool-1");
+    for shard in [ShardId::of_pool("pool-1"), ShardId::FLEET] {
+        let topic = Topic::Shard(shard);
+        let _node = store.start_node("vm-1").await;
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        let claims = store.state().values(topic, "owner").len();
+        let successor = member("vm-2", 120).to_string();
+        store.state().put(topic, "owner", successor.as_bytes());
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        let after = store.state().values(topic, "owner").len();
+        assert_eq!(after, claims + 2, "{shard}");
+    }
+}
+
 /// Guards against an owner that goes on with requests of callers after another member has claimed
 /// its shard, and against one that claims it back.
 #[tokio::test(start_paused = true)]
@@ -171,12 +199,6 @@
     let store = MemoryStore::new();
     let _node = store.start_node("vm-1").await;
     tokio::time::sleep(Duration::from_secs(5)).await;
-    let owners = |store: &MemoryStore| {
-        let records = store.state().topics[&Topic::Owners].clone();
-        let values = records.iter().filter_map(|r| r.value.clone());
-        let decoded = values.map(|v| postcard::from_bytes(&v).expect("a valid owner"));
-        decoded.collect::<Vec<Ownership>>()
-    };
     let published = owners(&store);
     let late = Ownership {
         member: member("vm-2", 120),
