node: repeat a call that publishes an owner until it is stored

What callers would see: 503 at the nodes that don't know the owner of a shard, until another process claims the shard although it has an owner.

Cause: the record that names the owner was sent once, and a rejection only logged.

Change: it is sent again until it is stored or a later owner or release is known. A process that is stopping still tries once, since it leaves the members in any case.

Test: an_owner_is_published_after_a_rejected_call failed before (no record after the store accepted appends again) and passes.

--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -366,10 +366,19 @@
         self.publish(shard, &ownership).await;
     }
 
-    /// Publishes the owner of a shard or its release.
+    /// Publishes the owner of a shard or its release, and repeats this until it is stored or a later
+    /// owner or release is known. A process that is stopping tries it once.
     async fn publish(&self, shard: ShardId, ownership: &Ownership) {
-        if let Err(error) = claim::publish_owner(&self.context.platform, shard, ownership).await {
+        while let Err(error) = claim::publish_owner(&self.context.platform, shard, ownership).await
+        {
             log::warn!(shard:display, error:display; "owner_publish_failed");
+            if self.is_stopping() {
+                return;
+            }
+            tokio::time::sleep(STORE_RETRY_DELAY).await;
+            if self.context.router.cluster().owner(shard) != Some(ownership) {
+                return;
+            }
         }
     }
 
--- a/crates/node/tests/test_claim.rs
+++ b/crates/node/tests/test_claim.rs
@@ -151,6 +151,22 @@
     }
 }
 
+/// Guards against an owner that other processes don't know, because the one call that publishes it
+/// was rejected.
+#[tokio::test(start_paused = true)]
+async fn an_owner_is_published_after_a_rejected_call() {
+    let store = MemoryStore::new();
+    store.state().owner_appends_fail = true;
+    let _node = store.start_node("vm-1").await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    assert_eq!(claimants(&store).len(), 1);
+    assert_eq!(owners(&store), []);
+    store.state().owner_appends_fail = false;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(owners(&store).len(), 1);
+    assert_eq!(claimants(&store).len(), 1);
+}
+
 /// Guards against an owner that goes on with requests of callers after another member has claimed
 /// its shard, and against one that claims it back.
 #[tokio::test(start_paused = true)]
