node: publish a release again that a late record of the owner has replaced

Found by reading.

Cause: a call to the store may be carried out seconds after its response was given up. Such a record of an owner replaces its later release in the topic. It was published again only if the token was lower than the known one, and the release has the same token.

Change: a release counts as later than the ownership with the same token here, too. The order is one function now, which the known owners use as well.

Test: an_owner_published_late_does_not_replace_its_release failed before at its last assertion and passes.

--- a/crates/node/src/assignment.rs
+++ b/crates/node/src/assignment.rs
@@ -176,6 +176,14 @@
     pub released: bool,
 }
 
+impl Ownership {
+    /// Returns whether this was published after `other`: by a later owner, or by the same one at its
+    /// release.
+    pub(crate) fn is_later_than(&self, other: &Self) -> bool {
+        (self.fencing_token, self.released) > (other.fencing_token, other.released)
+    }
+}
+
 /// The live members and the published owners, as far as this process knows them.
 #[derive(Clone, Debug, Default)]
 pub struct ClusterState {
@@ -204,9 +212,7 @@
     /// Updates the owner of a shard unless a later owner or release is known.
     pub fn update_owner(&mut self, shard: ShardId, owner: Ownership) {
         let known = self.owners.get(&shard);
-        let newer = known
-            .is_none_or(|k| (owner.fencing_token, owner.released) >= (k.fencing_token, k.released));
-        if newer {
+        if !known.is_some_and(|k| k.is_later_than(&owner)) {
             self.owners.insert(shard, owner);
         }
     }
--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -164,7 +164,7 @@
             for (shard, owner) in owners {
                 let known = cluster.owner(shard);
                 let is_mine = |o: &&Ownership| o.member == self.context.router.me;
-                let later = known.filter(|k| k.fencing_token > owner.fencing_token);
+                let later = known.filter(|k| k.is_later_than(&owner));
                 replaced.extend(later.filter(is_mine).map(|k| (shard, k.clone())));
                 cluster.update_owner(shard, owner);
             }
--- a/crates/node/tests/test_claim.rs
+++ b/crates/node/tests/test_claim.rs
@@ -151,6 +151,33 @@
     }
 }
 
+/// Guards against a release of a shard that is replaced by a late record of its owner, so that
+/// processes that start then wait for this owner.
+#[tokio::test(start_paused = true)]
+async fn an_owner_published_late_does_not_replace_its_release() {
+    let store = MemoryStore::new();
+    let _node = store.start_node("vm-1").await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let published = owners(&store);
+    // The other member should claim the shard, and leaves it to this process for some seconds.
+    let other = member("vm-2", 120);
+    store.state().join(&other.to_string(), LONG);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    store.state().put(FLEET, "owner", b"unknown");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(owners(&store).last().is_some_and(|o| o.released));
+    let late = published.last().expect("a published owner");
+    publish_ownership(
+        &store,
+        ShardId::FLEET,
+        &late.member,
+        late.fencing_token,
+        false,
+    );
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(owners(&store).last().is_some_and(|o| o.released));
+}
+
 /// Guards against an owner that other processes don't know, because the one call that publishes it
 /// was rejected.
 #[tokio::test(start_paused = true)]
