node: don't spin while an owner makes no decisions

What callers saw: nothing directly. While the store didn't confirm the ownership for 3.5 s, or a shard was being released, its owner took all the processor time of its VM, a quarter of a core, so that the other shards and the routing of the same process waited.

Cause: the loop waits until the next poll of a worker is due. An owner that makes no decisions sends no polls, so the time to wait was zero for as long as that lasted.

Change: such an owner waits for events, and looks every 100 ms whether it can go on.

Test: a_suspended_owner_waits_for_events. In simulated time, which stands still for a loop that never waits, it did not end before (stopped by hand after 100 s, as were two other tests with a suspended owner); it passes in 0.1 s.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -55,6 +55,9 @@
 /// The capacity of the queue of results from the store, workers and other services.
 const EVENT_QUEUE_CAPACITY: usize = 4_096;
 
+/// How often an owner that makes no decisions checks whether it can make them again.
+const PAUSED_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How often the owner reports its usage of the teams' limits and the demand of its pools to the
 /// owner of the fleet shard.
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
@@ -255,12 +258,21 @@
         OwnerEnd::Released
     }
 
-    /// Returns the time until the shard has to make its next decisions.
+    /// Returns the time until the shard has to make its next decisions. While it makes none, polls that
+    /// are overdue stay so, and only events are waited for.
     fn time_until_tick(&self) -> Duration {
+        if !self.makes_decisions() {
+            return PAUSED_INTERVAL;
+        }
         let now = self.context.clock.now();
         self.shard.next_tick(now).saturating_duration_since(now)
     }
 
+    /// Returns whether the shard makes decisions: it is not suspended, and not being released.
+    fn makes_decisions(&self) -> bool {
+        !self.suspended && self.release_reply.is_none()
+    }
+
     fn handle_local_request(&mut self, request: LocalRequest) {
         match request {
             LocalRequest::Release(done) => self.release_reply = Some(done),
@@ -402,7 +414,7 @@
                 unconfirmed_ms = unconfirmed_for.as_millis() as u64; "scheduling_state_changed"
             );
         }
-        if !suspended && self.release_reply.is_none() {
+        if self.makes_decisions() {
             self.shard.tick(at);
         }
         if self.shard.is_superseded() {
--- a/crates/node/tests/memory_store.rs
+++ b/crates/node/tests/memory_store.rs
@@ -31,7 +31,9 @@
 use lavenderhollow_shard::Name;
 use lavenderhollow_shard::PollRequest;
 use lavenderhollow_shard::Record;
+use lavenderhollow_shard::Resources;
 use lavenderhollow_shard::RunId;
+use lavenderhollow_shard::RunStatus;
 use lavenderhollow_shard::StartOutcome;
 use lavenderhollow_shard::StartRequest;
 use lavenderhollow_shard::WorkerInfo;
@@ -70,6 +72,12 @@
     pub(crate) responses_lost: bool,
     /// How many responses with the members were sent.
     pub(crate) member_lists: usize,
+    /// How much longer listings of a shard's records take.
+    pub(crate) listing_time: Duration,
+    /// How much longer the response to an append to a shard takes after the append is stored.
+    pub(crate) append_response_time: Duration,
+    /// Whether the responses to appends are lost.
+    pub(crate) append_responses_lost: bool,
     /// Whether reads of the owners' topic that wait for a record get no response.
     pub(crate) owners_hang: bool,
     /// Whether someone else appends to a shard after each read of its end.
@@ -116,9 +124,12 @@
     }
 }
 
-/// A store in memory.
+/// A store in memory, and the workers beside it.
 #[derive(Default)]
-pub(crate) struct MemoryStore(Mutex<State>);
+pub(crate) struct MemoryStore {
+    state: Mutex<State>,
+    pub(crate) workers: Arc<MemoryWorkers>,
+}
 
 impl MemoryStore {
     /// Creates a store with a configuration that has no pools.
@@ -148,13 +159,11 @@
             return Ok(());
         }
         tokio::time::sleep(CALL_TIMEOUT).await;
-        Err(StoreError::OutcomeUnknown {
-            detail: "no response".to_owned(),
-        })
+        Err(unknown_outcome())
     }
 
     pub(crate) fn state(&self) -> MutexGuard<'_, State> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Starts a node on a VM.
@@ -176,7 +185,7 @@
         };
         let platform = Platform {
             store: Arc::clone(self) as Arc<dyn Store>,
-            workers: Arc::new(NoWorkers),
+            workers: Arc::clone(&self.workers) as Arc<dyn Workers>,
             machines: None,
             policy: None,
             codec: Arc::new(PoolCodec),
@@ -209,7 +218,18 @@
             }
         };
         self.delay().await;
-        result
+        let is_shard = matches!(topic, Topic::Shard(_));
+        let (time, lost) = {
+            let state = self.state();
+            (state.append_response_time, state.append_responses_lost)
+        };
+        if is_shard {
+            tokio::time::sleep(time).await;
+        }
+        match lost {
+            true => Err(unknown_outcome()),
+            false => result,
+        }
     }
 
     async fn read(&self, topic: Topic, from: u64, wait: Duration) -> Result<Page, StoreError> {
@@ -244,6 +264,10 @@
     async fn read_latest(&self, topic: Topic, after: Option<&[u8]>) -> Result<Listing, StoreError> {
         self.check_available()?;
         self.delay().await;
+        if matches!(topic, Topic::Shard(_)) {
+            let time = self.state().listing_time;
+            tokio::time::sleep(time).await;
+        }
         let mut state = self.state();
         let log = state.topics.entry(topic).or_default();
         let latest: BTreeMap<&str, (u64, &Record)> = (0..)
@@ -315,6 +339,12 @@
     }
 }
 
+fn unknown_outcome() -> StoreError {
+    StoreError::OutcomeUnknown {
+        detail: "no response".to_owned(),
+    }
+}
+
 fn entry((offset, record): (u64, &Record)) -> Entry {
     Entry {
         offset,
@@ -336,21 +366,75 @@
     }
 }
 
-/// Workers that do not respond.
-struct NoWorkers;
+/// Workers that carry out every start and whose tasks never end.
+pub(crate) struct MemoryWorkers {
+    calls: Mutex<WorkerCalls>,
+    /// The time from which the workers' clocks count.
+    created: Instant,
+}
+
+impl Default for MemoryWorkers {
+    fn default() -> Self {
+        Self {
+            calls: Mutex::default(),
+            created: Instant::now(),
+        }
+    }
+}
+
+/// The calls that workers have received.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct WorkerCalls {
+    /// The runs that were started, with the name of the worker.
+    pub(crate) starts: Vec<(Name, RunId)>,
+    /// The number of polls.
+    pub(crate) polls: usize,
+}
+
+impl MemoryWorkers {
+    /// Returns the reading of the workers' clocks, in milliseconds.
+    fn clock_ms(&self) -> u64 {
+        self.created.elapsed().as_millis() as u64 + 1_000
+    }
+
+    pub(crate) fn calls(&self) -> MutexGuard<'_, WorkerCalls> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The start of the workers' only incarnation.
+const INCARNATION: u64 = 1;
 
 #[async_trait]
-impl Workers for NoWorkers {
-    async fn start(&self, _: &Target, _: &StartRequest) -> StartOutcome {
-        StartOutcome::Unknown
+impl Workers for MemoryWorkers {
+    async fn start(&self, target: &Target, request: &StartRequest) -> StartOutcome {
+        let start = (Arc::clone(&target.id), request.run);
+        self.calls().starts.push(start);
+        StartOutcome::Started(self.clock_ms())
     }
 
     async fn stop(&self, _: &Target, _: RunId) -> bool {
         false
     }
 
-    async fn poll(&self, _: &Target, _: PollRequest) -> Result<WorkerReport, PollError> {
-        Err(PollError::NoResponse)
+    async fn poll(&self, target: &Target, request: PollRequest) -> Result<WorkerReport, PollError> {
+        self.calls().polls += 1;
+        tokio::time::sleep(request.wait.max(CALL_TIME)).await;
+        let starts = self.calls().starts.clone();
+        let running = starts.into_iter().filter(|(id, _)| *id == target.id);
+        Ok(WorkerReport {
+            clock_ms: self.clock_ms(),
+            incarnation: INCARNATION,
+            running: running
+                .map(|(_, run)| RunStatus {
+                    run,
+                    checkpoint: "".into(),
+                    progress: 0,
+                    metric: 0,
+                })
+                .collect(),
+            finished: Vec::new(),
+        })
     }
 
     async fn throttle(&self, _: &Target, _: RunId, _: u32) -> bool {
@@ -415,8 +499,22 @@
         Ok(config)
     }
 
-    fn worker_info(&self, _: &str, _: &[u8]) -> Result<WorkerInfo, String> {
-        Err("there are no workers".to_owned())
+    /// The record of a worker is the name of its pool.
+    fn worker_info(&self, id: &str, value: &[u8]) -> Result<WorkerInfo, String> {
+        let pool = std::str::from_utf8(value).map_err(|e| e.to_string())?;
+        Ok(WorkerInfo {
+            id: id.into(),
+            pool: pool.into(),
+            address: "127.0.0.1:9".into(),
+            labels: Vec::new(),
+            capacity: Resources {
+                cpu: 32_000,
+                memory: 64_000,
+                gpu: 0,
+            },
+            draining: false,
+            incarnation: INCARNATION,
+        })
     }
 
     fn wave(&self, _: &str, _: &[u8]) -> Option<Wave> {
--- a/crates/node/tests/test_owner.rs
+++ b/crates/node/tests/test_owner.rs
@@ -62,3 +62,19 @@
     let topic = Topic::Shard(ShardId::of_pool("pool"));
     assert_eq!(store.state().values(topic, "owner").len(), 1);
 }
+
+/// Guards against an owner that takes all the processor time while the store is away, because polls
+/// of its workers are due and it sends none. The simulated time stands still for such an owner.
+#[tokio::test(start_paused = true)]
+async fn a_suspended_owner_waits_for_events() {
+    let store = MemoryStore::new();
+    store.state().put(Topic::Operator, "config", b"queue>pool");
+    store.state().put(Topic::Workers, "worker-1", b"pool");
+    let node = store.start_node("vm-1").await;
+    tokio::time::sleep(START_TIME).await;
+    store.state().outage = true;
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    store.state().outage = false;
+    tokio::time::sleep(START_TIME).await;
+    assert_eq!(submit(&node, "queue", 1).await, ApiResponse::Accepted);
+}
