node: end an owner whose append a claim follows

Cause: after a lost response the append is repeated and rejected, and the owner reads back what stands at its offset. It found its own records there and went on, without a look at what follows them: the claim of a successor, which had read these records, waited for the leases and finished the tasks.

Change: the partition has to end after the records that were read back. Otherwise the ownership is lost; the callers of these records get an unknown outcome, since the successor carries them out.

The log line ownership_lost says now whether the records were found.

Test: an_append_that_a_claim_follows_ends_the_owner failed before (Ok instead of OwnershipLost) and passes; without a claim the append still succeeds.

--- a/crates/node/src/appender.rs
+++ b/crates/node/src/appender.rs
@@ -109,7 +109,8 @@
     }
 
     /// Reads the records at the expected end to find out whether an earlier copy of this append
-    /// took effect or another process has appended.
+    /// took effect and this process still owns the partition. The records of this process show only
+    /// the former: the claim of a successor may follow them.
     async fn resolve(&mut self, records: &[Record]) -> Result<(), OwnershipLost> {
         loop {
             match self
@@ -118,16 +119,17 @@
                 .await
             {
                 Ok(page) => {
-                    let own = page.entries.len() >= records.len()
+                    let count = records.len() as u64;
+                    let stored = page.entries.len() >= records.len()
                         && page.entries.iter().zip(records).all(is_same_record);
-                    if !own {
+                    if !stored || page.end_offset != self.end_offset + count {
                         log::info!(
                             topic:display = self.topic, expected = self.end_offset,
-                            end = page.end_offset; "ownership_lost"
+                            end = page.end_offset, stored; "ownership_lost"
                         );
                         return Err(OwnershipLost);
                     }
-                    self.end_offset += records.len() as u64;
+                    self.end_offset += count;
                     return Ok(());
                 }
                 Err(StoreError::Compacted { first }) => {
--- a/crates/node/tests/test_owner.rs
+++ b/crates/node/tests/test_owner.rs
@@ -1,13 +1,18 @@
 //! Tests of how the owner of a pool's shard treats the outcomes of its calls to the store.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use lavenderhollow_node::ApiResponse;
+use lavenderhollow_node::Appender;
 use lavenderhollow_node::Node;
+use lavenderhollow_node::OwnershipLost;
 use lavenderhollow_node::ShardId;
 use lavenderhollow_node::Submission;
+use lavenderhollow_node::backend::Store;
 use lavenderhollow_node::backend::Topic;
 use lavenderhollow_shard::JobId;
+use lavenderhollow_shard::Record;
 use lavenderhollow_shard::Resources;
 use lavenderhollow_shard::Step;
 
@@ -78,3 +83,33 @@
     tokio::time::sleep(START_TIME).await;
     assert_eq!(submit(&node, "queue", 1).await, ApiResponse::Accepted);
 }
+
+/// Appends a record while the first response is lost. If `claimed`, a successor claims the partition
+/// before the call is repeated.
+async fn append_with_lost_response(claimed: bool) -> Result<(), OwnershipLost> {
+    let store = MemoryStore::new();
+    let topic = Topic::Shard(ShardId(7));
+    let mut appender = Appender::new(Arc::clone(&store) as Arc<dyn Store>, topic, 0);
+    store.state().append_responses_lost = true;
+    let append = tokio::spawn(async move {
+        let record = Record {
+            key: "p1".to_owned(),
+            value: Some(b"progress".to_vec()),
+        };
+        appender.append(&[record]).await
+    });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    if claimed {
+        store.state().put(topic, "owner", b"successor");
+    }
+    store.state().append_responses_lost = false;
+    append.await.expect("no panic")
+}
+
+/// Guards against an owner that goes on because its append was stored, although a successor has
+/// claimed the shard since.
+#[tokio::test(start_paused = true)]
+async fn an_append_that_a_claim_follows_ends_the_owner() {
+    assert_eq!(append_with_lost_response(false).await, Ok(()));
+    assert_eq!(append_with_lost_response(true).await, Err(OwnershipLost));
+}
