node: hold the effects of a stored batch until the ownership is confirmed

Cause: the response to an append shows that the process owned the shard when the append was stored, which may be many seconds ago: the response was held up, or the process was paused. The owner knew that (its decisions were suspended) and sent the starts of the batch all the same. A start grants a lease from now on, and a worker that the successor could not reach yet accepts the old token.

Change: a batch that is stored while the owner is suspended stays in flight until an append or a check confirms the ownership. No further batch is taken meanwhile.

Test: a_late_response_to_an_append_starts_no_task_after_a_claim failed before (two starts instead of one) and passes; without a claim the second job starts as it should.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::mem;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -110,6 +111,8 @@
     report_pending: bool,
     /// Whether decisions are suspended because the ownership is not confirmed.
     suspended: bool,
+    /// Whether the batch in flight is stored, and its effects wait until the ownership is confirmed.
+    batch_stored: bool,
     /// Set while the shard is being released; receives a message when that is done.
     release_reply: Option<oneshot::Sender<()>>,
     load: OwnerLoad,
@@ -173,6 +176,7 @@
         next_report: at.now,
         report_pending: false,
         suspended: false,
+        batch_stored: false,
         release_reply: None,
         load: OwnerLoad::new(at.now),
     };
@@ -363,7 +367,7 @@
             Event::Stored(sent, result) => {
                 self.appender = Some(result?);
                 self.record_confirmation(sent);
-                self.shard.batch_stored(at);
+                self.batch_stored = true;
             }
             Event::OwnershipChecked(sent, offset, result) => {
                 self.check_pending = false;
@@ -414,6 +418,9 @@
                 unconfirmed_ms = unconfirmed_for.as_millis() as u64; "scheduling_state_changed"
             );
         }
+        if !suspended && mem::take(&mut self.batch_stored) {
+            self.shard.batch_stored(at);
+        }
         if self.makes_decisions() {
             self.shard.tick(at);
         }
@@ -468,6 +475,10 @@
             };
             let at = timestamp(&*self.context.clock);
             if records.is_empty() {
+                if self.suspended {
+                    self.batch_stored = true;
+                    return;
+                }
                 self.shard.batch_stored(at);
                 continue;
             }
--- a/crates/node/tests/test_claim.rs
+++ b/crates/node/tests/test_claim.rs
@@ -15,9 +15,9 @@
 const FLEET: Topic = Topic::Shard(ShardId::FLEET);
 
 /// A time to live that no test reaches.
-const LONG: Duration = Duration::from_secs(1_000);
+pub(crate) const LONG: Duration = Duration::from_secs(1_000);
 
-fn member(vm: &str, cpu_limit: u64) -> Member {
+pub(crate) fn member(vm: &str, cpu_limit: u64) -> Member {
     Member {
         vm: vm.into(),
         started_ms: 1,
@@ -26,7 +26,7 @@
     }
 }
 
-fn publish(store: &MemoryStore, shard: ShardId, owner: &Member, fencing_token: u64) {
+pub(crate) fn publish(store: &MemoryStore, shard: ShardId, owner: &Member, fencing_token: u64) {
     let mut state = store.state();
     state.put(Topic::Shard(shard), "owner", owner.to_string().as_bytes());
     drop(state);
--- a/crates/node/tests/test_owner.rs
+++ b/crates/node/tests/test_owner.rs
@@ -18,6 +18,9 @@
 
 use crate::memory_store::HOST;
 use crate::memory_store::MemoryStore;
+use crate::test_claim::LONG;
+use crate::test_claim::member;
+use crate::test_claim::publish;
 
 /// A time after which a node that has just started owns its shards.
 const START_TIME: Duration = Duration::from_secs(5);
@@ -113,3 +116,35 @@
     assert_eq!(append_with_lost_response(false).await, Ok(()));
     assert_eq!(append_with_lost_response(true).await, Err(OwnershipLost));
 }
+
+/// Guards against an owner that starts tasks when it learns late that their records are stored,
+/// seconds after a successor has claimed the shard.
+#[tokio::test(start_paused = true)]
+async fn a_late_response_to_an_append_starts_no_task_after_a_claim() {
+    for claimed in [false, true] {
+        let store = MemoryStore::new();
+        store.state().put(Topic::Operator, "config", b"queue>pool");
+        store.state().put(Topic::Workers, "worker-1", b"pool");
+        let node = store.start_node("vm-1").await;
+        tokio::time::sleep(START_TIME).await;
+        let shard = ShardId::of_pool("pool");
+        let topic = Topic::Shard(shard);
+        assert_eq!(submit(&node, "queue", 1).await, ApiResponse::Accepted);
+        assert_eq!(store.workers.calls().starts.len(), 1);
+        store.state().append_response_time = Duration::from_secs(6);
+        // The job and its run are stored at once, which the owner learns after 6 s.
+        submit(&node, "queue", 2).await;
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        if claimed {
+            let successor = member("vm-2", 120);
+            store.state().owners_hang = true;
+            store.state().join(&successor.to_string(), LONG);
+            let token = store.state().topics[&topic].len() as u64 + 1;
+            publish(&store, shard, &successor, token);
+        }
+        store.state().append_response_time = Duration::ZERO;
+        tokio::time::sleep(Duration::from_secs(6)).await;
+        let starts = store.workers.calls().starts.len();
+        assert_eq!(starts, if claimed { 1 } else { 2 });
+    }
+}
