node: count a claim as confirmed from the time at which it was sent

What callers would see: a task that runs on after its lease should have ended, while its successor runs elsewhere.

Cause: a new owner counted its ownership as confirmed at its start, after the reads that follow the claim. While the store is slow or cut off, another process may claim the shard in between, and the owner renewed the leases of workers with its lower token until its first check.

Change: the time before the claim is sent counts, for the shards of pools and for the fleet shard. If that is too long ago, the owner starts suspended and checks first.

Test: a_slow_claim_polls_no_worker_after_another_claim failed before (two polls instead of none) and passes.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -98,6 +98,8 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) router: Arc<Router>,
     pub(crate) current_config: Arc<CurrentConfig>,
+    /// When the claim of the shard was sent. A successor may have claimed it since.
+    pub(crate) claimed_at: Instant,
     /// How long an earlier owner may still send commands.
     pub(crate) takeover_delay: Duration,
     /// How long the platform takes to maintain a machine.
@@ -145,6 +147,7 @@
     mut waves: mpsc::Receiver<Vec<Wave>>,
 ) -> OwnerEnd {
     let now = context.clock.now();
+    let confirmed_at = context.claimed_at;
     let mut fleet = Fleet {
         rebalancer: Rebalancer::new(context.move_time),
         list: MachineList::default(),
@@ -163,7 +166,7 @@
         active_waves: BTreeMap::new(),
         completed_waves: BTreeSet::new(),
         owned_since: now,
-        confirmed_at: now,
+        confirmed_at,
     };
     for entry in &claimed.entries {
         if let Some(value) = &entry.value {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -77,6 +77,8 @@
     pub(crate) router: Arc<Router>,
     pub(crate) current_config: Arc<CurrentConfig>,
     pub(crate) timings: Timings,
+    /// When the claim of the shard was sent. A successor may have claimed it since.
+    pub(crate) claimed_at: Instant,
 }
 
 /// The result of a call that the owner made in the background.
@@ -162,6 +164,7 @@
         shard:display = context.shard_id, token = claimed.fencing_token, records = restored,
         released = claimed.released, open_jobs = shard.unfinished_jobs(); "shard_acquired"
     );
+    let confirmed_at = context.claimed_at;
     let mut owner = Owner {
         context,
         shard,
@@ -171,7 +174,7 @@
         calls: JoinSet::new(),
         responders: HashMap::new(),
         next_request: 0,
-        confirmed_at: at.now,
+        confirmed_at,
         check_pending: false,
         next_report: at.now,
         report_pending: false,
--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use lavenderhollow_shard::Timings;
 use lavenderhollow_types::Clock;
@@ -268,7 +269,9 @@
     /// Claims a shard and starts its owner.
     async fn claim(self: Arc<Self>, shard: ShardId) {
         match self.try_claim(shard).await {
-            Ok(Some(claimed)) if !self.is_stopping() => self.start_owner(shard, claimed).await,
+            Ok(Some((claimed, sent))) if !self.is_stopping() => {
+                self.start_owner(shard, claimed, sent).await;
+            }
             Ok(_) => {}
             Err(error) => {
                 log::info!(shard:display, error:display; "claim_failed");
@@ -286,7 +289,12 @@
     /// process knows of the members and the owners may be old, so it reads both before the claim,
     /// and the claim fails if anyone has appended since then. The reads are made at once, because
     /// callers wait for the claim and each may take long while the store is slow.
-    async fn try_claim(&self, shard: ShardId) -> Result<Option<ClaimedShard>, StoreError> {
+    ///
+    /// Returns the claimed shard with the time at which the claim was sent.
+    async fn try_claim(
+        &self,
+        shard: ShardId,
+    ) -> Result<Option<(ClaimedShard, Instant)>, StoreError> {
         let platform = &self.context.platform;
         let (head, (), owners) = futures::try_join!(
             claim::read_head(platform, shard),
@@ -307,11 +315,17 @@
             log::info!(shard:display; "claim_abandoned");
             return Ok(None);
         }
-        claim::claim(platform, shard, me, head).await.map(Some)
+        let claimed = claim::claim(platform, shard, me, head).await?;
+        Ok(Some((claimed, now)))
     }
 
     /// Runs the owner of a claimed shard in the background and publishes it.
-    async fn start_owner(self: &Arc<Self>, shard: ShardId, claimed: ClaimedShard) {
+    async fn start_owner(
+        self: &Arc<Self>,
+        shard: ShardId,
+        claimed: ClaimedShard,
+        claimed_at: Instant,
+    ) {
         let ownership = Ownership {
             member: self.context.router.me.clone(),
             fencing_token: claimed.fencing_token,
@@ -330,8 +344,9 @@
         let owned = ownership.clone();
         tokio::spawn(async move {
             let runner = Arc::clone(&manager);
-            let task =
-                tokio::spawn(async move { runner.run_owner(shard, claimed, incoming).await });
+            let task = tokio::spawn(async move {
+                runner.run_owner(shard, claimed, claimed_at, incoming).await
+            });
             let result = task.await;
             {
                 let mut local = manager.context.router.local_owners();
@@ -387,6 +402,7 @@
         &self,
         shard: ShardId,
         claimed: ClaimedShard,
+        claimed_at: Instant,
         incoming: mpsc::Receiver<LocalRequest>,
     ) -> OwnerEnd {
         let context = &self.context;
@@ -406,6 +422,7 @@
                 clock: Arc::clone(&context.clock),
                 router: Arc::clone(&context.router),
                 current_config: Arc::clone(&context.current_config),
+                claimed_at,
                 takeover_delay: context.takeover_delay,
                 maintenance_time: context.maintenance_time,
                 move_time: context.move_time,
@@ -423,6 +440,7 @@
             router: Arc::clone(&context.router),
             current_config: Arc::clone(&context.current_config),
             timings: context.timings,
+            claimed_at,
         };
         owner::run(owner_context, claimed, incoming, worker_updates).await
     }
--- a/crates/node/tests/test_owner.rs
+++ b/crates/node/tests/test_owner.rs
@@ -148,3 +148,21 @@
         assert_eq!(starts, if claimed { 1 } else { 2 });
     }
 }
+
+/// Guards against an owner that renews the leases of workers, because it counts the shard as its own
+/// from the end of its claim and not from the beginning.
+#[tokio::test(start_paused = true)]
+async fn a_slow_claim_polls_no_worker_after_another_claim() {
+    let store = MemoryStore::new();
+    store.state().put(Topic::Operator, "config", b"pool");
+    store.state().put(Topic::Workers, "worker-1", b"pool");
+    store.state().listing_time = Duration::from_secs(5);
+    let topic = Topic::Shard(ShardId::of_pool("pool"));
+    let _node = store.start_node("vm-1").await;
+    while store.state().values(topic, "owner").is_empty() {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    store.state().put(topic, "owner", b"successor");
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    assert_eq!(store.workers.calls().polls, 0);
+}
