node: find the job of a repeated submission after its queue has moved

Cause: a submission went only to the shard of the pool that serves the queue now, which doesn't know the job.

Change: - The owner of a shard publishes that it holds jobs of a queue before it accepts the first one, in the owners' topic that every process follows: one append a queue, none for later jobs. It withdraws this when the queue has moved and the last of its jobs was removed. - A submission is first asked for at the other shards that hold jobs of the queue. A job that is known there is confirmed once it is stored. One that is not known there is submitted to the present shard; "not known" is answered only after a check of the ownership that began after the request. A shard that does not respond may know the job: the outcome is unknown (504), never a no. - Processes apply a version at different times. An owner accepts no new job of a queue that its configuration sends elsewhere, or that a process with a later configuration has asked for; the sender waits for the configuration and submits to the right shard (QueueFence).

Queues that have not moved pay for the one append; their submissions ask nobody else.

--- a/crates/node/src/assignment.rs
+++ b/crates/node/src/assignment.rs
@@ -246,7 +246,8 @@
             && self.members.keys().any(started_earlier)
     }
 
-    fn has_live_owner(&self, shard: ShardId) -> bool {
+    /// Returns whether a shard has an owner that is a live member and has not released it.
+    pub(crate) fn has_live_owner(&self, shard: ShardId) -> bool {
         let owner = self.owners.get(&shard);
         owner.is_some_and(|o| !o.released && self.members.contains_key(&o.member))
     }
--- a/crates/node/src/cluster_config.rs
+++ b/crates/node/src/cluster_config.rs
@@ -143,6 +143,11 @@
         matching.max_by_key(|(r, _)| r.prefix.len())
     }
 
+    /// Returns the queue with a name.
+    pub fn queue(&self, name: &str) -> Option<&Arc<Route>> {
+        self.routes.iter().find(|r| &*r.name == name)
+    }
+
     /// Returns the shards that need an owner: those of the pools and, once a configuration has been
     /// read, the fleet shard.
     pub fn shards(&self) -> BTreeSet<ShardId> {
--- a/crates/node/src/job_api.rs
+++ b/crates/node/src/job_api.rs
@@ -39,6 +39,10 @@
 /// longer one.
 const MAX_REQUEST_TIME: Duration = Duration::from_secs(3);
 
+/// The delay before a job is submitted again that has to wait for a process to learn where its queue
+/// is served.
+const MOVE_RETRY_DELAY: Duration = Duration::from_millis(60);
+
 /// A request whose queue exists and whose key, if the queue needs one, is valid.
 #[derive(Debug)]
 pub struct AuthorizedRequest {
@@ -200,7 +204,7 @@
         id: JobId,
         submission: Submission,
     ) -> ApiResponse {
-        let job = Job {
+        let mut job = Job {
             id,
             queue: authorized.route.queue_settings(),
             team: authorized.team.clone(),
@@ -211,11 +215,80 @@
         if let Err(error) = job.validate() {
             return ApiResponse::Invalid(error.to_string());
         }
-        let request = ShardRequest::Submit(Box::new(job));
-        match self.send(authorized, &request).await {
-            Ok(ShardResponse::Accepted) => ApiResponse::Accepted,
-            other => error_response(other),
+        while !self.router.queue_shards.is_complete() {
+            if !self.wait_until_retry(authorized).await {
+                return unavailable("queues_not_known");
+            }
         }
+        loop {
+            match self.submit_once(authorized, &job).await {
+                Ok(ShardResponse::Accepted) => return ApiResponse::Accepted,
+                Ok(ShardResponse::QueueMoved) => {}
+                other => return error_response(other),
+            }
+            // Two processes apply a configuration at different times.
+            if !self.wait_until_retry(authorized).await {
+                return ApiResponse::OutcomeUnknown;
+            }
+            let config = self.current_config.load();
+            let Some(route) = config.queue(&authorized.route.name) else {
+                return ApiResponse::QueueNotFound;
+            };
+            job.queue = route.queue_settings();
+        }
+    }
+
+    /// Waits before a further attempt. Returns whether there is time for it.
+    async fn wait_until_retry(&self, authorized: &AuthorizedRequest) -> bool {
+        let remaining = authorized
+            .deadline
+            .saturating_duration_since(self.clock.now());
+        tokio::time::sleep(MOVE_RETRY_DELAY.min(remaining)).await;
+        !remaining.is_zero()
+    }
+
+    /// Submits a job to the shard of its queue. If other shards hold jobs of the queue, which has been
+    /// served by their pools, none of them may know the job. One that does not respond may.
+    async fn submit_once(
+        &self,
+        authorized: &AuthorizedRequest,
+        job: &Job,
+    ) -> Result<ShardResponse, RequestError> {
+        let shard = ShardId::of_pool(&job.queue.pool);
+        let confirm = ShardRequest::ConfirmJob {
+            id: job.id,
+            queue: Arc::clone(&job.queue.name),
+            version: self.current_config.load().version,
+        };
+        for other in self.former_shards(&job.queue.name, shard) {
+            match self.send_to(authorized, other, &confirm).await {
+                Ok(ShardResponse::NotFound) => {}
+                Ok(response) => return Ok(response),
+                Err(error) => {
+                    log::info!(
+                        shard:display = other, job:display = job.id, error:display;
+                        "former_shard_not_reached"
+                    );
+                    return Err(RequestError::OutcomeUnknown);
+                }
+            }
+        }
+        let submit = ShardRequest::Submit(Box::new(job.clone()));
+        self.send_to(authorized, shard, &submit).await
+    }
+
+    /// Returns the shards other than `current` that hold jobs of a queue. One whose pools the
+    /// configuration has no more counts only while it has an owner, since nobody claims it.
+    fn former_shards(&self, queue: &str, current: ShardId) -> Vec<ShardId> {
+        let mut shards = self.router.queue_shards.of_queue(queue);
+        shards.remove(&current);
+        if shards.is_empty() {
+            return Vec::new();
+        }
+        let configured = self.current_config.load().shards();
+        let cluster = self.router.cluster();
+        shards.retain(|s| configured.contains(s) || cluster.has_live_owner(*s));
+        shards.into_iter().collect()
     }
 
     /// Returns the state of a job, also if its queue was served by another pool at its submission.
@@ -270,10 +343,18 @@
         authorized: &AuthorizedRequest,
         request: &ShardRequest,
     ) -> Result<ShardResponse, RequestError> {
-        let (shard, context) = (
-            ShardId::of_pool(&authorized.route.pool),
-            Some(authorized.span.context()),
-        );
+        let shard = ShardId::of_pool(&authorized.route.pool);
+        self.send_to(authorized, shard, request).await
+    }
+
+    /// Sends a request to the owner of a shard.
+    async fn send_to(
+        &self,
+        authorized: &AuthorizedRequest,
+        shard: ShardId,
+        request: &ShardRequest,
+    ) -> Result<ShardResponse, RequestError> {
+        let context = Some(authorized.span.context());
         let response = self
             .router
             .send_traced(context, shard, request, authorized.deadline);
@@ -294,11 +375,7 @@
             if shard == queue_shard || shard == ShardId::FLEET {
                 continue;
             }
-            let context = Some(authorized.span.context());
-            let response = self
-                .router
-                .send_traced(context, shard, request, authorized.deadline);
-            match response.await {
+            match self.send_to(authorized, shard, request).await {
                 Ok(ShardResponse::NotFound) => {}
                 Ok(response) => return Some(response),
                 Err(_) => return None,
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -55,6 +55,17 @@
         /// Whether the switch is on.
         on: bool,
     },
+    /// Confirm that a job is stored, which was submitted before its queue moved to another shard. An
+    /// owner that does not know the job accepts no new ones of the queue from then on, unless a later
+    /// configuration sends the queue to its shard.
+    ConfirmJob {
+        /// The job.
+        id: JobId,
+        /// The name of the job's queue.
+        queue: Name,
+        /// The version of the configuration that sends the queue to another shard.
+        version: u64,
+    },
 }
 
 impl ShardRequest {
@@ -71,6 +82,7 @@
             Self::ReportUsage(_) => "allot",
             Self::FleetStatus => "fleet",
             Self::SetSwitch { .. } => "switch",
+            Self::ConfirmJob { .. } => "confirm",
         }
     }
 }
@@ -131,6 +143,8 @@
     NotOwner,
     /// The owner lost the shard, stopped or took too long; the request may have been carried out.
     OutcomeUnknown,
+    /// The configuration sends the job's queue to another shard; nothing was done.
+    QueueMoved,
 }
 
 impl From<Response> for ShardResponse {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -1,6 +1,8 @@
 //! The task that owns a shard. It passes requests of callers and responses of the workers, the store
 //! and the policy service to [`Shard`], which makes the decisions, and executes their effects.
 
+mod queues;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::mem;
@@ -18,6 +20,7 @@
 use lavenderhollow_shard::Shard;
 use lavenderhollow_shard::StartOutcome;
 use lavenderhollow_shard::StepId;
+use lavenderhollow_shard::Timestamp;
 use lavenderhollow_shard::Timings;
 use lavenderhollow_shard::WorkerReport;
 use lavenderhollow_shard::decode_record;
@@ -43,6 +46,9 @@
 use crate::message::ShardResponse;
 use crate::message::ShardUsage;
 use crate::message::TeamReport;
+use crate::owner::queues::OwnerQueues;
+use crate::owner::queues::QueueChanges;
+use crate::owner::queues::WaitingSubmission;
 use crate::owner_load::OwnerLoad;
 use crate::owner_load::Work;
 use crate::router::LocalRequest;
@@ -92,6 +98,7 @@
     /// The check began at the given time, when the partition was expected to end at the offset.
     OwnershipChecked(Instant, u64, Result<(), StoreError>),
     Quotas(Option<Vec<(Name, Resources)>>),
+    QueuesPublished(QueueChanges, Result<(), StoreError>),
 }
 
 /// The state of the task that owns a shard.
@@ -115,6 +122,7 @@
     suspended: bool,
     /// Whether the batch in flight is stored, and its effects wait until the ownership is confirmed.
     batch_stored: bool,
+    queues: OwnerQueues,
     /// Set while the shard is being released; receives a message when that is done.
     release_reply: Option<oneshot::Sender<()>>,
     load: OwnerLoad,
@@ -138,32 +146,7 @@
 ) -> OwnerEnd {
     let (events, mut incoming) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let at = timestamp(&*context.clock);
-    let mut timings = context.timings;
-    if claimed.released {
-        timings.takeover_wait = Duration::ZERO;
-    }
-    let mut shard = Shard::new(timings, at.now);
-    let mut records = Vec::new();
-    for entry in &claimed.entries {
-        let Some(value) = &entry.value else {
-            continue;
-        };
-        match decode_record(&entry.key, value) {
-            Ok(Some(decoded)) => records.push(decoded),
-            Ok(None) => {}
-            Err(error) => {
-                log::error!(
-                    shard:display = context.shard_id, error:display; "record_decode_failed"
-                );
-            }
-        }
-    }
-    let restored = records.len();
-    shard.restore(at, records);
-    log::info!(
-        shard:display = context.shard_id, token = claimed.fencing_token, records = restored,
-        released = claimed.released, open_jobs = shard.unfinished_jobs(); "shard_acquired"
-    );
+    let shard = restore_shard(&context, &claimed, at);
     let confirmed_at = context.claimed_at;
     let mut owner = Owner {
         context,
@@ -180,6 +163,7 @@
         report_pending: false,
         suspended: false,
         batch_stored: false,
+        queues: OwnerQueues::new(at.now),
         release_reply: None,
         load: OwnerLoad::new(at.now),
     };
@@ -237,6 +221,37 @@
     owner.stop().await
 }
 
+/// Creates the state of a claimed shard from the records of its earlier owners.
+fn restore_shard(context: &OwnerContext, claimed: &ClaimedShard, at: Timestamp) -> Shard {
+    let mut timings = context.timings;
+    if claimed.released {
+        timings.takeover_wait = Duration::ZERO;
+    }
+    let mut shard = Shard::new(timings, at.now);
+    let mut records = Vec::new();
+    for entry in &claimed.entries {
+        let Some(value) = &entry.value else {
+            continue;
+        };
+        match decode_record(&entry.key, value) {
+            Ok(Some(decoded)) => records.push(decoded),
+            Ok(None) => {}
+            Err(error) => {
+                log::error!(
+                    shard:display = context.shard_id, error:display; "record_decode_failed"
+                );
+            }
+        }
+    }
+    let restored = records.len();
+    shard.restore(at, records);
+    log::info!(
+        shard:display = context.shard_id, token = claimed.fencing_token, records = restored,
+        released = claimed.released, open_jobs = shard.unfinished_jobs(); "shard_acquired"
+    );
+    shard
+}
+
 impl Owner {
     /// Ends the owner. If the shard is being released, stores this, unless another process owns it.
     async fn stop(mut self) -> OwnerEnd {
@@ -245,6 +260,7 @@
             released = self.release_reply.is_some(), open_jobs = self.shard.unfinished_jobs();
             "shard_owner_stopped"
         );
+        self.queues.reject_waiting();
         let Some(done) = self.release_reply.take() else {
             return OwnerEnd::OwnershipLost;
         };
@@ -296,8 +312,12 @@
         }
         let response = match request {
             ShardRequest::Submit(job) => {
-                let request_id = self.add_responder(responder);
-                self.shard.submit(at, request_id, *job);
+                let submission = WaitingSubmission { job, responder };
+                self.submit(at, submission);
+                return;
+            }
+            ShardRequest::ConfirmJob { id, queue, version } => {
+                self.confirm_job(at.now, id, &queue, version, responder);
                 return;
             }
             ShardRequest::Cancel(id) => {
@@ -386,6 +406,9 @@
                     }
                 }
             }
+            Event::QueuesPublished(changes, result) => {
+                self.handle_queues_published(at, &changes, result);
+            }
             Event::Quotas(quotas) => {
                 self.report_pending = false;
                 if let Some(quotas) = quotas {
@@ -435,6 +458,8 @@
             return Err(OwnershipLost);
         }
         let decided_at = self.add_work(Work::Decisions, at.now);
+        self.report_absences();
+        self.publish_queues(at.now);
         self.store_batch();
         let encoded_at = self.add_work(Work::Records, decided_at);
         self.check_ownership(at.now, unconfirmed_for);
@@ -498,9 +523,11 @@
         }
     }
 
-    /// Starts an ownership check if no append has confirmed the ownership recently.
+    /// Starts an ownership check if no append has confirmed the ownership recently, or if a caller waits
+    /// for it.
     fn check_ownership(&mut self, now: Instant, unconfirmed_for: Duration) {
-        if unconfirmed_for < OWNERSHIP_CHECK_INTERVAL || self.check_pending {
+        let is_due = unconfirmed_for >= OWNERSHIP_CHECK_INTERVAL || self.queues.has_absences();
+        if !is_due || self.check_pending {
             return;
         }
         let Some(appender) = self.appender.clone() else {
--- /dev/null
+++ b/crates/node/src/owner/queues.rs
@@ -0,0 +1,217 @@
+//! The part of a shard's owner that knows of which queues the shard holds jobs, and which of them the
+//! configuration sends to other shards by now.
+
+use std::collections::BTreeSet;
+use std::mem;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use lavenderhollow_shard::Job;
+use lavenderhollow_shard::JobId;
+use lavenderhollow_shard::Name;
+use lavenderhollow_shard::Record;
+use lavenderhollow_shard::Timestamp;
+use tokio::sync::oneshot;
+
+use crate::backend::StoreError;
+use crate::backend::Topic;
+use crate::message::ShardResponse;
+use crate::owner::Event;
+use crate::owner::Owner;
+use crate::owner::send_event;
+use crate::queue_fence::QueueFence;
+use crate::queue_shards::queue_record;
+use crate::shard_id::ShardId;
+use crate::shard_manager::STORE_RETRY_DELAY;
+
+/// How often the owner publishes of which queues the shard holds jobs, if they have changed.
+const QUEUES_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What an owner knows of the queues of its shard, and the callers that wait for it.
+pub(super) struct OwnerQueues {
+    /// The queues that have moved to other shards.
+    fence: QueueFence,
+    waiting: Vec<WaitingSubmission>,
+    publish_pending: bool,
+    next_publish: Instant,
+    /// The callers to be told that a job is unknown once the ownership is confirmed, with the time of
+    /// the request.
+    absences: Vec<(Instant, oneshot::Sender<ShardResponse>)>,
+}
+
+impl OwnerQueues {
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            fence: QueueFence::default(),
+            waiting: Vec::new(),
+            publish_pending: false,
+            next_publish: now,
+            absences: Vec::new(),
+        }
+    }
+
+    /// Returns whether callers wait for a confirmation of the ownership.
+    pub(super) fn has_absences(&self) -> bool {
+        !self.absences.is_empty()
+    }
+
+    /// Rejects the submissions that wait, when the owner ends.
+    pub(super) fn reject_waiting(&mut self) {
+        for submission in mem::take(&mut self.waiting) {
+            // The send fails if the caller has stopped waiting.
+            let _ = submission.responder.send(ShardResponse::NotOwner);
+        }
+    }
+}
+
+/// Changes of the queues of which it is published that the shard holds jobs.
+#[derive(Debug, Default)]
+pub(super) struct QueueChanges {
+    added: Vec<Name>,
+    removed: Vec<Name>,
+}
+
+impl QueueChanges {
+    fn records(&self, shard: ShardId) -> Vec<Record> {
+        let added = self.added.iter().map(|q| queue_record(shard, q, true));
+        let removed = self.removed.iter().map(|q| queue_record(shard, q, false));
+        added.chain(removed).collect()
+    }
+}
+
+/// A job that waits until it is published that the shard holds jobs of its queue.
+pub(super) struct WaitingSubmission {
+    pub(super) job: Box<Job>,
+    pub(super) responder: oneshot::Sender<ShardResponse>,
+}
+
+impl Owner {
+    /// Submits a job, unless its queue has moved to another shard. Waits if it is not published yet that
+    /// the shard holds jobs of the queue.
+    pub(super) fn submit(&mut self, at: Timestamp, submission: WaitingSubmission) {
+        let WaitingSubmission { job, responder } = submission;
+        if !self.shard.holds_job(job.id) {
+            let (shard, queue) = (self.context.shard_id, &job.queue.name);
+            let config = self.context.current_config.load();
+            if !self.queues.fence.accepts(&config, shard, queue) {
+                log::info!(
+                    shard:display, job:display = job.id, queue = &**queue,
+                    version = config.version; "job_of_moved_queue_rejected"
+                );
+                // The send fails if the caller has stopped waiting.
+                let _ = responder.send(ShardResponse::QueueMoved);
+                return;
+            }
+            if !self.context.router.queue_shards.contains(shard, queue) {
+                self.queues
+                    .waiting
+                    .push(WaitingSubmission { job, responder });
+                return;
+            }
+        }
+        let request_id = self.add_responder(responder);
+        self.shard.submit(at, request_id, *job);
+    }
+
+    /// Confirms that a job is stored whose queue has moved to another shard by a configuration. That it
+    /// is unknown holds only while this process owns the shard, which is checked first.
+    pub(super) fn confirm_job(
+        &mut self,
+        now: Instant,
+        id: JobId,
+        queue: &Name,
+        version: u64,
+        responder: oneshot::Sender<ShardResponse>,
+    ) {
+        self.queues.fence.close(queue, version);
+        if self.shard.holds_job(id) {
+            let request_id = self.add_responder(responder);
+            self.shard.confirm(request_id, id);
+        } else {
+            self.queues.absences.push((now, responder));
+        }
+    }
+
+    /// Tells the callers that a job is unknown whose requests came before the last confirmation of the
+    /// ownership.
+    pub(super) fn report_absences(&mut self) {
+        let confirmed_at = self.confirmed_at;
+        for (_, responder) in self
+            .queues
+            .absences
+            .extract_if(.., |(at, _)| *at <= confirmed_at)
+        {
+            // The caller may have stopped waiting; it repeats the request.
+            let _ = responder.send(ShardResponse::NotFound);
+        }
+    }
+
+    /// Publishes the queues of which the shard holds jobs, at once if a submission waits for it. Queues
+    /// that are sent to other shards are withdrawn when the last of their jobs has been removed.
+    pub(super) fn publish_queues(&mut self, now: Instant) {
+        if self.queues.publish_pending
+            || (self.queues.waiting.is_empty() && now < self.queues.next_publish)
+        {
+            return;
+        }
+        self.queues.next_publish = now + QUEUES_INTERVAL;
+        let (shard, router) = (self.context.shard_id, &self.context.router);
+        let config = self.context.current_config.load();
+        let published: BTreeSet<Name> = router.queue_shards.of_shard(shard).into_iter().collect();
+        let waiting = self.queues.waiting.iter().map(|s| &s.job.queue.name);
+        let held: BTreeSet<Name> = self.shard.queues().chain(waiting).cloned().collect();
+        let is_served = |queue: &Name| {
+            let route = config.queue(queue);
+            route.is_some_and(|r| ShardId::of_pool(&r.pool) == shard)
+        };
+        let unused = published.difference(&held).filter(|q| !is_served(q));
+        let changes = QueueChanges {
+            added: held.difference(&published).cloned().collect(),
+            removed: unused.cloned().collect(),
+        };
+        let records = changes.records(shard);
+        if records.is_empty() {
+            return;
+        }
+        // A submission from now on publishes the queue again.
+        for queue in &changes.removed {
+            router.queue_shards.remove(shard, queue);
+        }
+        log::info!(shard:display, added:? = changes.added, removed:? = changes.removed; "queues_published");
+        self.queues.publish_pending = true;
+        let (store, events) = (
+            Arc::clone(&self.context.platform.store),
+            self.events.clone(),
+        );
+        self.calls.spawn(async move {
+            let result = store.append(Topic::Owners, None, &records).await;
+            if result.is_err() {
+                tokio::time::sleep(STORE_RETRY_DELAY).await;
+            }
+            let event = Event::QueuesPublished(changes, result.map(|_| ()));
+            send_event(&events, event).await;
+        });
+    }
+
+    /// Handles the outcome of [`Self::publish_queues`], and submits the jobs that waited for it.
+    pub(super) fn handle_queues_published(
+        &mut self,
+        at: Timestamp,
+        changes: &QueueChanges,
+        result: Result<(), StoreError>,
+    ) {
+        let (shard, known) = (self.context.shard_id, &self.context.router.queue_shards);
+        self.queues.publish_pending = false;
+        if let Err(error) = result {
+            log::warn!(shard:display, error:display; "queues_publish_failed");
+            // They are withdrawn again later.
+            changes.removed.iter().for_each(|q| known.insert(shard, q));
+            return;
+        }
+        changes.added.iter().for_each(|q| known.insert(shard, q));
+        for submission in mem::take(&mut self.queues.waiting) {
+            self.submit(at, submission);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/queue_fence.rs
@@ -0,0 +1,36 @@
+//! Decides whether the owner of a shard may accept new jobs of a queue.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use lavenderhollow_shard::Name;
+
+use crate::cluster_config::ClusterConfig;
+use crate::shard_id::ShardId;
+
+/// The queues that have moved away from a shard, as its owner knows from other processes.
+///
+/// Processes apply a configuration at different times. One with the later version has asked this shard
+/// for a job and not found it, and may have had the job accepted elsewhere. From then on a process
+/// with the earlier version must not have the same job accepted here.
+#[derive(Debug, Default)]
+pub struct QueueFence {
+    /// The version of the configuration that has moved each queue.
+    moved: BTreeMap<Name, u64>,
+}
+
+impl QueueFence {
+    /// Records that a configuration sends a queue to another shard.
+    pub fn close(&mut self, queue: &Name, version: u64) {
+        let known = self.moved.entry(Arc::clone(queue)).or_default();
+        *known = version.max(*known);
+    }
+
+    /// Returns whether a shard accepts new jobs of a queue. A queue that `config` does not have may
+    /// have been added by a later one.
+    pub fn accepts(&self, config: &ClusterConfig, shard: ShardId, queue: &str) -> bool {
+        let is_closed = self.moved.get(queue).is_some_and(|v| *v >= config.version);
+        let route = config.queue(queue);
+        !is_closed && route.is_none_or(|r| ShardId::of_pool(&r.pool) == shard)
+    }
+}
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -24,6 +24,7 @@
 use crate::peers::PeerError;
 use crate::peers::PeerHandler;
 use crate::peers::Peers;
+use crate::queue_shards::QueueShards;
 use crate::shard_id::ShardId;
 
 /// The delay before a request is sent to the owner again. A change of owner takes about a hundred
@@ -63,6 +64,8 @@
 pub struct Router {
     pub(crate) me: Member,
     pub(crate) peers: Peers,
+    /// The shards that hold jobs of each queue.
+    pub(crate) queue_shards: QueueShards,
     clock: Arc<dyn Clock>,
     cluster: Mutex<ClusterState>,
     local_owners: Mutex<BTreeMap<ShardId, OwnerHandle>>,
@@ -74,6 +77,7 @@
         Self {
             me,
             peers: Peers::default(),
+            queue_shards: QueueShards::default(),
             clock,
             cluster: Mutex::default(),
             local_owners: Mutex::default(),
--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -137,10 +137,16 @@
             {
                 Ok(changes) => {
                     failing = false;
-                    let changed = changes.changed.iter();
+                    let queue_shards = &self.context.router.queue_shards;
+                    let changed = changes
+                        .changed
+                        .iter()
+                        .filter(|(key, value)| !queue_shards.apply(key, value.as_deref()));
                     let owners = changed
                         .filter_map(|(key, value)| claim::decode_owner(key, value.as_deref()?));
-                    self.apply_owners(owners.collect());
+                    let owners = owners.collect();
+                    queue_shards.mark_complete();
+                    self.apply_owners(owners);
                     self.stop_superseded_owners();
                 }
                 Err(error) => {
--- a/crates/node/tests/memory_store.rs
+++ b/crates/node/tests/memory_store.rs
@@ -455,7 +455,8 @@
 /// the path `/QUEUE/` and its pool, and `@N` the version.
 struct PoolCodec;
 
-fn route(queue: &str, pool: &str) -> Arc<Route> {
+/// Returns a queue that a pool serves.
+pub(crate) fn route(queue: &str, pool: &str) -> Arc<Route> {
     Arc::new(Route {
         name: queue.into(),
         host: HOST.into(),
--- a/crates/node/tests/test_owner.rs
+++ b/crates/node/tests/test_owner.rs
@@ -23,7 +23,7 @@
 use crate::test_claim::publish;
 
 /// A time after which a node that has just started owns its shards.
-const START_TIME: Duration = Duration::from_secs(5);
+pub(crate) const START_TIME: Duration = Duration::from_secs(5);
 
 /// The time after which an owner without appends checks its ownership.
 const CHECK_INTERVAL: Duration = Duration::from_millis(1_500);
--- a/crates/shard/src/recovery.rs
+++ b/crates/shard/src/recovery.rs
@@ -65,7 +65,7 @@
         if !is_final {
             self.unfinished.insert(id);
         }
-        self.jobs.insert(id, tracked);
+        self.insert_job(id, tracked);
         for task in &progress.tasks {
             self.restore_task(at, id, task);
         }
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -163,6 +163,8 @@
     /// When this owner acquired the shard.
     pub(crate) owned_since: Instant,
     pub(crate) jobs: HashMap<JobId, TrackedJob>,
+    /// The number of jobs of each queue.
+    queue_jobs: BTreeMap<Name, usize>,
     /// The jobs that are not final.
     pub(crate) unfinished: BTreeSet<JobId>,
     /// The unfinished jobs with tasks that wait for a place.
@@ -216,6 +218,7 @@
             timings,
             owned_since: now,
             jobs: HashMap::new(),
+            queue_jobs: BTreeMap::new(),
             unfinished: BTreeSet::new(),
             waiting: BTreeMap::new(),
             due: BTreeSet::new(),
@@ -249,13 +252,7 @@
     /// A job whose id is already known is accepted, and the existing job stays as it is.
     pub fn submit(&mut self, at: Timestamp, request_id: RequestId, job: Job) {
         let id = job.id;
-        if let Some(existing) = self.jobs.get(&id) {
-            // A repeated submission waits for the batch that stores the first one.
-            let response = Effect::Respond(request_id, Response::Accepted);
-            match existing.persisted && !self.dirty.contains(&id) && self.in_flight.is_none() {
-                true => self.effects.push(response),
-                false => self.pending_batch.effects.push(response),
-            }
+        if self.confirm(request_id, id) {
             return;
         }
         let over_share = job.team.as_ref();
@@ -285,7 +282,7 @@
         if !tracked.over_share {
             self.arrivals.add(at.now, &tracked.job);
         }
-        self.jobs.insert(id, tracked);
+        self.insert_job(id, tracked);
         self.unfinished.insert(id);
         self.count_job(at.now, id);
         self.update_waiting(id);
@@ -295,6 +292,53 @@
             .push(Effect::Respond(request_id, Response::Accepted));
     }
 
+    /// Responds to a request that a job is stored if the job is known, as an [`Effect::Respond`] once
+    /// it is. Returns whether the job is known.
+    pub fn confirm(&mut self, request_id: RequestId, id: JobId) -> bool {
+        let Some(existing) = self.jobs.get(&id) else {
+            return false;
+        };
+        // A repeated submission waits for the batch that stores the first one.
+        let response = Effect::Respond(request_id, Response::Accepted);
+        match existing.persisted && !self.dirty.contains(&id) && self.in_flight.is_none() {
+            true => self.effects.push(response),
+            false => self.pending_batch.effects.push(response),
+        }
+        true
+    }
+
+    /// Returns the queues of which the shard holds jobs, finished or not.
+    pub fn queues(&self) -> impl Iterator<Item = &Name> {
+        self.queue_jobs.keys()
+    }
+
+    /// Returns whether the shard holds a job.
+    pub fn holds_job(&self, id: JobId) -> bool {
+        self.jobs.contains_key(&id)
+    }
+
+    /// Adds a job, and counts it for its queue.
+    pub(crate) fn insert_job(&mut self, id: JobId, job: TrackedJob) {
+        let queue = Arc::clone(&job.job.queue.name);
+        if self.jobs.insert(id, job).is_none() {
+            *self.queue_jobs.entry(queue).or_default() += 1;
+        }
+    }
+
+    /// Removes a finished job.
+    fn remove_job(&mut self, id: JobId) {
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
+        let queue = &job.job.queue.name;
+        if let Some(count) = self.queue_jobs.get_mut(queue) {
+            *count -= 1;
+            if *count == 0 {
+                self.queue_jobs.remove(queue);
+            }
+        }
+    }
+
     /// Cancels a job unless it is final. The response follows as an [`Effect::Respond`].
     pub fn cancel(&mut self, at: Timestamp, request_id: RequestId, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else {
@@ -464,7 +508,7 @@
         });
         let expired: Vec<JobId> = expired.map(|(&id, _)| id).collect();
         for id in expired {
-            self.jobs.remove(&id);
+            self.remove_job(id);
             self.dirty.remove(&id);
             self.pending_tombstones.extend(tombstones(id));
         }
