node: count the jobs that wait in the pools that served a queue before

Change: the counts of all shards that hold jobs of the queue are added up. If one does not respond, the number is not known and the answer 503, as it was for a single shard.

Test: jobs_that_wait_in_the_former_pool_are_pending failed before (1 instead of 4) and passes.

--- a/crates/node/src/job_api.rs
+++ b/crates/node/src/job_api.rs
@@ -327,14 +327,23 @@
         }
     }
 
-    /// Returns the number of the queue's jobs that have not started.
+    /// Returns the number of the queue's jobs that have not started, also of those in shards that
+    /// served the queue before.
     pub async fn queued_jobs(&self, authorized: &AuthorizedRequest) -> ApiResponse {
-        let queue = ShardRequest::Pending(Arc::clone(&authorized.route.name));
-        match self.send(authorized, &queue).await {
-            Ok(ShardResponse::Pending(count)) => ApiResponse::Pending(count),
-            Err(_) => unavailable("owner_not_reached"),
-            other => error_response(other),
+        let queue = &authorized.route.name;
+        let current = ShardId::of_pool(&authorized.route.pool);
+        let mut shards = self.former_shards(queue, current);
+        shards.push(current);
+        let request = ShardRequest::Pending(Arc::clone(queue));
+        let mut total = 0;
+        for shard in shards {
+            match self.send_to(authorized, shard, &request).await {
+                Ok(ShardResponse::Pending(count)) => total += count,
+                Err(_) => return unavailable("owner_not_reached"),
+                other => return error_response(other),
+            }
         }
+        ApiResponse::Pending(total)
     }
 
     /// Sends a request to the owner of the queue's shard.
--- a/crates/node/tests/test_moved_queue.rs
+++ b/crates/node/tests/test_moved_queue.rs
@@ -93,6 +93,21 @@
     assert_eq!(started_on(&store), ["worker-of-pool-1"]);
 }
 
+/// Guards against waiting jobs that are not counted after their queue has moved.
+#[tokio::test(start_paused = true)]
+async fn jobs_that_wait_in_the_former_pool_are_pending() {
+    let (store, node) = start(&[]).await;
+    for id in 0..3 {
+        assert_eq!(submit(&node, "queue", id).await, ApiResponse::Accepted);
+    }
+    move_queue(&store).await;
+    assert_eq!(submit(&node, "queue", 3).await, ApiResponse::Accepted);
+    let api = node.job_api();
+    let authorized = api.authorize(HOST, "/queue/", None, None, None);
+    let pending = api.queued_jobs(&authorized.expect("a queue")).await;
+    assert_eq!(pending, ApiResponse::Pending(4));
+}
+
 /// Guards against a job that is accepted before other processes can know which shard holds it.
 #[tokio::test(start_paused = true)]
 async fn the_first_job_of_a_queue_waits_until_its_shard_is_published() {
