node: don't pass a rejection on after an attempt without a response

Cause: a node makes several attempts to reach the owner of a shard. One that hung in a cut was given up after 1.2 s; the next one reached another owner, which rejected the job, and the caller got this answer. The first attempt arrived at the earlier owner when the cut was over and was accepted.

Change: after an attempt without a response a rejection doesn't conclude the request. The caller gets 504, which says that the job may run, and repeats it under the same id. What is known of the attempts is a type of its own (Attempts).

Test: a_rejection_after_an_attempt_without_a_response_leaves_the_outcome_unknown failed with the earlier rule (Ok(Rejected)) and passes.

Not done: a request that arrives after its caller's deadline is still carried out.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod appender;
 mod assignment;
+mod attempts;
 mod automatic;
 pub mod backend;
 mod claim;
@@ -42,6 +43,7 @@
 pub use assignment::ClusterState;
 pub use assignment::Member;
 pub use assignment::Ownership;
+pub use attempts::Attempts;
 pub use automatic::FleetAction;
 pub use automatic::FleetSwitches;
 pub use claim::ClaimedShard;
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -19,6 +19,7 @@
 use crate::assignment::ClusterState;
 use crate::assignment::Member;
 use crate::assignment::Ownership;
+use crate::attempts::Attempts;
 use crate::message::ShardRequest;
 use crate::message::ShardResponse;
 use crate::peers::PeerError;
@@ -124,17 +125,17 @@
         request: &ShardRequest,
         deadline: Instant,
     ) -> Result<ShardResponse, RequestError> {
-        let mut error = RequestError::OwnerUnreachable;
+        let mut attempts = Attempts::default();
         loop {
             let remaining = deadline.saturating_duration_since(self.clock.now());
             if remaining.is_zero() {
-                return Err(error);
+                return Err(attempts.error());
             }
             let timeout = remaining.min(ATTEMPT_TIMEOUT);
             match self.send_once(parent, shard, request, timeout).await {
                 Ok(ShardResponse::NotOwner) => {}
-                Ok(ShardResponse::OutcomeUnknown) => error = RequestError::OutcomeUnknown,
-                Ok(response) => return Ok(response),
+                Ok(ShardResponse::OutcomeUnknown) => attempts.add_unknown(),
+                Ok(response) => return attempts.conclude(response),
                 Err(PeerError::NotSent { detail }) => {
                     log::debug!(shard:display, detail:display; "owner_not_reached");
                 }
@@ -142,7 +143,7 @@
                     log::info!(
                         shard:display, kind = request.kind(), detail:display; "owner_call_failed"
                     );
-                    error = RequestError::OutcomeUnknown;
+                    attempts.add_unknown();
                 }
             }
             // The attempt may have taken all the time that was left.
--- a/crates/node/tests/runner.rs
+++ b/crates/node/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod memory_store;
 mod test_assignment;
+mod test_attempts;
 mod test_automatic;
 mod test_claim;
 mod test_command_budget;
