node: report the unknown outcome of a cancellation that was passed on

What callers saw: 503, "nothing was done", for a cancellation that the owner in the pool that had served the queue before had received and may carry out (listed as open in docs/proofs.md).

Cause: a missing response of another shard was always reported as unavailable.

Change: the error tells whether the request may have been carried out, as it does for the shard that serves the queue now. Reading a state still reports unavailable, since it changes nothing.

Test: a_cancellation_without_a_response_of_the_former_owner_may_be_carried_out failed before (503) and passes.

--- a/crates/node/src/job_api.rs
+++ b/crates/node/src/job_api.rs
@@ -299,9 +299,9 @@
                 .send_to_other_shards(authorized, &ShardRequest::State(id))
                 .await
             {
-                Some(ShardResponse::State(state)) => ApiResponse::State(state),
-                Some(_) => ApiResponse::JobNotFound,
-                None => unavailable("owner_not_reached"),
+                Ok(ShardResponse::State(state)) => ApiResponse::State(state),
+                Ok(_) => ApiResponse::JobNotFound,
+                Err(_) => unavailable("owner_not_reached"),
             },
             // Reading changes nothing, so an unknown outcome is reported as unavailable.
             Err(_) => unavailable("owner_not_reached"),
@@ -318,9 +318,8 @@
                     .send_to_other_shards(authorized, &ShardRequest::Cancel(id))
                     .await
                 {
-                    Some(ShardResponse::Accepted) => ApiResponse::Cancelled,
-                    Some(_) => ApiResponse::JobNotFound,
-                    None => unavailable("owner_not_reached"),
+                    Ok(ShardResponse::Accepted) => ApiResponse::Cancelled,
+                    other => error_response(other),
                 }
             }
             other => error_response(other),
@@ -371,13 +370,13 @@
     }
 
     /// Sends a request for a job that the queue's shard does not know to the other shards, since
-    /// the queue may have been served by another pool when the job was submitted. Returns `None` if
-    /// one of them gives no response.
+    /// the queue may have been served by another pool when the job was submitted. Returns the error
+    /// of the first that gives no response.
     async fn send_to_other_shards(
         &self,
         authorized: &AuthorizedRequest,
         request: &ShardRequest,
-    ) -> Option<ShardResponse> {
+    ) -> Result<ShardResponse, RequestError> {
         let queue_shard = ShardId::of_pool(&authorized.route.pool);
         let config = self.current_config.load();
         for shard in config.shards() {
@@ -386,11 +385,10 @@
             }
             match self.send_to(authorized, shard, request).await {
                 Ok(ShardResponse::NotFound) => {}
-                Ok(response) => return Some(response),
-                Err(_) => return None,
+                result => return result,
             }
         }
-        Some(ShardResponse::NotFound)
+        Ok(ShardResponse::NotFound)
     }
 }
 
--- a/crates/node/tests/test_moved_queue.rs
+++ b/crates/node/tests/test_moved_queue.rs
@@ -6,6 +6,7 @@
 
 use lavenderhollow_node::ApiResponse;
 use lavenderhollow_node::ClusterConfig;
+use lavenderhollow_node::Member;
 use lavenderhollow_node::Node;
 use lavenderhollow_node::QueueFence;
 use lavenderhollow_node::QueueShards;
@@ -93,6 +94,28 @@
     assert_eq!(started_on(&store), ["worker-of-pool-1"]);
 }
 
+/// Guards against a caller that is told that nothing was done, although the owner in the former pool
+/// has received the cancellation.
+#[tokio::test]
+async fn a_cancellation_without_a_response_of_the_former_owner_may_be_carried_out() {
+    let (store, node) = start(&[]).await;
+    assert_eq!(submit(&node, "queue", 1).await, ApiResponse::Accepted);
+    move_queue(&store).await;
+    // The listener's backlog takes connections, and nobody reads from them.
+    let silent = std::net::TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    let successor = Member {
+        address: silent.local_addr().expect("an address").to_string().into(),
+        ..member("vm-2", 120)
+    };
+    store.state().join(&successor.to_string(), LONG);
+    publish(&store, ShardId::of_pool("pool-1"), &successor, 1_000);
+    tokio::time::sleep(APPLY_TIME).await;
+    let api = node.job_api();
+    let authorized = api.authorize(HOST, "/queue/1", None, None, None);
+    let response = api.cancel(&authorized.expect("a queue"), JobId(1)).await;
+    assert_eq!(response, ApiResponse::OutcomeUnknown);
+}
+
 /// Guards against waiting jobs that are not counted after their queue has moved.
 #[tokio::test(start_paused = true)]
 async fn jobs_that_wait_in_the_former_pool_are_pending() {
