shard: divide a batch into appends that the store takes

Cause: everything that had changed during a slow append went into the next one, whatever its size. The store rejects an append over max_request_bytes, and the call was repeated for ever.

Change: the records of a batch are divided at the limit of an append; the two records of a job stay together, and the effects of the batch wait for the last of its appends.

Tests: a_large_batch_is_stored_in_several_appends failed without the division (OutcomeUnknown) and passes; a_batch_is_divided_at_the_limit_of_an_append and the_records_of_a_job_stay_together cover the decision at, below and above the limit.

Open: a single record over max_record_bytes is still repeated for ever.

--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -109,6 +109,9 @@
 /// The platform's store: an append-only log of records per topic, and the set of live members.
 #[async_trait]
 pub trait Store: Send + Sync {
+    /// Returns how many bytes one append may have so that the store takes it and one read returns it.
+    fn max_append_bytes(&self) -> usize;
+
     /// Appends all of the records or none, and returns the offset of the first. With
     /// `expected_end`, appends only if the topic ends at that offset.
     ///
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -24,6 +24,7 @@
 use lavenderhollow_shard::Timings;
 use lavenderhollow_shard::WorkerReport;
 use lavenderhollow_shard::decode_record;
+use lavenderhollow_shard::split_batch;
 use lavenderhollow_types::Clock;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -515,8 +516,14 @@
                 return;
             };
             let events = self.events.clone();
+            let batches = split_batch(records, self.context.platform.store.max_append_bytes());
             self.calls.spawn(async move {
-                let result = appender.append(&records).await;
+                let mut result = Ok(());
+                for records in batches {
+                    if result.is_ok() {
+                        result = appender.append(&records).await;
+                    }
+                }
                 let event = Event::Stored(at.now, result.map(|()| appender));
                 send_event(&events, event).await;
             });
--- a/crates/node/tests/memory_store.rs
+++ b/crates/node/tests/memory_store.rs
@@ -44,6 +44,9 @@
 /// The time that a call takes at first.
 const CALL_TIME: Duration = Duration::from_millis(4);
 
+/// The most bytes that an append may have.
+const MAX_APPEND_BYTES: usize = 64 << 10;
+
 /// The time after which a caller gives up a call without a response.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -197,6 +200,10 @@
 
 #[async_trait]
 impl Store for MemoryStore {
+    fn max_append_bytes(&self) -> usize {
+        MAX_APPEND_BYTES
+    }
+
     async fn append(
         &self,
         topic: Topic,
@@ -204,6 +211,8 @@
         records: &[Record],
     ) -> Result<u64, StoreError> {
         self.check_available()?;
+        let bytes = records.iter().map(|r| r.value.as_ref().map_or(0, Vec::len));
+        reject_if(bytes.sum::<usize>() > MAX_APPEND_BYTES)?;
         reject_if(topic == Topic::Owners && self.state().owner_appends_fail)?;
         let result = {
             let mut state = self.state();
--- a/crates/node/tests/test_owner.rs
+++ b/crates/node/tests/test_owner.rs
@@ -30,6 +30,10 @@
 
 /// Submits a job with one task to a queue.
 pub(crate) async fn submit(node: &Node, queue: &str, id: u64) -> ApiResponse {
+    submit_text(node, queue, id, "text").await
+}
+
+async fn submit_text(node: &Node, queue: &str, id: u64, text: &str) -> ApiResponse {
     let api = node.job_api();
     let path = format!("/{queue}/{id:016x}");
     let authorized = match api.authorize(HOST, &path, None, None, None) {
@@ -47,7 +51,7 @@
         ..Step::default()
     };
     let submission = Submission {
-        payload: "text".into(),
+        payload: text.into(),
         steps: vec![step],
         repeat: None,
     };
@@ -87,6 +91,24 @@
     assert_eq!(submit(&node, "queue", 1).await, ApiResponse::Accepted);
 }
 
+/// Guards against a pool that stores nothing any more, because more has changed during a slow append
+/// than the store takes at once.
+#[tokio::test(start_paused = true)]
+async fn a_large_batch_is_stored_in_several_appends() {
+    let store = MemoryStore::new();
+    store.state().put(Topic::Operator, "config", b"queue>pool");
+    let node = Arc::new(store.start_node("vm-1").await);
+    tokio::time::sleep(START_TIME).await;
+    store.state().append_response_time = Duration::from_millis(500);
+    let submissions = (0..40).map(|id| {
+        let node = Arc::clone(&node);
+        tokio::spawn(async move { submit_text(&node, "queue", id, &"x".repeat(4_000)).await })
+    });
+    for submission in futures::future::join_all(submissions).await {
+        assert_eq!(submission.expect("no panic"), ApiResponse::Accepted);
+    }
+}
+
 /// Appends a record while the first response is lost. If `claimed`, a successor claims the partition
 /// before the call is repeated.
 async fn append_with_lost_response(claimed: bool) -> Result<(), OwnershipLost> {
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod arrivals;
 mod backlog;
+mod batches;
 mod demand;
 mod dispatch;
 mod drain;
@@ -31,6 +32,7 @@
 mod workers;
 
 pub use admission::PoolLoad;
+pub use batches::split_batch;
 pub use demand::PoolDemand;
 pub use dispatch::PlacementStats;
 pub use drain::DrainStatus;
--- a/crates/shard/src/records.rs
+++ b/crates/shard/src/records.rs
@@ -148,6 +148,12 @@
     }
 }
 
+/// Returns whether `next` is the progress of the job that `record` stores.
+pub(crate) fn is_progress_of(next: &Record, record: &Record) -> bool {
+    let id = record.key.strip_prefix('j');
+    id.is_some() && id == next.key.strip_prefix('p')
+}
+
 /// Returns the record of the leases of silent workers, a tombstone if there are none.
 pub(crate) fn lease_record(leases: &BTreeMap<Name, StoredLease>) -> Record {
     Record {
--- a/crates/shard/tests/runner.rs
+++ b/crates/shard/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod support;
 mod test_admission;
+mod test_batches;
 mod test_cost;
 mod test_drain;
 mod test_job;
