shard: don't take runs for lost whose ends may be on a later page

Cause: a worker lists at most 500 ends at a time, and the next ones only once these are acknowledged, for which their outcomes have to be stored. While the store is away the same page comes again, and the runs whose ends were on a later page were in neither list and counted as lost.

The next page is asked for as soon as the outcomes are stored, as before.

--- a/crates/node/tests/memory_store.rs
+++ b/crates/node/tests/memory_store.rs
@@ -443,6 +443,7 @@
                 })
                 .collect(),
             finished: Vec::new(),
+            truncated: false,
         })
     }
 
--- a/crates/shard/src/polling.rs
+++ b/crates/shard/src/polling.rs
@@ -440,8 +440,11 @@
 
     /// Handles the runs that a report lacks. Marks a run as lost if the worker must have started it
     /// earlier or can no longer start it. Otherwise the start request may still be carried out, and
-    /// a stop is sent to prevent that.
+    /// a stop is sent to prevent that. A run that a truncated report lacks may have finished.
     fn handle_missing_runs(&mut self, worker_id: &Name, sent: Instant, report: &WorkerReport) {
+        if report.truncated {
+            return;
+        }
         let Some(worker) = self.workers.get(worker_id) else {
             return;
         };
--- a/crates/shard/src/worker.rs
+++ b/crates/shard/src/worker.rs
@@ -108,6 +108,8 @@
     pub running: Vec<RunStatus>,
     /// The finished runs that were not acknowledged yet.
     pub finished: Vec<FinishedRun>,
+    /// Whether the worker may have further finished runs, which it lists once these are acknowledged.
+    pub truncated: bool,
 }
 
 /// A worker with its runs, its lease and its health.
--- a/crates/shard/tests/support/mod.rs
+++ b/crates/shard/tests/support/mod.rs
@@ -243,6 +243,7 @@
         incarnation: 1,
         running,
         finished,
+        truncated: false,
     }
 }
 
--- a/crates/shard/tests/support/simulation.rs
+++ b/crates/shard/tests/support/simulation.rs
@@ -703,6 +703,7 @@
                     incarnation: worker.incarnation,
                     running: running.collect(),
                     finished: worker.finished.clone(),
+                    truncated: false,
                 };
                 Completion::Poll(index, pending.sent, Ok(report))
             }
--- a/crates/shard/tests/test_lossy_polls.rs
+++ b/crates/shard/tests/test_lossy_polls.rs
@@ -99,3 +99,19 @@
     shard.harness.advance(Duration::from_secs(4));
     assert_eq!(shard.poll().unwrap().wait, usual);
 }
+
+/// Guards against a run that is started again because its end is on a later page of the worker's list.
+#[test]
+fn a_run_that_a_truncated_report_lacks_is_not_lost() {
+    for truncated in [true, false] {
+        let mut shard = BusyShard::new();
+        shard.harness.advance(Duration::from_secs(1));
+        assert!(shard.poll().is_some());
+        let mut response = report(6_000, vec![], vec![]);
+        response.truncated = truncated;
+        shard.harness.answer_poll(&shard.busy, &response);
+        shard.harness.tick();
+        let restarted = starts(&shard.harness.store_batch());
+        assert_eq!(restarted.is_empty(), truncated);
+    }
+}
--- a/crates/shard/tests/test_overload.rs
+++ b/crates/shard/tests/test_overload.rs
@@ -251,6 +251,7 @@
                     incarnation: 1,
                     running: worker.running.keys().map(status).collect(),
                     finished: worker.finished.clone(),
+                    truncated: false,
                 };
                 self.harness.answer_poll(name, &report);
             }
