--- a/crates/node/src/assignment.rs
+++ b/crates/node/src/assignment.rs
@@ -259,6 +259,11 @@
         self.unowned_since = unowned.map(|s| (*s, since(s))).collect();
     }
 
+    /// Returns how many shards had no live owner at the last [observation](Self::observe_owners).
+    pub fn unowned_shards(&self) -> usize {
+        self.unowned_since.len()
+    }
+
     /// Returns whether a shard has had no live owner for so long that `me` claims it although another
     /// member should.
     fn is_left_to_others(
--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -246,6 +246,7 @@
             let to_claim = {
                 let mut cluster = self.context.router.cluster();
                 cluster.observe_owners(now, &shards);
+                metrics::gauge!("shards_without_owner").set(cluster.unowned_shards() as f64);
                 cluster.shards_to_claim(now, me, &shards)
             };
             let is_rejoining = self.membership.is_rejoining(now);
--- a/crates/node/tests/test_assignment.rs
+++ b/crates/node/tests/test_assignment.rs
@@ -175,6 +175,25 @@
     }
 }
 
+/// Guards against a shard without an owner that no metric shows.
+#[test]
+fn shards_without_a_live_owner_are_counted() {
+    let (a, b) = (member("vm-a", 1), member("vm-b", 1));
+    let now = Instant::now();
+    let mut cluster = ClusterState::default();
+    cluster.set_members(now, [a.clone()]);
+    cluster.update_owner(ShardId(0), owned(&a, 1));
+    cluster.update_owner(ShardId(1), owned(&b, 1));
+    cluster.observe_owners(now, &shards(3));
+    assert_eq!(cluster.unowned_shards(), 2);
+    let mut release = owned(&a, 1);
+    release.released = true;
+    cluster.update_owner(ShardId(0), release);
+    cluster.set_members(now, [a, b]);
+    cluster.observe_owners(now, &shards(3));
+    assert_eq!(cluster.unowned_shards(), 2);
+}
+
 /// Guards against a shard that waits for the member that released it and is about to stop, and
 /// against one that no member claims when the releasing member is the only one.
 #[test]
