node: submit waiting jobs whose queue was published without a response

What callers would see: an answer 1.2 s late for the first job of a queue, by the second attempt, and a copy of the submission that waits in the owner for good.

Cause: the owner looked for queues to publish, found none since it had read its own record meanwhile, and left the jobs that wait for it.

Change: if there is nothing to publish, the waiting jobs are submitted. One whose caller has stopped waiting is left out.

Test: a_job_goes_on_after_its_queue_was_published_without_a_response failed before (more than 500 ms) and passes.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -460,7 +460,7 @@
         }
         let decided_at = self.add_work(Work::Decisions, at.now);
         self.report_absences();
-        self.publish_queues(at.now);
+        self.publish_queues(at);
         self.store_batch();
         let encoded_at = self.add_work(Work::Records, decided_at);
         self.check_ownership(at.now, unconfirmed_for);
--- a/crates/node/src/owner/queues.rs
+++ b/crates/node/src/owner/queues.rs
@@ -149,7 +149,8 @@
 
     /// Publishes the queues of which the shard holds jobs, at once if a submission waits for it. Queues
     /// that are sent to other shards are withdrawn when the last of their jobs has been removed.
-    pub(super) fn publish_queues(&mut self, now: Instant) {
+    pub(super) fn publish_queues(&mut self, at: Timestamp) {
+        let now = at.now;
         if self.queues.publish_pending
             || (self.queues.waiting.is_empty() && now < self.queues.next_publish)
         {
@@ -172,6 +173,8 @@
         };
         let records = changes.records(shard);
         if records.is_empty() {
+            // An append without a response may have published the queues.
+            self.submit_waiting(at);
             return;
         }
         // A submission from now on publishes the queue again.
@@ -210,8 +213,16 @@
             return;
         }
         changes.added.iter().for_each(|q| known.insert(shard, q));
+        self.submit_waiting(at);
+    }
+
+    /// Submits the jobs that waited until their queues were published. One whose caller has stopped
+    /// waiting is left out, as the caller may have submitted it again.
+    fn submit_waiting(&mut self, at: Timestamp) {
         for submission in mem::take(&mut self.queues.waiting) {
-            self.submit(at, submission);
+            if !submission.responder.is_closed() {
+                self.submit(at, submission);
+            }
         }
     }
 }
--- a/crates/node/tests/test_moved_queue.rs
+++ b/crates/node/tests/test_moved_queue.rs
@@ -146,6 +146,22 @@
     assert_eq!(queue_records(&store).len(), 1);
 }
 
+/// Guards against a job that waits on after its queue was published by a call without a response.
+#[tokio::test(start_paused = true)]
+async fn a_job_goes_on_after_its_queue_was_published_without_a_response() {
+    let (store, node) = start(&[]).await;
+    store.state().append_responses_lost = true;
+    let lost = Arc::clone(&store);
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        lost.state().append_responses_lost = false;
+    });
+    let submitted = tokio::time::Instant::now();
+    assert_eq!(submit(&node, "queue", 1).await, ApiResponse::Accepted);
+    let taken = submitted.elapsed();
+    assert!(taken < Duration::from_millis(500), "{taken:?}");
+}
+
 /// Guards against submissions that ask the former pool of a queue for good.
 #[tokio::test(start_paused = true)]
 async fn a_former_pool_is_withdrawn_with_its_last_job() {
