--- a/crates/node/src/job_api.rs
+++ b/crates/node/src/job_api.rs
@@ -39,8 +39,8 @@
 /// longer one.
 const MAX_REQUEST_TIME: Duration = Duration::from_secs(3);
 
-/// The delay before a job is submitted again that has to wait for a process to learn where its queue
-/// is served.
+/// The delay before a submission is tried again, while this process has not read the shards of the
+/// queues yet, or the owner has another version of the configuration.
 const MOVE_RETRY_DELAY: Duration = Duration::from_millis(60);
 
 /// A request whose queue exists and whose key, if the queue needs one, is valid.
@@ -247,8 +247,13 @@
         !remaining.is_zero()
     }
 
-    /// Submits a job to the shard of its queue. If other shards hold jobs of the queue, which has been
-    /// served by their pools, none of them may know the job. One that does not respond may.
+    /// Submits a job to the shard of its queue. The shards of the pools that served the queue before are
+    /// asked first: if one of them knows the job, it is not submitted again.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RequestError::OutcomeUnknown`] if a shard that may know the job does not respond, and
+    /// otherwise the error of the submission.
     async fn submit_once(
         &self,
         authorized: &AuthorizedRequest,
@@ -277,8 +282,9 @@
         self.send_to(authorized, shard, &submit).await
     }
 
-    /// Returns the shards other than `current` that hold jobs of a queue. One whose pools the
-    /// configuration has no more counts only while it has an owner, since nobody claims it.
+    /// Returns the shards other than `current` that hold jobs of a queue. A shard whose pools were
+    /// removed from the configuration counts only while it has a live owner, since nobody claims it
+    /// afterwards.
     fn former_shards(&self, queue: &str, current: ShardId) -> Vec<ShardId> {
         let mut shards = self.router.queue_shards.of_queue(queue);
         shards.remove(&current);
--- a/crates/node/src/queue_fence.rs
+++ b/crates/node/src/queue_fence.rs
@@ -10,9 +10,9 @@
 
 /// The queues that have moved away from a shard, as its owner knows from other processes.
 ///
-/// Processes apply a configuration at different times. One with the later version has asked this shard
-/// for a job and not found it, and may have had the job accepted elsewhere. From then on a process
-/// with the earlier version must not have the same job accepted here.
+/// Processes apply a configuration at different times. A process with the later version that has asked
+/// this shard for a job in vain may have submitted the job to another shard. A process with the earlier
+/// version may still send the same job here, where it must not be accepted any more.
 #[derive(Debug, Default)]
 pub struct QueueFence {
     /// The version of the configuration that has moved each queue.
