shard: log why the runs of a restarted or terminated worker are given up

A worker's restart removed its runs, and a termination gave them up, without a line that names the task, so that a search for a job that ran twice ended before the cause. run_lost now names the task, the worker and the cause for each of them, and for runs whose worker was restarted whether a report had ever shown the run; worker_restarted counts those that none had shown.

--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -358,6 +358,7 @@
             number,
             worker: Arc::clone(&worker),
             incarnation,
+            listed: false,
             phase: Phase::Persisting,
             since: at.now,
             progress: 0,
--- a/crates/shard/src/drain.rs
+++ b/crates/shard/src/drain.rs
@@ -110,6 +110,7 @@
             format!("runs={}", worker.runs.len())
         });
         for id in worker.runs {
+            self.log_run_lost(id, worker_id, "worker_terminated");
             self.mark_lost(id);
         }
         self.terminated_incarnations
--- a/crates/shard/src/polling.rs
+++ b/crates/shard/src/polling.rs
@@ -416,6 +416,7 @@
         run.progress = status.progress;
         run.metric = status.metric;
         run.incarnation = incarnation;
+        run.listed = true;
         let stop_requested = run.stop_requested;
         if !matches!(run.phase, Phase::Running { .. }) {
             run.phase = Phase::Running { confirmed: now };
@@ -473,14 +474,20 @@
                 Phase::Persisting | Phase::Starting => false,
             };
             if is_lost {
-                self.log_event("run_lost", id.task, || {
-                    format!("run={} worker={worker_id}", id.number)
-                });
+                self.log_run_lost(id, worker_id, "not_reported");
                 self.mark_lost(id);
             }
         }
     }
 
+    /// Logs why a run is considered to have ended without a reported outcome, so that its task is
+    /// placed again.
+    pub(crate) fn log_run_lost(&mut self, id: RunId, worker_id: &Name, cause: &str) {
+        self.log_event("run_lost", id.task, || {
+            format!("run={} worker={worker_id} cause={cause}", id.number)
+        });
+    }
+
     /// Removes the runs of a worker's previous incarnation, except those that the new incarnation
     /// may still start.
     fn begin_incarnation(&mut self, at: Timestamp, worker_id: &Name, incarnation: u64) {
@@ -492,9 +499,7 @@
         worker.next_poll = at.now;
         worker.synced = false;
         let runs: Vec<RunId> = worker.runs.iter().copied().collect();
-        self.log_event("worker_restarted", worker_id, || {
-            format!("born={incarnation} runs={} known={known}", runs.len())
-        });
+        let (total, mut unlisted) = (runs.len(), 0);
         for id in runs {
             let Some(run) = self.run_mut(id) else {
                 continue;
@@ -515,9 +520,18 @@
                 // The new incarnation may carry out a start request of an earlier owner until it
                 // has seen this owner's fencing token.
                 Phase::Recovered => run.incarnation = incarnation,
-                Phase::Persisting | Phase::Running { .. } => self.remove_run(id),
+                Phase::Persisting => self.remove_run(id),
+                Phase::Running { .. } => {
+                    let listed = run.listed;
+                    unlisted += u32::from(!listed);
+                    self.remove_run(id);
+                    self.log_run_lost(id, worker_id, &format!("worker_restarted listed={listed}"));
+                }
             }
         }
+        self.log_event("worker_restarted", worker_id, || {
+            format!("born={incarnation} runs={total} unlisted={unlisted} known={known}")
+        });
     }
 
     /// Marks the runs of workers whose leases have expired without contact as lost.
--- a/crates/shard/src/recovery.rs
+++ b/crates/shard/src/recovery.rs
@@ -110,6 +110,7 @@
                     number: run.number,
                     worker: Arc::clone(&run.worker),
                     incarnation: run.incarnation,
+                    listed: false,
                     phase: Phase::Recovered,
                     since: at.now,
                     progress: 0,
--- a/crates/shard/src/tracked_job.rs
+++ b/crates/shard/src/tracked_job.rs
@@ -134,8 +134,12 @@
     /// The number of the run, unique and increasing within its task.
     pub(crate) number: u32,
     pub(crate) worker: Name,
-    /// The incarnation of the worker that the run belongs to.
+    /// The incarnation of the worker that the run belongs to; until it is `listed`, the latest one
+    /// that may carry it out.
     pub(crate) incarnation: u64,
+    /// Whether a report of `incarnation` has listed the run. The response to a start doesn't name
+    /// the incarnation.
+    pub(crate) listed: bool,
     pub(crate) phase: Phase,
     /// When the run was placed or recovered; once its start request is sent, the time of that.
     pub(crate) since: Instant,
