testing, platform: runs that a restarted worker confirmed are started twice

The fake worker can restart under its id and address: runs, ends, clock and fencing token start anew, the starts are counted on. The registration names the earlier incarnation until the test lets it name the new one. A poll that is held at the restart gets no response; nothing else breaks.

--- a/crates/testing/src/fakes/platform.rs
+++ b/crates/testing/src/fakes/platform.rs
@@ -98,9 +98,9 @@
             machines.lock().insert(format!("machine-{i}"), machine);
             servers.push((worker, server));
         }
-        let addresses: Vec<(String, SocketAddr)> = servers
+        let addresses: Vec<(Arc<Worker>, SocketAddr)> = servers
             .iter()
-            .map(|(worker, server)| (worker.id.clone(), server.address))
+            .map(|(worker, server)| (Arc::clone(worker), server.address))
             .collect();
         let heartbeats = write_heartbeats(Arc::clone(&store), Arc::clone(&machines), addresses);
         let heartbeats = tokio::spawn(heartbeats);
@@ -219,6 +219,37 @@
         }
     }
 
+    /// Restarts the worker with this index under its id and address. The new incarnation runs and
+    /// knows nothing. The registration names the earlier one until
+    /// [`FakePlatform::register_restarted_worker`].
+    pub fn restart_worker(&self, worker: usize) {
+        if let Some((worker, _)) = self.workers.get(worker) {
+            worker.restart();
+        }
+    }
+
+    /// Lets the registration of the worker with this index, from its next heartbeat on, name the
+    /// incarnation that [`FakePlatform::restart_worker`] started.
+    pub fn register_restarted_worker(&self, worker: usize) {
+        if let Some((worker, _)) = self.workers.get(worker) {
+            worker.register();
+        }
+    }
+
+    /// Returns whether the worker with this index runs nothing and its owner has acknowledged all of
+    /// its finished runs.
+    pub fn is_settled(&self, worker: usize) -> bool {
+        let worker = self.workers.get(worker);
+        worker.is_some_and(|(worker, _)| worker.is_settled())
+    }
+
+    /// Returns the number of polls that the current incarnation of the worker with this index
+    /// received.
+    pub fn poll_count(&self, worker: usize) -> usize {
+        let worker = self.workers.get(worker);
+        worker.map_or(0, |(worker, _)| worker.poll_count())
+    }
+
     /// Sets how long the machine interface takes to answer a command.
     pub fn set_command_delay(&self, delay: Duration) {
         self.machines.calls().delay = delay;
@@ -269,21 +300,25 @@
 async fn write_heartbeats(
     store: Arc<Store>,
     machines: Arc<Machines>,
-    addresses: Vec<(String, SocketAddr)>,
+    addresses: Vec<(Arc<Worker>, SocketAddr)>,
 ) {
     for sequence in 0u64.. {
-        for (id, address) in &addresses {
-            let Some(pool) = machines.pool_of(id).filter(|pool| pool != STANDBY_POOL) else {
+        for (worker, address) in &addresses {
+            let Some(pool) = machines
+                .pool_of(&worker.id)
+                .filter(|pool| pool != STANDBY_POOL)
+            else {
                 continue;
             };
             let registration = json!({
                 "service": pool, "address": address.to_string(), "zone": "zone", "version": "v1",
-                "slots": 8, "state": "ready", "sequence": sequence, "born": 1,
+                "slots": 8, "state": "ready", "sequence": sequence,
+                "born": worker.registered_incarnation(),
                 "capacity": capacity(),
                 "labels": ["a", "r1-1"],
             });
             let value = registration.to_string();
-            let key = id.as_bytes();
+            let key = worker.id.as_bytes();
             store.state().put("keyed.servers", key, value.as_bytes());
         }
         tokio::time::sleep(HEARTBEAT_INTERVAL).await;
--- a/crates/testing/src/fakes/worker.rs
+++ b/crates/testing/src/fakes/worker.rs
@@ -46,6 +46,10 @@
 
 #[derive(Debug)]
 struct State {
+    /// The start of the current incarnation; `born` on the wire.
+    incarnation: u64,
+    /// The incarnation that the registration names.
+    registered_incarnation: u64,
     started_at: Instant,
     fencing_token: u64,
     /// When the lease expires, in milliseconds on the clock of the worker.
@@ -58,6 +62,9 @@
     /// The highest number of the finished and stopped runs of each task. A start with this number
     /// or a lower one is rejected.
     highest_run: BTreeMap<String, u64>,
+    /// The polls that the current incarnation received.
+    polls: usize,
+    /// How often each task was started, by all incarnations.
     task_starts: BTreeMap<String, u32>,
     faults: WorkerFaults,
 }
@@ -67,7 +74,6 @@
 #[derive(Debug)]
 pub(super) struct Worker {
     pub(super) id: String,
-    pub(super) incarnation: u64,
     task_duration: Duration,
     state: Mutex<State>,
 }
@@ -77,20 +83,8 @@
     pub(super) fn new(id: &str, incarnation: u64, slots: usize, task_duration: Duration) -> Self {
         Self {
             id: id.to_owned(),
-            incarnation,
             task_duration,
-            state: Mutex::new(State {
-                started_at: Instant::now(),
-                fencing_token: 0,
-                lease_deadline: 0,
-                slots,
-                running: BTreeMap::new(),
-                finished: Vec::new(),
-                next_sequence: 1,
-                highest_run: BTreeMap::new(),
-                task_starts: BTreeMap::new(),
-                faults: WorkerFaults::default(),
-            }),
+            state: Mutex::new(State::new(incarnation, slots)),
         }
     }
 
@@ -104,7 +98,41 @@
         self.state().faults = faults;
     }
 
-    /// Returns how often each task was started on this worker.
+    /// Restarts the worker under its id and address. The new incarnation runs and knows nothing; the
+    /// registration names the earlier one until [`Worker::register`].
+    pub(super) fn restart(&self) {
+        let mut state = self.state();
+        let new = State::new(state.incarnation + 1, state.slots);
+        *state = State {
+            registered_incarnation: state.registered_incarnation,
+            task_starts: std::mem::take(&mut state.task_starts),
+            faults: state.faults,
+            ..new
+        };
+    }
+
+    /// Lets the registration name the current incarnation.
+    pub(super) fn register(&self) {
+        let mut state = self.state();
+        state.registered_incarnation = state.incarnation;
+    }
+
+    pub(super) fn registered_incarnation(&self) -> u64 {
+        self.state().registered_incarnation
+    }
+
+    /// Returns whether nothing runs and all finished runs were acknowledged.
+    pub(super) fn is_settled(&self) -> bool {
+        let state = self.state();
+        state.running.is_empty() && state.finished.is_empty()
+    }
+
+    /// Returns the number of polls that the current incarnation received.
+    pub(super) fn poll_count(&self) -> usize {
+        self.state().polls
+    }
+
+    /// Returns how often each task was started on this worker, by all of its incarnations.
     pub(super) fn task_starts(&self) -> BTreeMap<String, u32> {
         self.state().task_starts.clone()
     }
@@ -116,20 +144,51 @@
         (!unacked).then_some(response)
     }
 
-    async fn poll(&self, body: &Value) -> HttpResponse {
+    /// Handles a poll. A restart during its wait closes the connection.
+    async fn poll(&self, body: &Value) -> Option<HttpResponse> {
         let wait = Duration::from_millis(body["wait_ms"].as_u64().unwrap_or(0));
         let deadline = Instant::now() + wait;
-        if let Some(rejection) = self.state().poll(body) {
-            return rejection;
-        }
-        while self.state().finished.is_empty() && Instant::now() < deadline {
+        let incarnation = {
+            let mut state = self.state();
+            if let Some(rejection) = state.poll(body) {
+                return Some(rejection);
+            }
+            state.incarnation
+        };
+        loop {
+            {
+                let state = self.state();
+                if state.incarnation != incarnation {
+                    return None;
+                }
+                if !state.finished.is_empty() || Instant::now() >= deadline {
+                    return Some(state.report());
+                }
+            }
             tokio::time::sleep(POLL_INTERVAL).await;
         }
-        self.state().report(self.incarnation)
     }
 }
 
 impl State {
+    fn new(incarnation: u64, slots: usize) -> Self {
+        Self {
+            incarnation,
+            registered_incarnation: incarnation,
+            started_at: Instant::now(),
+            fencing_token: 0,
+            lease_deadline: 0,
+            slots,
+            running: BTreeMap::new(),
+            finished: Vec::new(),
+            next_sequence: 1,
+            highest_run: BTreeMap::new(),
+            polls: 0,
+            task_starts: BTreeMap::new(),
+            faults: WorkerFaults::default(),
+        }
+    }
+
     fn clock_ms(&self) -> u64 {
         u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
@@ -247,6 +306,7 @@
     }
 
     fn poll(&mut self, body: &Value) -> Option<HttpResponse> {
+        self.polls += 1;
         if let Some(rejection) = self.check_token(body) {
             return Some(rejection);
         }
@@ -257,7 +317,7 @@
         None
     }
 
-    fn report(&self, incarnation: u64) -> HttpResponse {
+    fn report(&self) -> HttpResponse {
         let running: Vec<Value> = self
             .running
             .iter()
@@ -273,7 +333,7 @@
             .collect();
         let body = json!({
             "clock_ms": self.clock_ms(),
-            "born": incarnation,
+            "born": self.incarnation,
             "running": running,
             "finished": finished,
         });
@@ -295,7 +355,7 @@
         match request.path.as_str() {
             "/api/run-start" => self.0.start(&body),
             "/api/run-stop" => Some(self.0.state().stop(&body)),
-            "/api/hold" => Some(self.0.poll(&body).await),
+            "/api/hold" => self.0.poll(&body).await,
             "/api/pace" => {
                 let response = json!({ "clock_ms": self.0.state().clock_ms() });
                 Some(HttpResponse::json(StatusCode::OK, &response))
