shard: keep the clock of an earlier incarnation out of the leases of the next

Cause: the response to a start was taken as a reading of the worker's present clock, whatever run and incarnation it belonged to. If it arrives after the owner has learned of a restart, its high reading stays, since the lower ones of the new incarnation count as older. All later deadlines lie far ahead, and the worker holds the longest lease it accepts. A reading now counts only while the run waits for its response, on the incarnation that the owner knows.

Evidence: a_start_response_of_an_earlier_incarnation_extends_no_lease failed on the parent commit (a deadline of 504010 for 5000), and passes. no_worker_holds_its_lease_for_longer_than_its_owner_assumes passes before and after: the arithmetic of the leases was not at fault. It fails with a drift of 1.5 % assumed (5001 after 4981), and with deadlines that move back (5843 after 5101).

--- a/crates/shard/src/runs.rs
+++ b/crates/shard/src/runs.rs
@@ -92,11 +92,6 @@
         outcome: StartOutcome,
     ) {
         let now = at.now;
-        if let StartOutcome::Started(clock_ms) = outcome
-            && let Some(w) = self.workers.get_mut(worker_id)
-        {
-            w.lease.observe_clock(now, clock_ms);
-        }
         if outcome == StartOutcome::StaleToken {
             self.superseded = true;
             return;
@@ -108,9 +103,15 @@
             return;
         }
         match outcome {
-            StartOutcome::Started(_) => {
+            StartOutcome::Started(clock_ms) => {
                 run.phase = Phase::Running { confirmed: now };
+                let incarnation = run.incarnation;
                 self.mark_started(id.task);
+                // The reading may be that of an earlier incarnation, which had its own clock.
+                let worker = self.workers.get_mut(worker_id);
+                if let Some(worker) = worker.filter(|w| w.info.incarnation == incarnation) {
+                    worker.lease.observe_clock(now, clock_ms);
+                }
                 // An idle worker is polled rarely, so the next poll may be far off.
                 self.poll_soon(now, worker_id);
                 return;
