shard: don't take a stop that an earlier incarnation confirmed for one of the next

A start without a response is stopped, and counts as lost once the stop is confirmed and a report lacks the run. If the worker restarts meanwhile, the stop is due again, but the confirmation of the earlier incarnation removed it. The new one, which knows no stop, could still carry the start out. A confirmation now counts only if the stop was sent to the incarnation that the owner knows.

Evidence: a_stop_that_an_earlier_incarnation_confirmed_is_sent_again failed on the parent commit (a start on the other worker), and passes.

--- a/crates/shard/src/runs.rs
+++ b/crates/shard/src/runs.rs
@@ -160,7 +160,13 @@
         if !confirmed {
             return;
         }
-        self.stops.remove(&(Arc::clone(worker_id), id));
+        let key = (Arc::clone(worker_id), id);
+        if self.stops.get(&key).is_some_and(|stop| stop.sent.is_none()) {
+            // An earlier incarnation confirmed the stop. The one that the owner knows now has not
+            // been sent it yet.
+            return;
+        }
+        self.stops.remove(&key);
         let Some(run) = self.run_mut(id).filter(|r| r.worker == *worker_id) else {
             return;
         };
--- a/crates/shard/tests/runner.rs
+++ b/crates/shard/tests/runner.rs
@@ -10,6 +10,7 @@
 mod test_lease;
 mod test_lossy_polls;
 mod test_overload;
+mod test_restart_races;
 mod test_restarted_worker;
 mod test_selection;
 mod test_shard;
