shard: notice a restart by the clock in the response to a start

A task could run twice at once: an idle worker restarts, carries out a start whose deadline lies on the clock of its earlier incarnation, and is cut off before a report or its registration shows the restart. It holds the longest lease that it accepts, and its owner, or the successor to which the shard was released, gave the run up after the granted one.

The response to a start carries the worker's clock. A reading below one that had arrived when the start was sent shows that the clock has started anew. The owner then reckons with the longest lease, also in the records of a release, and logs worker_clock_went_back. The reading is not used otherwise.

A start without a response leaves no such reading; that remains open.

--- a/crates/shard/src/lease.rs
+++ b/crates/shard/src/lease.rs
@@ -40,6 +40,13 @@
         }
     }
 
+    /// Returns whether a reading of the worker's clock, in a response to a call that was sent at
+    /// `sent`, shows that the clock has started anew since the last reading.
+    pub(crate) fn shows_restart(&self, sent: Instant, clock_ms: u64) -> bool {
+        let earlier = self.sample.filter(|sample| sample.received <= sent);
+        earlier.is_some_and(|sample| clock_ms < sample.clock_ms)
+    }
+
     /// Grants a lease for `length` from now and returns its deadline, in milliseconds on the
     /// worker's clock. A deadline never moves back, since workers ignore one that does. Returns
     /// `None` while no reading of the worker's clock is known.
--- a/crates/shard/src/runs.rs
+++ b/crates/shard/src/runs.rs
@@ -105,12 +105,20 @@
         match outcome {
             StartOutcome::Started(clock_ms) => {
                 run.phase = Phase::Running { confirmed: now };
-                let incarnation = run.incarnation;
+                let (incarnation, sent) = (run.incarnation, run.since);
                 self.mark_started(id.task);
-                // The reading may be that of an earlier incarnation, which had its own clock.
+                let max_lease = self.timings.max_lease;
                 let worker = self.workers.get_mut(worker_id);
+                // The reading may be that of an earlier incarnation, which had its own clock.
                 if let Some(worker) = worker.filter(|w| w.info.incarnation == incarnation) {
-                    worker.lease.observe_clock(now, clock_ms);
+                    if worker.lease.shows_restart(sent, clock_ms) {
+                        worker.expect_misdirected_lease(now, max_lease);
+                        self.log_event("worker_clock_went_back", worker_id, || {
+                            format!("task={} run={} clock_ms={clock_ms}", id.task, id.number)
+                        });
+                    } else {
+                        worker.lease.observe_clock(now, clock_ms);
+                    }
                 }
                 // An idle worker is polled rarely, so the next poll may be far off.
                 self.poll_soon(now, worker_id);
--- a/crates/shard/tests/test_restart_races.rs
+++ b/crates/shard/tests/test_restart_races.rs
@@ -110,7 +110,6 @@
 
 /// Guards against a short wait after a restart that the owner never learns of.
 #[test]
-#[ignore = "KNOWN-RED.txt"]
 fn a_start_on_an_unknown_incarnation_waits_for_the_longest_lease() {
     let (mut harness, run) = harness_with_sent_start();
     add_idle_worker(&mut harness, 1);
@@ -121,7 +120,6 @@
 
 /// Guards against a release that says nothing of a worker whose restart is not known yet.
 #[test]
-#[ignore = "KNOWN-RED.txt"]
 fn a_successor_waits_for_the_lease_of_an_unknown_incarnation() {
     let (mut harness, run) = harness_with_sent_start();
     harness.answer_start(&"w1".into(), run, StartOutcome::Started(20));
