shard: let a successor expect leases that were meant for an earlier incarnation

A task ran twice at once in the simulation: a worker restarts and carries out a start whose deadline lies on its earlier clock, its owner ends without releasing the shard, and the worker is cut off. The successor reckoned with its own grants alone and gave the run up while the first one went on.

The record of a run names the incarnation that its start was meant for. When a successor finds the worker registered in a later one, it now expects the longest lease, as an owner does that learns of the restart.

--- a/crates/shard/src/polling.rs
+++ b/crates/shard/src/polling.rs
@@ -69,7 +69,7 @@
                 let id = Arc::clone(&info.id);
                 let incarnation = info.incarnation;
                 self.workers.insert(Worker::new(info, at.now));
-                self.attach_recovered_runs(&id, incarnation);
+                self.attach_recovered_runs(at, &id, incarnation);
                 continue;
             };
             if info.incarnation < worker.info.incarnation {
@@ -576,21 +576,27 @@
     }
 
     /// Assigns the recovered runs that were stored for a worker to it when the worker becomes
-    /// known.
-    fn attach_recovered_runs(&mut self, worker_id: &Name, incarnation: u64) {
+    /// known. The start of a run that was meant for an earlier incarnation may have granted a lease.
+    fn attach_recovered_runs(&mut self, at: Timestamp, worker_id: &Name, incarnation: u64) {
+        let max_lease = self.timings.max_lease;
         for id in self.unattached.remove(worker_id).unwrap_or_default() {
             self.placement.attached += 1;
             let allocation = self.allocation_of(id.task);
             let Some(run) = self.run_mut(id).filter(|r| r.worker == *worker_id) else {
                 continue;
             };
+            let is_misdirected = run.incarnation < incarnation;
             // The first poll shows whether the run exists, also if the worker has restarted since.
             run.incarnation = run.incarnation.max(incarnation);
-            if let Some(worker) = self.workers.get_mut(worker_id)
-                && worker.runs.insert(id)
-            {
+            let Some(worker) = self.workers.get_mut(worker_id) else {
+                continue;
+            };
+            if worker.runs.insert(id) {
                 worker.used.add(allocation);
             }
+            if is_misdirected {
+                worker.expect_misdirected_lease(at.now, max_lease);
+            }
         }
     }
 }
--- a/crates/shard/tests/test_simulation.rs
+++ b/crates/shard/tests/test_simulation.rs
@@ -282,6 +282,28 @@
     simulation.run_to_completion();
 }
 
+/// Guards against an owner that gives runs up too early because its predecessor started them on an
+/// incarnation that it did not know. Found with WORLD_SEED=106.
+#[test]
+fn a_successor_expects_the_longer_lease_of_a_worker_that_restarted_before() {
+    let mut simulation = Simulation::new(WORKERS);
+    for op in [
+        Op::Wait(97),
+        Op::SubmitLong(1),
+        Op::Fault(Fault::WorkerRestart(2)),
+        Op::Fault(Fault::OwnerCut(54)),
+        Op::Wait(52),
+        Op::Fault(Fault::Partition(2, 212)),
+        Op::Wait(107),
+        Op::Wait(22),
+        Op::Wait(27),
+        Op::Wait(51),
+    ] {
+        simulation.apply(op);
+    }
+    simulation.run_to_completion();
+}
+
 /// Guards against any violation of the rules that the simulation checks, under random faults.
 #[test]
 fn the_rules_hold_under_faults() {
