--- a/crates/shard/src/lease.rs
+++ b/crates/shard/src/lease.rs
@@ -63,12 +63,12 @@
     pub fn expires_at(&self) -> Option<Instant> {
         let sample = self.sample.filter(|_| self.latest_deadline > 0)?;
         let remaining = Duration::from_millis(self.latest_deadline.saturating_sub(sample.clock_ms));
-        Some(sample.received + longest(remaining))
+        Some(sample.received + longest_real_time(remaining))
     }
 }
 
-/// Returns how long `time` on a worker's clock lasts at most.
-pub(crate) fn longest(time: Duration) -> Duration {
+/// Returns how much real time at most passes while a worker's clock advances by `time`.
+pub(crate) fn longest_real_time(time: Duration) -> Duration {
     time.div_f64(1.0 - MAX_CLOCK_DRIFT)
 }
 
--- a/crates/shard/src/worker.rs
+++ b/crates/shard/src/worker.rs
@@ -9,7 +9,7 @@
 use crate::job::Resources;
 use crate::job::TaskId;
 use crate::lease::Lease;
-use crate::lease::longest;
+use crate::lease::longest_real_time;
 
 /// The number of different jobs whose runs have to fail in a row on a worker before it gets no
 /// tasks for a while. A single failure is often the fault of the job.
@@ -245,7 +245,7 @@
     /// incarnation, may have granted a lease. No lease is longer than `max_lease` on the worker's
     /// clock.
     pub(crate) fn expect_misdirected_lease(&mut self, now: Instant, max_lease: Duration) {
-        self.misdirected_lease_end = Some(now + longest(max_lease));
+        self.misdirected_lease_end = Some(now + longest_real_time(max_lease));
     }
 
     /// Returns the sequence that the next poll acknowledges; zero if there is nothing to acknowledge.
--- a/crates/shard/tests/test_restarted_worker.rs
+++ b/crates/shard/tests/test_restarted_worker.rs
@@ -5,9 +5,11 @@
 
 use assert_matches::assert_matches;
 use lavenderhollow_shard::Effect;
+use lavenderhollow_shard::FinishedRun;
 use lavenderhollow_shard::JobId;
 use lavenderhollow_shard::JobState;
 use lavenderhollow_shard::Name;
+use lavenderhollow_shard::PollFailure;
 use lavenderhollow_shard::PollRequest;
 use lavenderhollow_shard::RunId;
 use lavenderhollow_shard::RunOutcome;
@@ -159,8 +161,9 @@
     assert_eq!(starts(&decide(&mut harness)).len(), 2);
 }
 
-#[test]
-fn a_poll_acknowledges_no_end_of_an_incarnation_that_started_meanwhile() {
+/// Returns a harness in which the end of a run on `w1` is stored and the poll that acknowledges it
+/// was sent, and the end.
+fn harness_with_sent_acknowledgement() -> (Harness, Vec<FinishedRun>) {
     let mut harness = Harness::new(&["w1"]);
     harness.poll_all(&["w1"]);
     harness.submit(job(1, vec![step(1, &[])]));
@@ -169,10 +172,16 @@
     harness.answer_start(&"w1".into(), run, StartOutcome::Started(1_000));
     harness.tick();
     let finished = vec![finished_run(1, run, RunOutcome::Done)];
-    harness.answer_poll("w1", &report(1_100, Vec::new(), finished));
+    harness.answer_poll("w1", &report(1_100, Vec::new(), finished.clone()));
     harness.store_batch();
     let acknowledging = polls(&harness.tick());
     assert_matches!(acknowledging.as_slice(), [(_, request)] if request.acked_until == 1);
+    (harness, finished)
+}
+
+#[test]
+fn a_poll_acknowledges_no_end_of_an_incarnation_that_started_meanwhile() {
+    let (mut harness, _) = harness_with_sent_acknowledgement();
     harness.answer_poll("w1", &report(1_110, Vec::new(), Vec::new()));
     // The worker restarts here, and its new incarnation carries out the next start.
     harness.advance(Duration::from_millis(200));
@@ -186,19 +195,8 @@
 
 #[test]
 fn a_lost_acknowledgement_is_repeated_once_the_incarnation_is_known() {
-    let mut harness = Harness::new(&["w1"]);
-    harness.poll_all(&["w1"]);
-    harness.submit(job(1, vec![step(1, &[])]));
-    harness.tick();
-    let run = starts(&harness.store_batch())[0].1.run;
-    harness.answer_start(&"w1".into(), run, StartOutcome::Started(1_000));
-    harness.tick();
-    let finished = vec![finished_run(1, run, RunOutcome::Done)];
-    harness.answer_poll("w1", &report(1_100, Vec::new(), finished.clone()));
-    harness.store_batch();
-    let acknowledging = polls(&harness.tick());
-    assert_matches!(acknowledging.as_slice(), [(_, request)] if request.acked_until == 1);
-    let failure = lavenderhollow_shard::PollFailure::NoResponse;
+    let (mut harness, finished) = harness_with_sent_acknowledgement();
+    let failure = PollFailure::NoResponse;
     harness
         .shard
         .handle_poll_failure(harness.at, &"w1".into(), failure);
