http: wait for conditions in the test of a late process

It gave 20 calls 25 ms to reach the server before it blocked the only thread of their runtime. Calls that had sent nothing by then time out without a response that could have arrived, which is not what the test is about.

The test now blocks once the server has all requests, and lets the timeout pass once the server has sent all responses.

--- a/crates/http/tests/test_client.rs
+++ b/crates/http/tests/test_client.rs
@@ -5,6 +5,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -27,6 +28,9 @@
     max_body: 1_024,
 };
 
+/// How often a test looks for what it waits for.
+const STEP: Duration = Duration::from_millis(1);
+
 /// A server that ignores the content of requests and sends the responses in order, one per request.
 /// An empty response closes the connection.
 struct Server {
@@ -153,41 +157,64 @@
     Ok(())
 }
 
-/// Starts a server in threads of its own, which responds to each request after `delay`.
-fn start_threaded_server(delay: Duration) -> std::io::Result<SocketAddr> {
-    let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-    let address = listener.local_addr()?;
-    std::thread::spawn(move || {
-        for connection in listener.incoming().flatten() {
-            std::thread::spawn(move || respond_after(delay, connection));
-        }
-    });
-    Ok(address)
+/// A server in threads of its own, which holds its responses back until it is released.
+#[derive(Default)]
+struct HeldServer {
+    requests: AtomicUsize,
+    responses: AtomicUsize,
+    released: AtomicBool,
 }
 
-fn respond_after(delay: Duration, mut connection: std::net::TcpStream) -> std::io::Result<()> {
-    let mut request = [0; 4096];
-    while connection.read(&mut request)? > 0 {
-        std::thread::sleep(delay);
-        connection.write_all(response("in time").as_bytes())?;
+impl HeldServer {
+    fn start() -> std::io::Result<(Arc<Self>, SocketAddr)> {
+        let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let address = listener.local_addr()?;
+        let server = Arc::new(Self::default());
+        let shared = Arc::clone(&server);
+        std::thread::spawn(move || {
+            for connection in listener.incoming().flatten() {
+                let server = Arc::clone(&shared);
+                std::thread::spawn(move || server.respond(connection));
+            }
+        });
+        Ok((server, address))
+    }
+
+    fn respond(&self, mut connection: std::net::TcpStream) -> std::io::Result<()> {
+        let mut request = [0; 4096];
+        while connection.read(&mut request)? > 0 {
+            self.requests.fetch_add(1, Ordering::SeqCst);
+            while !self.released.load(Ordering::SeqCst) {
+                std::thread::sleep(STEP);
+            }
+            connection.write_all(response("in time").as_bytes())?;
+            self.responses.fetch_add(1, Ordering::SeqCst);
+        }
+        Ok(())
     }
-    Ok(())
 }
 
 /// Guards against calls that time out although their responses have arrived, because the process
 /// got no processor time until after their timeout.
 #[tokio::test]
 async fn responses_that_arrived_in_time_are_read_by_a_late_process() -> eyre::Result<()> {
-    let address = start_threaded_server(LIMITS.timeout / 10)?;
+    const CALLS: usize = 20;
+    let (server, address) = HeldServer::start()?;
     let client = client();
-    let calls: Vec<_> = (0..20)
+    let calls: Vec<_> = (0..CALLS)
         .map(|_| {
             let client = client.clone();
             tokio::spawn(async move { call(&client, address).await })
         })
         .collect();
-    tokio::time::sleep(LIMITS.timeout / 20).await;
-    // The only thread of the runtime does nothing else meanwhile.
+    while server.requests.load(Ordering::SeqCst) < CALLS {
+        tokio::time::sleep(STEP).await;
+    }
+    // The only thread of the runtime does nothing else from here on.
+    server.released.store(true, Ordering::SeqCst);
+    while server.responses.load(Ordering::SeqCst) < CALLS {
+        std::thread::sleep(STEP);
+    }
     std::thread::sleep(LIMITS.timeout);
     for call in calls {
         assert_matches!(call.await?, Ok(response) if response.body() == "in time");
