--- a/crates/shard/tests/test_restarted_worker.rs
+++ b/crates/shard/tests/test_restarted_worker.rs
@@ -81,28 +81,29 @@
     polls.collect()
 }
 
-#[test]
-fn a_registered_restart_starts_no_task_again_that_the_new_incarnation_runs() {
-    let (mut harness, runs) = harness_with_unlisted_runs();
-    register_restart(&mut harness);
-    assert_eq!(starts(&decide(&mut harness)), vec![]);
+/// Lets the second incarnation of `w1` report that it executes `runs`, and checks that none of them
+/// is started again or stopped.
+fn assert_runs_are_kept(harness: &mut Harness, runs: &[RunId]) {
     harness.advance(Duration::from_millis(20));
     let running = runs.iter().map(|&run| run_status(run, 50)).collect();
     harness.answer_poll("w1", &second_report(running));
-    let effects = decide(&mut harness);
+    let effects = decide(harness);
     assert_eq!(starts(&effects), vec![]);
     assert!(!effects.iter().any(|e| matches!(e, Effect::Stop(..))));
 }
 
+#[test]
+fn a_registered_restart_starts_no_task_again_that_the_new_incarnation_runs() {
+    let (mut harness, runs) = harness_with_unlisted_runs();
+    register_restart(&mut harness);
+    assert_eq!(starts(&decide(&mut harness)), vec![]);
+    assert_runs_are_kept(&mut harness, &runs);
+}
+
 #[test]
 fn a_reported_restart_starts_no_task_again_that_the_new_incarnation_runs() {
     let (mut harness, runs) = harness_with_unlisted_runs();
-    harness.advance(Duration::from_millis(20));
-    let running = runs.iter().map(|&run| run_status(run, 50)).collect();
-    harness.answer_poll("w1", &second_report(running));
-    let effects = decide(&mut harness);
-    assert_eq!(starts(&effects), vec![]);
-    assert!(!effects.iter().any(|e| matches!(e, Effect::Stop(..))));
+    assert_runs_are_kept(&mut harness, &runs);
     harness.advance(Duration::from_millis(20));
     let finished = [(1, runs[0]), (2, runs[1])];
     let finished = finished.map(|(sequence, run)| finished_run(sequence, run, RunOutcome::Done));
