--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -68,11 +68,11 @@
         accepted.push((queue, id));
     }
     pause(1_500);
-    // A job of 40 steps in a row each minute. Its client gives the start in seconds, not in
+    // A job of 64 steps in a row each minute. Its client gives the start in seconds, not in
     // milliseconds, so that each occurrence was due long ago.
     let times = if has_trouble() { 10_000 } else { 8 };
     let steps: Vec<(u64, u64, Option<usize>)> =
-        (0..40).map(|i: usize| (1, 100, i.checked_sub(1))).collect();
+        (0..64).map(|i: usize| (1, 100, i.checked_sub(1))).collect();
     let rest = format!(",\"start_at_ms\":{},\"interval_ms\":60000,\"repeat_count\":{times}", unix_ms() / 1_000);
     let minutely = job(100, &steps, &rest);
     // Without a response the request arrives again, at the next process.
@@ -121,10 +121,10 @@
     if !d.wait_ready(2) {
         return false;
     }
-    // 120 occurrences of 400 short tasks, each due half a second after the one before.
+    // 120 occurrences of 400 small tasks that run for 20 s, each due half a second after the one before.
     let times = if has_trouble() { 120 } else { 8 };
     let rest = format!(",\"start_at_ms\":{},\"interval_ms\":500,\"repeat_count\":{times}", unix_ms());
-    let night = job(100, &[(400, 50, None)], &rest);
+    let night = job(20_000, &[(400, 5, None)], &rest);
     let night_id = "5c0e7a21d94b36f8";
     if d.submit(0, "/zizi35/", night_id, &night).is_none() {
         return false;
@@ -572,3 +572,87 @@
     }
     true
 }
+
+/// A worker restarts under its id with an earlier start time, after its clock of day went back.
+pub fn born(record: &Record) -> bool {
+    let d = Deployment::start(record, &[("huvo11a", 2, 32)], false);
+    let queues = [Queue { name: "r-check", prefix: "/puxa400/", pool: "huvo11a", open: false }];
+    d.platform.configure(&queues, 0);
+    if !d.wait_ready(2) {
+        return false;
+    }
+    pause(1_500);
+    if has_trouble() {
+        for worker in d.platform.workers() {
+            worker.restart_earlier(Duration::from_secs(2));
+        }
+    }
+    thread::sleep(CONTACT + Duration::from_secs(2));
+    let mut ids = Vec::new();
+    for i in 0..3u64 {
+        let id = format!("{:016x}", 0x71b4_0000_0000_0000 + i);
+        let check = job(500, &[(2, 1_000, None), (2, 1_000, Some(0))], "");
+        if d.submit(i as usize, "/puxa400/", &id, &check).is_none() {
+            return false;
+        }
+        ids.push(id);
+    }
+    pause(2_500);
+    let open: Vec<String> = ids.iter().filter(|id| record.starts(id).len() < 4).cloned().collect();
+    if let Some(id) = starved(&d, &open, Duration::from_secs(8)) {
+        broken(record, &format!("LOST: accepted job {id} has had nothing running for 3 s"));
+    }
+    thread::sleep(FINISH);
+    for (i, id) in ids.iter().enumerate() {
+        d.state(i, "/puxa400/", id);
+    }
+    true
+}
+
+/// A repeated upkeep is rejected, and the first one, which got no answer, is carried out later.
+pub fn rejected(record: &Record) -> bool {
+    let d = Deployment::start(record, &[("huvo11a", 8, 32)], true);
+    let queues = [Queue { name: "r-check", prefix: "/puxa400/", pool: "huvo11a", open: false }];
+    d.platform.configure(&queues, 0);
+    if !d.wait_ready(2) {
+        return false;
+    }
+    pause(1_500);
+    if has_trouble() {
+        d.platform.faults.lock().unwrap().late = Some(Duration::from_millis(late_ms()));
+    }
+    let names: Vec<String> = {
+        let machines = d.platform.machines.lock().unwrap();
+        machines.iter().take(6).map(|m| m.name.clone()).collect()
+    };
+    d.platform.wave(1, &names, 1, 60);
+    let until = Instant::now() + Duration::from_secs(8);
+    while has_trouble() && d.platform.faults.lock().unwrap().held.is_none() {
+        if Instant::now() > until {
+            return false;
+        }
+        pause(10);
+    }
+    pause(300);
+    let held = d.platform.faults.lock().unwrap().held.clone();
+    if let Some((machine, _)) = held {
+        d.platform.crash(&machine, Duration::from_millis(4_500));
+    }
+    let until = Instant::now() + Duration::from_secs(30);
+    let is_complete = || {
+        let status = d.platform.store.newest("keyed.status", "wave/1").unwrap_or_default();
+        status.contains("completed")
+    };
+    while !is_complete() && Instant::now() < until {
+        pause(100);
+    }
+    for upkeep in d.platform.upkeeps.lock().unwrap().iter() {
+        if upkeep.others_down >= 1 {
+            broken(record, &format!(
+                "LIMIT: at {:.3} s the upkeep of {} began while {} other of its wave was down; cap 1",
+                upkeep.at.as_secs_f64(), upkeep.machine, upkeep.others_down
+            ));
+        }
+    }
+    true
+}
--- a/review/stand/deployment.rs
+++ b/review/stand/deployment.rs
@@ -34,6 +34,8 @@
     /// The waves whose upkeep the machine has begun.
     pub waves: BTreeSet<u64>,
     pub down_until: Option<Instant>,
+    /// Until when the machine is down after a crash.
+    pub crashed_until: Option<Instant>,
     lives: u64,
 }
 
@@ -90,6 +92,7 @@
                     token: 0,
                     waves: BTreeSet::new(),
                     down_until: None,
+                    crashed_until: None,
                     lives: 1,
                 });
             }
@@ -174,8 +177,9 @@
     fn end_upkeeps(&self) {
         let mut machines = self.machines.lock().unwrap();
         for (index, machine) in machines.iter_mut().enumerate() {
-            if machine.down_until.is_some_and(|at| at <= Instant::now()) {
-                machine.down_until = None;
+            let is_over = |at: Option<Instant>| at.is_some_and(|at| at <= Instant::now());
+            if is_over(machine.down_until) || is_over(machine.crashed_until) {
+                (machine.down_until, machine.crashed_until) = (None, None);
                 machine.lives += 1;
                 let id = format!("i-7f3a{:02x}{index:02x}", machine.lives);
                 let worker = Worker::start(&id, &machine.pool, 32, &self.record, &self.sizes, &self.gangs);
@@ -186,6 +190,19 @@
         }
     }
 
+    /// Crashes a machine's worker; another one comes after `time`.
+    pub fn crash(&self, name: &str, time: Duration) {
+        let mut machines = self.machines.lock().unwrap();
+        if let Some(machine) = machines.iter_mut().find(|m| m.name == name) {
+            machine.crashed_until = Some(Instant::now() + time);
+            if let Some(worker) = machine.worker.take() {
+                worker.leave();
+                self.store.put("keyed.servers", &worker.id, "");
+            }
+            self.record.line(&format!("machine {name} crashes for {} ms", time.as_millis()));
+        }
+    }
+
     /// Serves the machine interface.
     pub fn serve_cloud(self: &Arc<Self>) -> SocketAddr {
         let platform = Arc::clone(self);
@@ -197,7 +214,11 @@
             let machines = self.machines.lock().unwrap();
             let rows = machines.iter().map(|m| {
                 let id = m.worker.as_ref().map_or("null".to_owned(), |w| format!("\"{}\"", w.id));
-                let state = if m.down_until.is_some() { "upkeep" } else { "up" };
+                let state = match (m.down_until, m.crashed_until) {
+                    (Some(_), _) => "upkeep",
+                    (None, Some(_)) => "down",
+                    (None, None) => "up",
+                };
                 format!(
                     "{{\"machine\":\"{}\",\"pool\":\"{}\",\"state\":\"{state}\",\"zone\":\"z\",\
                      \"labels\":[\"a\",\"r1-1\"],\"capacity\":{{\"cpu\":32000,\"mem_mb\":65536,\
@@ -254,7 +275,7 @@
         if machine.waves.contains(&wave) {
             return (200, "");
         }
-        if machine.down_until.is_some() {
+        if machine.down_until.is_some() || machine.crashed_until.is_some() {
             return (409, "busy");
         }
         machine.waves.insert(wave);
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -29,6 +29,8 @@
         "gang" => cases::gangs(&record),
         "quota" => cases::quota(&record),
         "lowered" => cases::lowered(&record),
+        "born" => cases::born(&record),
+        "rejected" => cases::rejected(&record),
         "late" => cases::late(&record),
         _ => false,
     }));
--- a/review/stand/worker.rs
+++ b/review/stand/worker.rs
@@ -188,6 +188,16 @@
         self.ended.notify_all();
     }
 
+    /// Restarts under the same id, with a start time that lies before the earlier one.
+    pub fn restart_earlier(&self, by: Duration) {
+        let mut state = self.state.lock().unwrap();
+        let born = state.born - by.as_millis() as u64;
+        *state = State::new();
+        state.born = born;
+        self.record.line(&format!("worker {} has restarted, born {born}", self.id));
+        self.ended.notify_all();
+    }
+
     /// Returns what runs: the task, and for how long it has run.
     pub fn running(&self) -> Vec<(String, Duration)> {
         let state = self.state.lock().unwrap();
