shard: rank the workers for a task by a type with named fields

The preferences of placement were an array of flags whose order stood in a comment. Parts that are to add a criterion need a place for it. The fields of Suitability are in the order of the array; the decisions are the same.

--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -19,6 +19,7 @@
 use crate::shard::Shard;
 use crate::shard::StartRequest;
 use crate::shard::Timestamp;
+use crate::suitability::Suitability;
 use crate::tracked_job::Phase;
 use crate::tracked_job::Rank;
 use crate::tracked_job::Run;
@@ -502,9 +503,7 @@
     /// Selects the worker for a task among those that are eligible and have room, as of the last
     /// [`Workers::update`](crate::workers::Workers::update).
     ///
-    /// In order of importance, it prefers workers near the input data, in a rack with other tasks
-    /// of the step if that matters, within the disruption budget, and other than the one where the
-    /// task failed.
+    /// It prefers the workers with the greatest [`Suitability`].
     fn select_worker(
         &self,
         now: Instant,
@@ -536,7 +535,7 @@
                 && w.info.capacity.fits(w.used, allocation)
         });
         let placed = |name: &Name| siblings.get(name).copied().unwrap_or(0);
-        let preference = |name: &Name, w: &Worker| {
+        let suitability = |name: &Name, w: &Worker| {
             let near_data = step.data_rack.is_none() || w.rack() == step.data_rack.as_ref();
             let in_same_rack = !step.same_rack
                 || siblings.is_empty()
@@ -544,11 +543,12 @@
                     .keys()
                     .filter_map(|n| self.workers.get(n))
                     .any(|s| s.rack() == w.rack());
-            let not_failed = failed_on != Some(name);
-            // With more tasks of a step on one worker than may be unavailable at once, the budget
-            // blocks the maintenance of its machine.
-            let within_budget = step.max_unavailable == 0 || placed(name) < step.max_unavailable;
-            [near_data, in_same_rack, within_budget, not_failed]
+            Suitability {
+                near_data,
+                in_same_rack,
+                within_budget: step.max_unavailable == 0 || placed(name) < step.max_unavailable,
+                not_failed: failed_on != Some(name),
+            }
         };
         // Short tasks go to the worker with the least free processor time, and long-running tasks
         // of several steps share workers, so that other workers become idle and can be moved to
@@ -558,18 +558,18 @@
             let best = candidates.max_by_key(|&(name, w)| {
                 let free = w.info.capacity.cpu.saturating_sub(w.used.cpu);
                 let packing = (Reverse(placed(name)), self.has_long_running(w), free);
-                (preference(name, w), packing, name)
+                (suitability(name, w), packing, name)
             });
             return best.map(|(name, _)| Arc::clone(name));
         }
         // The candidates have ascending free processor time.
-        let mut best: Option<([bool; 4], &Name)> = None;
-        while best.is_none_or(|(preferred, _)| preferred != [true; 4])
+        let mut best: Option<(Suitability, &Name)> = None;
+        while best.is_none_or(|(suits, _)| suits != Suitability::BEST)
             && let Some((name, w)) = candidates.next()
         {
-            let preferred = preference(name, w);
-            if best.is_none_or(|(b, _)| preferred > b) {
-                best = Some((preferred, name));
+            let suits = suitability(name, w);
+            if best.is_none_or(|(b, _)| suits > b) {
+                best = Some((suits, name));
             }
         }
         best.map(|(_, name)| Arc::clone(name))
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -28,6 +28,7 @@
 mod shard;
 mod share_limiter;
 mod silent_leases;
+mod suitability;
 mod timings;
 mod tracked_job;
 mod waiting;
--- /dev/null
+++ b/crates/shard/src/suitability.rs
@@ -0,0 +1,26 @@
+//! How well a worker suits a task.
+
+/// How well an eligible worker suits a task. Placement takes the greatest value: the fields are in the
+/// order of their importance, and the later ones decide only between workers that are alike in the earlier ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Suitability {
+    /// The worker is in the rack of the task's data, if that matters.
+    pub(crate) near_data: bool,
+    /// The worker is in a rack with other tasks of the step, if that matters.
+    pub(crate) in_same_rack: bool,
+    /// The step has no more tasks on the worker than may be unavailable at once. Otherwise the disruption
+    /// budget blocks the maintenance of its machine.
+    pub(crate) within_budget: bool,
+    /// The last run of the task did not fail there.
+    pub(crate) not_failed: bool,
+}
+
+impl Suitability {
+    /// The greatest value. Placement considers no further worker after one that has it.
+    pub(crate) const BEST: Self = Self {
+        near_data: true,
+        in_same_rack: true,
+        within_budget: true,
+        not_failed: true,
+    };
+}
