node: let large VMs claim a shard before small ones

The shard of the queue, which was at its peak, had been claimed by a VM with 0.12 cores, since the only large VM left owned four other shards and the load of a member was its number of shards for its size. The small VM took 20 to 30 ms for a turn and fell behind for ten seconds.

A shard now counts as two for the VM that claims it, among VMs of different sizes, so that a VM with half a core takes all six shards of such a deployment before one with 0.12 cores takes any. VMs of one size choose as before, and so does the rule by which a shard moves.

The new test fails before (2 of 4 shards claimed by the large VM).

--- a/crates/node/src/assignment.rs
+++ b/crates/node/src/assignment.rs
@@ -38,6 +38,11 @@
 /// same time are treated alike.
 const NEW_MEMBER_LAG_MS: u64 = 5_000;
 
+/// As how many shards a shard counts for the VM that claims it, among VMs of different sizes. Queues peak in
+/// turn, and callers wait for the owner of a shard mostly while its queues peak, when it needs several times
+/// its mean. A large VM with some shards that don't peak serves it sooner than a small VM without any.
+const PEAK_LOAD: u64 = 2;
+
 /// How many shards more than a member on a VM of equal size an owner must have before it releases
 /// one.
 const MIN_IMBALANCE: u64 = 2;
@@ -305,7 +310,7 @@
     }
 
     /// Returns the member that should claim a shard of which `releasing` is the last owner: the one
-    /// with the least load, with the shard, for its size. The member that released a shard may be
+    /// with the least load for its size, on which the shard counts as [`PEAK_LOAD`]. The member that released a shard may be
     /// about to stop and is chosen last.
     fn best_claimant<'a>(
         &self,
@@ -316,10 +321,14 @@
         sizes: &BTreeMap<&Member, u64>,
     ) -> Option<&'a Member> {
         let smallest = sizes.values().copied().min()?;
+        let peak_load = match sizes.values().all(|size| *size == smallest) {
+            true => 1,
+            false => PEAK_LOAD,
+        };
         let load = |member: &Member, owned: u64| {
-            let handicap = u64::from(self.is_new_member(now, member)) * NEW_MEMBER_LOAD;
+            let handicap = u64::from(self.is_new_member(now, member)) * NEW_MEMBER_LOAD * peak_load;
             let size = sizes.get(member).copied().unwrap_or(smallest);
-            relative_load(owned + 1, size) + relative_load(handicap, smallest)
+            relative_load(owned + peak_load, size) + relative_load(handicap, smallest)
         };
         loads
             .iter()
--- a/crates/node/tests/test_assignment.rs
+++ b/crates/node/tests/test_assignment.rs
@@ -267,6 +267,26 @@
     assert!((5..=8).contains(&count("small")), "{owners:?}");
 }
 
+/// Guards against a queue at its peak whose owner is a VM that can't keep up with it, because the larger VM that is
+/// left owns the other shards.
+#[test]
+fn the_last_large_vm_claims_the_shards_of_the_others_before_small_vms() {
+    let large: Vec<Member> = (0..3)
+        .map(|i| sized(&format!("large-{i}"), 1, 500))
+        .collect();
+    let mut members: Vec<Member> = (0..36)
+        .map(|i| sized(&format!("small-{i}"), 1, 120))
+        .collect();
+    members.extend(large.clone());
+    let mut cluster = ClusterState::default();
+    claim_all(&mut cluster, &members, 6);
+    members.retain(|m| !large[..2].contains(m));
+    let now = Instant::now();
+    cluster.set_members(now, members);
+    let claims = cluster.shards_to_claim(now, &large[2], &shards(6));
+    assert_eq!(claims.len(), 4, "{claims:?}");
+}
+
 /// Guards against members of two builds that choose different owners, so that nobody claims.
 #[test]
 fn all_vms_count_alike_while_an_older_build_runs() {
