shard: nothing is started in a zone that operators have evacuated

Operators ask for the evacuation of a zone with a record `evacuate/ZONE` in their topic. No code read these records, so that tasks were still started on the workers of the zone.

Each process now decodes the records and holds the zones in `EvacuatedZones`, which is updated before a configuration from the same read. Owners pass the zones to their shard when they have changed. A worker in such a zone is not schedulable, which excludes it from placement, reservations, queries to the policy service, the offered capacity and the load of its pool. The starts of a stored batch are checked before they are sent: those in an evacuated zone are withheld, and of a gang all or none are sent, also if another reason keeps a member from being sent. What runs goes on.

Long-running tasks that go on in the zone are subtracted from what the pool needs.

The owner of the fleet shard moves no machine of an evacuated zone and repeats no command for one, does not count those on their way as capacity, and takes the machines of a wave that are in such a zone first, without deferral by pools under load.

--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -12,8 +12,8 @@
 use crate::exit::Code;
 
 const HELP: &str = "\
-Shows the pools with their load, the maintenance waves, the automatic actions that are off and the
-age of the configuration, as one entry VM sees them.
+Shows the pools with their load, the evacuated zones, the maintenance waves, the automatic actions
+that are off and the age of the configuration, as one entry VM sees them.
 
 Usage: lavenderhollow status [OPTIONS]
 
@@ -48,6 +48,10 @@
     let mut lines = vec![format_entry(status)];
     let members: Vec<&str> = status.members.iter().map(|vm| &**vm).collect();
     lines.push(format!("live: {}", members.join(", ")));
+    if !status.evacuated.is_empty() {
+        let zones: Vec<&str> = status.evacuated.iter().map(|zone| &**zone).collect();
+        lines.push(format!("evacuated zones: {}", zones.join(", ")));
+    }
     for (name, pool) in &status.pools {
         let owner = pool.owner.as_deref().unwrap_or("no owner");
         let load = status.fleet.as_ref().and_then(|f| f.loads.get(name));
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -1,6 +1,7 @@
 //! The traits through which the node process uses the platform: its store, workers, machines and
 //! policy service, and the formats of the records that it exchanges with operators and workers.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,7 +26,8 @@
 /// A keyed topic of the platform's store, which retains the latest record of each key.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Topic {
-    /// The configuration and the maintenance waves, published by operators.
+    /// The configuration, the maintenance waves and the requests to evacuate zones, published by
+    /// operators.
     #[display("operator")]
     Operator,
     /// The workers' registrations, each written by the worker itself.
@@ -251,6 +253,15 @@
     pub worker: Option<Name>,
     /// The resources that the machine offers.
     pub capacity: Resources,
+    /// The zone that the machine is in; empty if the list names none.
+    pub zone: Name,
+}
+
+impl Machine {
+    /// Returns whether the machine is in one of the zones. A machine without a zone is in none.
+    pub(crate) fn is_in(&self, zones: &BTreeSet<Name>) -> bool {
+        !self.zone.is_empty() && zones.contains(&self.zone)
+    }
 }
 
 /// The outcome of a command for a machine.
@@ -325,6 +336,15 @@
     /// can't be decoded.
     fn wave(&self, key: &str, value: &[u8]) -> Option<Wave>;
 
+    /// Decodes a request to evacuate a zone, and returns the name of the zone, which is not empty.
+    /// Returns `None` for the keys of other records.
+    ///
+    /// # Errors
+    ///
+    /// Returns a description of what is wrong with a request that can't be used, or with a key that no
+    /// record of operators has.
+    fn evacuation(&self, key: &str, value: &[u8]) -> Result<Option<Name>, String>;
+
     /// Returns the key under which operators publish the configuration.
     fn config_key(&self) -> &'static str;
 
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -34,6 +34,7 @@
 use crate::cluster_config::Wave;
 use crate::command_budget::CommandBudget;
 use crate::current_config::CurrentConfig;
+use crate::evacuation::EvacuatedZones;
 use crate::machine_list::MachineList;
 use crate::message::SentQuotas;
 use crate::message::ShardRequest;
@@ -99,6 +100,7 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) router: Arc<Router>,
     pub(crate) current_config: Arc<CurrentConfig>,
+    pub(crate) evacuated: Arc<EvacuatedZones>,
     /// When the claim of the shard was sent. A successor may have claimed it since.
     pub(crate) claimed_at: Instant,
     /// How long an earlier owner may still send commands.
@@ -484,6 +486,11 @@
         let Some(list) = self.list.get(&*machines, clock, max_age).await else {
             return Ok(());
         };
+        let evacuated = self.context.evacuated.load();
+        self.rebalancer.set_evacuated_zones(&evacuated);
+        for active_wave in self.active_waves.values_mut() {
+            active_wave.set_evacuated_zones(&evacuated);
+        }
         if self.commands.all_blocked(now) {
             // Machines that an earlier owner took down may still be listed as up.
             return self.rebalance(&*machines, &list).await;
@@ -533,7 +540,10 @@
             to_drain.extend(draining);
         }
         let to_drain: Vec<Name> = to_drain.into_iter().collect();
-        let (drained, deferred) = self.drain_machines(&to_drain, urgent, &by_name).await;
+        let evacuated = self.context.evacuated.load();
+        let (drained, deferred) = self
+            .drain_machines(&to_drain, &evacuated, urgent, &by_name)
+            .await;
         if let Some(active_wave) = self.active_waves.get_mut(&number) {
             for name in &deferred {
                 active_wave.defer(now, name);
@@ -542,6 +552,8 @@
         // A command without a response is repeated, but only while its worker is drained.
         let (mut repeated, mut first): (Vec<Name>, Vec<Name>) =
             drained.into_iter().partition(|n| unconfirmed.contains(n));
+        let is_evacuated = |name: &Name| by_name.get(name).is_some_and(|m| m.is_in(&evacuated));
+        first.sort_by_key(|name| !is_evacuated(name));
         let free_slots = self.active_waves.get(&number);
         let free_slots = free_slots.map_or(0, ActiveWave::free_slots);
         first.truncate(free_slots);
@@ -573,10 +585,12 @@
     }
 
     /// Asks the owners of the machines' pools to drain the workers. Returns the machines whose
-    /// workers are drained, and those whose drain is deferred because the pool is under load.
+    /// workers are drained, and those whose drain is deferred because the pool is under load. Drains of
+    /// machines in `evacuated` zones are not deferred.
     async fn drain_machines(
         &self,
         draining: &[Name],
+        evacuated: &BTreeSet<Name>,
         urgent: bool,
         machines: &BTreeMap<&Name, &Machine>,
     ) -> (Vec<Name>, Vec<Name>) {
@@ -589,6 +603,7 @@
                     return Some((Arc::clone(name), ShardResponse::Drained));
                 };
                 let shard = ShardId::of_pool(&machine.pool);
+                let urgent = urgent || machine.is_in(evacuated);
                 let request = ShardRequest::DrainWorker { worker, urgent };
                 match router.send(shard, &request, deadline).await {
                     Ok(response @ (ShardResponse::Drained | ShardResponse::Deferred)) => {
--- a/crates/node/src/fleet/moves.rs
+++ b/crates/node/src/fleet/moves.rs
@@ -69,6 +69,9 @@
         if !self.record_moves(&moves).await? {
             return Ok(());
         }
+        let evacuated = self.context.evacuated.load();
+        self.rebalancer.set_evacuated_zones(&evacuated);
+        let moves = self.rebalancer.without_evacuated(moves, list);
         // A slow store delays the moves only before the workers are released: a release is valid for
         // a short time.
         let requested_at = self.context.clock.now();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -20,6 +20,7 @@
 use crate::clock::timestamp;
 use crate::cluster_config::Wave;
 use crate::current_config::CurrentConfig;
+use crate::evacuation::EvacuatedZones;
 use crate::job_api::JobApi;
 use crate::load_monitor;
 use crate::operators;
@@ -30,6 +31,7 @@
 use crate::shard_manager::ManagerContext;
 use crate::shard_manager::ShardManager;
 use crate::supervisor;
+use crate::topic_cache::Changes;
 use crate::topic_cache::TopicCache;
 
 /// How long one read of the operators' topic waits for a new record. The configuration counts as
@@ -107,6 +109,7 @@
         };
         let router = Arc::new(Router::new(me, Arc::clone(&clock)));
         let current_config = Arc::new(CurrentConfig::default());
+        let evacuated = Arc::new(EvacuatedZones::default());
         peers::serve(settings.peer_address, RouterHandler(Arc::clone(&router)))
             .await
             .wrap_err_with(|| format!("can't listen for peers on {}", settings.peer_address))?;
@@ -116,6 +119,7 @@
             clock: Arc::clone(&clock),
             router: Arc::clone(&router),
             current_config: Arc::clone(&current_config),
+            evacuated: Arc::clone(&evacuated),
             timings: Timings::new(settings.max_lease, settings.job_retention),
             maintenance_time: settings.maintenance_time,
             move_time: settings.move_time,
@@ -125,14 +129,14 @@
         });
         manager.start();
         tokio::spawn(load_monitor::run(Arc::clone(&router), Arc::clone(&clock)));
-        let (config, config_clock) = (Arc::clone(&current_config), Arc::clone(&clock));
+        let followed = OperatorState {
+            current_config: Arc::clone(&current_config),
+            evacuated: Arc::clone(&evacuated),
+            waves,
+        };
+        let topic_clock = Arc::clone(&clock);
         supervisor::spawn("follow_operator_topic", move || {
-            follow_operator_topic(
-                platform.clone(),
-                Arc::clone(&config),
-                Arc::clone(&config_clock),
-                waves.clone(),
-            )
+            follow_operator_topic(platform.clone(), followed.clone(), Arc::clone(&topic_clock))
         });
         let max_config_age = settings.key_revocation.mul_f64(CONFIG_AGE_FRACTION);
         if let Some(metrics) = metrics {
@@ -140,6 +144,7 @@
                 metrics,
                 router: Arc::clone(&router),
                 current_config: Arc::clone(&current_config),
+                evacuated,
                 clock: Arc::clone(&clock),
                 max_config_age,
                 token: settings.operator_token,
@@ -186,14 +191,22 @@
     }
 }
 
-/// Applies what operators publish, the configuration and the maintenance waves, for as long as the
-/// process runs.
-async fn follow_operator_topic(
-    platform: Platform,
+/// What a process knows of the records that operators publish.
+#[derive(Clone)]
+struct OperatorState {
     current_config: Arc<CurrentConfig>,
-    clock: Arc<dyn Clock>,
+    evacuated: Arc<EvacuatedZones>,
     waves: watch::Sender<Vec<Wave>>,
-) {
+}
+
+/// Applies what operators publish, the evacuations, the configuration and the maintenance waves, for
+/// as long as the process runs.
+async fn follow_operator_topic(platform: Platform, state: OperatorState, clock: Arc<dyn Clock>) {
+    let OperatorState {
+        current_config,
+        evacuated,
+        waves,
+    } = state;
     let mut cache = TopicCache::new(Topic::Operator);
     // Whether the latest configuration could be decoded. While it can't, the one in force is not known
     // to be up to date: the latest may withdraw keys.
@@ -207,6 +220,8 @@
                     let outage = clock.now().saturating_duration_since(since);
                     log::info!(away_ms = outage.as_millis() as u64; "store_recovered");
                 }
+                // An owner that knows a configuration must know the evacuations published before.
+                apply_evacuations(&platform, &evacuated, &cache, &changes, clock.now());
                 for (key, value) in &changes.changed {
                     let Some(value) = value else {
                         continue;
@@ -244,6 +259,27 @@
     }
 }
 
+/// Replaces the evacuated zones by those of the topic's records. Logs the changed records that can't
+/// be decoded; they evacuate nothing.
+fn apply_evacuations(
+    platform: &Platform,
+    evacuated: &EvacuatedZones,
+    cache: &TopicCache,
+    changes: &Changes,
+    now: Instant,
+) {
+    for (key, value) in &changes.changed {
+        let decoded = value.as_deref().map(|v| platform.codec.evacuation(key, v));
+        if let Some(Err(detail)) = decoded {
+            log::error!(key = key.as_str(), detail:display; "operator_record_decode_failed");
+        }
+    }
+    let zones = cache
+        .records()
+        .filter_map(|(key, value)| platform.codec.evacuation(key, value).ok()?);
+    evacuated.update(now, zones.collect());
+}
+
 /// Decodes a configuration and makes it the current one if it is newer. Returns whether it could be
 /// decoded.
 fn apply_config(platform: &Platform, current_config: &CurrentConfig, value: &[u8]) -> bool {
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -35,6 +35,7 @@
 
 use crate::automatic::FleetAction;
 use crate::current_config::CurrentConfig;
+use crate::evacuation::EvacuatedZones;
 use crate::message::ShardRequest;
 use crate::message::ShardResponse;
 use crate::router::RequestError;
@@ -56,6 +57,7 @@
     pub(crate) metrics: MetricsHandle,
     pub(crate) router: Arc<Router>,
     pub(crate) current_config: Arc<CurrentConfig>,
+    pub(crate) evacuated: Arc<EvacuatedZones>,
     pub(crate) clock: Arc<dyn Clock>,
     /// The highest [age](CurrentConfig::age) of the configuration for requests that need a key.
     pub(crate) max_config_age: Duration,
@@ -223,5 +225,6 @@
         members: cluster.members().map(|m| Arc::clone(&m.vm)).collect(),
         pools: pools.collect(),
         fleet,
+        evacuated: (*context.evacuated.load()).clone(),
     }
 }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -4,6 +4,7 @@
 mod queues;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::mem;
 use std::sync::Arc;
@@ -43,6 +44,7 @@
 use crate::clock::timestamp;
 use crate::cluster_config::Pool;
 use crate::current_config::CurrentConfig;
+use crate::evacuation::EvacuatedZones;
 use crate::message::SentQuotas;
 use crate::message::ShardRequest;
 use crate::message::ShardResponse;
@@ -93,6 +95,7 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) router: Arc<Router>,
     pub(crate) current_config: Arc<CurrentConfig>,
+    pub(crate) evacuated: Arc<EvacuatedZones>,
     pub(crate) timings: Timings,
     /// When the claim of the shard was sent. A successor may have claimed it since.
     pub(crate) claimed_at: Instant,
@@ -137,6 +140,8 @@
     suspended: bool,
     /// Whether the batch in flight is stored, and its effects wait until the ownership is confirmed.
     batch_stored: bool,
+    /// The evacuated zones that the shard knows.
+    evacuated: Arc<BTreeSet<Name>>,
     queues: OwnerQueues,
     /// Set while the shard is being released; receives a message when that is done.
     release_reply: Option<oneshot::Sender<()>>,
@@ -180,11 +185,13 @@
         confirm_quotas: false,
         suspended: false,
         batch_stored: false,
+        evacuated: Arc::default(),
         queues: OwnerQueues::new(at.now),
         release_reply: None,
         load: OwnerLoad::new(at.now),
     };
     loop {
+        owner.update_evacuated();
         let wait = owner.time_until_tick();
         let turn_start;
         let mut handled = 0;
@@ -470,6 +477,8 @@
                 unconfirmed_ms = unconfirmed_for.as_millis() as u64; "scheduling_state_changed"
             );
         }
+        // A request to evacuate a zone may have become known since the turn began.
+        self.update_evacuated();
         if !suspended && mem::take(&mut self.batch_stored) {
             self.shard.batch_stored(at);
         }
@@ -494,6 +503,10 @@
         for effect in self.shard.take_effects() {
             self.execute_effect(effect);
         }
+        let withheld = self.shard.take_withheld_starts();
+        if withheld > 0 {
+            metrics::counter!("starts_withheld_total").increment(withheld);
+        }
         for log_event in self.shard.take_log_events() {
             log::info!(
                 shard:display = self.context.shard_id, subject = log_event.subject.as_str(),
@@ -505,6 +518,15 @@
         Ok(())
     }
 
+    /// Passes the evacuated zones to the shard if they have changed.
+    fn update_evacuated(&mut self) {
+        let zones = self.context.evacuated.load();
+        if !Arc::ptr_eq(&zones, &self.evacuated) {
+            self.shard.set_evacuated_zones(&zones);
+            self.evacuated = zones;
+        }
+    }
+
     /// Adds the time since `start` to a part of the work, and returns the current time.
     fn add_work(&mut self, work: Work, start: Instant) -> Instant {
         let now = self.context.clock.now();
--- a/crates/node/src/rebalancer.rs
+++ b/crates/node/src/rebalancer.rs
@@ -6,6 +6,8 @@
 //!
 //! The origin pool of a machine is the pool in which it was first seen. A machine leaves it for a
 //! pool that lacks capacity, may move on to the next such pool, and returns when no pool needs it.
+//!
+//! A machine in an evacuated zone stays where it is, and adds no capacity to its pool.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -51,6 +53,8 @@
     confirmed: bool,
     /// Whether the owner of the source pool was notified that the worker's incarnation ended.
     owner_notified: bool,
+    /// The zone of the machine in the list that was observed last.
+    zone: Name,
 }
 
 /// A move of a machine that the owner of the fleet shard is to request.
@@ -74,7 +78,8 @@
     reserved: Resources,
     /// For how long each idle worker has been idle.
     idle: BTreeMap<Name, Duration>,
-    /// The machines in the pool that are not moving, those under maintenance included.
+    /// The machines in the pool that are not moving, those under maintenance included and those in
+    /// evacuated zones excluded.
     present_count: usize,
     /// The machines whose origin pool this is, in whichever pool they are now.
     origin_count: usize,
@@ -120,6 +125,8 @@
     /// Pairs of machine and destination pool that the machine interface rejected as invalid.
     invalid_moves: BTreeSet<(Name, Name)>,
     move_time: Duration,
+    /// The zones whose machines don't move.
+    evacuated: Arc<BTreeSet<Name>>,
 }
 
 impl Rebalancer {
@@ -132,6 +139,25 @@
         }
     }
 
+    /// Sets the zones that are evacuated.
+    pub fn set_evacuated_zones(&mut self, zones: &Arc<BTreeSet<Name>>) {
+        self.evacuated = Arc::clone(zones);
+    }
+
+    /// Returns the moves whose machines are not in evacuated zones. A zone may have been evacuated since
+    /// the moves were planned from `list`.
+    pub fn without_evacuated(&self, moves: Vec<PlannedMove>, list: &[Machine]) -> Vec<PlannedMove> {
+        if self.evacuated.is_empty() {
+            return moves;
+        }
+        let evacuated = list.iter().filter(|m| m.is_in(&self.evacuated));
+        let evacuated: BTreeSet<&Name> = evacuated.map(|m| &m.name).collect();
+        let allowed = moves
+            .into_iter()
+            .filter(|planned| !evacuated.contains(&planned.machine));
+        allowed.collect()
+    }
+
     /// Restores the origin pool of a machine from the record of an earlier owner.
     pub fn restore_origin(&mut self, machine: Name, origin: Name) {
         self.origin_pools.insert(machine, origin);
@@ -158,6 +184,9 @@
             let Some(machine) = by_name.get(name) else {
                 return false;
             };
+            if active_move.zone != machine.zone {
+                active_move.zone = Arc::clone(&machine.zone);
+            }
             if machine.pool == active_move.planned.to {
                 active_move.confirmed = true;
                 if let Some(worker) = &active_move.planned.worker
@@ -179,12 +208,12 @@
         terminated
     }
 
-    /// Returns the moves whose command got no response; the caller sends it again.
+    /// Returns the moves whose command got no response; the caller sends it again. While the machine is
+    /// in an evacuated zone, it is not sent again.
     pub fn unconfirmed(&self) -> Vec<PlannedMove> {
-        let pending = self
-            .active_moves
-            .iter()
-            .filter(|(_, active_move)| !active_move.confirmed);
+        let pending = self.active_moves.iter().filter(|(_, active_move)| {
+            !active_move.confirmed && !self.evacuated.contains(&active_move.zone)
+        });
         pending
             .map(|(_, active_move)| active_move.planned.clone())
             .collect()
@@ -207,6 +236,7 @@
         let mut candidates: Vec<&Machine> = list
             .iter()
             .filter(|m| m.state == MachineState::Up && !excluded.contains(&m.name))
+            .filter(|m| !m.is_in(&self.evacuated))
             .filter(|m| {
                 self.destination(m, &pools).is_none() && !self.backoff_until.contains_key(&m.name)
             })
@@ -277,6 +307,14 @@
         // The most that each pool can offer once its moves are complete.
         let mut listed: BTreeMap<&Name, Resources> = BTreeMap::new();
         for machine in list {
+            let origin = self.origin_pools.get(&machine.name);
+            if let Some(pool) = origin.and_then(|origin| pools.get_mut(origin)) {
+                pool.origin_count += 1;
+            }
+            if machine.is_in(&self.evacuated) {
+                // Its worker gets no tasks, also after a move that has begun.
+                continue;
+            }
             let destination = self.destination(machine, &pools);
             if destination.is_some() || machine.state == MachineState::Up {
                 let pool = destination.unwrap_or(&machine.pool);
@@ -289,10 +327,6 @@
             } else if let Some(pool) = pools.get_mut(&machine.pool) {
                 pool.present_count += 1;
             }
-            let origin = self.origin_pools.get(&machine.name);
-            if let Some(pool) = origin.and_then(|origin| pools.get_mut(origin)) {
-                pool.origin_count += 1;
-            }
         }
         // A machine counts as moving until its worker has certainly registered. Until then, its
         // pool may offer it already.
@@ -373,6 +407,7 @@
             since: now,
             confirmed: false,
             owner_notified: false,
+            zone: Name::default(),
         };
         let known = self.active_moves.get(&planned.machine);
         if known.is_none_or(|known| known.confirmed) {
--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -22,6 +22,7 @@
 use crate::claim::ClaimedShard;
 use crate::cluster_config::Wave;
 use crate::current_config::CurrentConfig;
+use crate::evacuation::EvacuatedZones;
 use crate::fleet;
 use crate::membership::Membership;
 use crate::owner;
@@ -64,6 +65,7 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) router: Arc<Router>,
     pub(crate) current_config: Arc<CurrentConfig>,
+    pub(crate) evacuated: Arc<EvacuatedZones>,
     pub(crate) timings: Timings,
     pub(crate) maintenance_time: Duration,
     pub(crate) move_time: Duration,
@@ -429,6 +431,7 @@
                 clock: Arc::clone(&context.clock),
                 router: Arc::clone(&context.router),
                 current_config: Arc::clone(&context.current_config),
+                evacuated: Arc::clone(&context.evacuated),
                 claimed_at,
                 takeover_delay: context.takeover_delay,
                 maintenance_time: context.maintenance_time,
@@ -446,6 +449,7 @@
             clock: Arc::clone(&context.clock),
             router: Arc::clone(&context.router),
             current_config: Arc::clone(&context.current_config),
+            evacuated: Arc::clone(&context.evacuated),
             timings: context.timings,
             claimed_at,
         };
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -28,6 +28,9 @@
     /// The status of the fleet, from the owner of the fleet shard; `None` if it doesn't
     /// respond.
     pub fleet: Option<FleetView>,
+    /// The evacuated zones. A process of an earlier build doesn't send them.
+    #[serde(default)]
+    pub evacuated: BTreeSet<Name>,
 }
 
 /// The status of one pool.
--- a/crates/node/src/wave.rs
+++ b/crates/node/src/wave.rs
@@ -57,6 +57,10 @@
     /// The machines that the last list shows under maintenance.
     listed_down: BTreeSet<Name>,
     maintenance_time: Duration,
+    /// The evacuated zones, whose machines go down first.
+    evacuated: Arc<BTreeSet<Name>>,
+    /// The machines of the wave that the last list shows in evacuated zones.
+    listed_evacuated: BTreeSet<Name>,
     /// When the first owner began to track the wave.
     tracked_since: Instant,
 }
@@ -81,10 +85,17 @@
             inherited_until: None,
             listed_down: BTreeSet::new(),
             maintenance_time,
+            evacuated: Arc::default(),
+            listed_evacuated: BTreeSet::new(),
             tracked_since,
         }
     }
 
+    /// Sets the zones that are evacuated, as of the next [`Self::observe`].
+    pub fn set_evacuated_zones(&mut self, zones: &Arc<BTreeSet<Name>>) {
+        self.evacuated = Arc::clone(zones);
+    }
+
     /// Counts machines as unavailable until `until`, since an earlier owner may have sent a command
     /// for them. They get no command before that.
     pub fn inherit(&mut self, machines: BTreeSet<Name>, until: Instant) {
@@ -163,6 +174,16 @@
             .filter(is_remaining)
             .cloned()
             .collect();
+        let is_evacuated = |name: &&Name| {
+            let machine = by_name.get(*name);
+            machine.is_some_and(|m| m.is_in(&self.evacuated))
+        };
+        let evacuated: BTreeSet<Name> = remaining.iter().filter(is_evacuated).cloned().collect();
+        // Machines that were deferred before their zone was evacuated go first as well.
+        for name in evacuated.difference(&self.listed_evacuated) {
+            self.deferred.remove(name);
+        }
+        self.listed_evacuated = evacuated;
         self.draining.retain(|name, _| remaining.contains(name));
         self.rotate_drains(now, remaining.len());
         let free_slots = (self.wave.max_unavailable + EXTRA_DRAINS)
@@ -173,7 +194,12 @@
             .filter(|n| !self.draining.contains_key(*n) && !self.inherited.contains(*n))
             .filter(|n| by_name.get(n).is_some_and(|m| m.state == MachineState::Up))
             .collect();
-        waiting.sort_by_key(|n| self.deferred.get(*n).copied());
+        // A machine that could not go down in its turn waits until all others have had theirs, also in
+        // an evacuated zone: otherwise those that disruption budgets block would hold up the wave.
+        waiting.sort_by_key(|n| {
+            let is_evacuated = self.listed_evacuated.contains(*n);
+            (self.deferred.get(*n).copied(), !is_evacuated)
+        });
         let next: Vec<Name> = waiting.into_iter().take(free_slots).cloned().collect();
         for name in next {
             self.draining.insert(name, now);
--- a/crates/node/tests/memory_store.rs
+++ b/crates/node/tests/memory_store.rs
@@ -536,6 +536,7 @@
             },
             draining: false,
             incarnation: INCARNATION,
+            zone: "".into(),
         })
     }
 
@@ -543,6 +544,11 @@
         None
     }
 
+    /// The key of a request is `evacuate/ZONE`, and its value is ignored.
+    fn evacuation(&self, key: &str, _: &[u8]) -> Result<Option<Name>, String> {
+        Ok(key.strip_prefix("evacuate/").map(Name::from))
+    }
+
     fn config_key(&self) -> &'static str {
         "config"
     }
--- a/crates/node/tests/test_operator_topic.rs
+++ b/crates/node/tests/test_operator_topic.rs
@@ -1,8 +1,12 @@
 //! Tests of how a process follows what operators publish.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
+use std::time::Instant;
 
+use lavenderhollow_node::EvacuatedZones;
 use lavenderhollow_node::backend::Topic;
+use lavenderhollow_shard::Name;
 
 use crate::memory_store::INVALID_CONFIG;
 use crate::memory_store::MemoryStore;
@@ -41,3 +45,19 @@
     tokio::time::sleep(LONG_TIME).await;
     assert!(node.is_ready());
 }
+
+/// Guards against evacuations that are dropped when others begin or end, and against owners that compare
+/// all zones although none has changed.
+#[test]
+fn the_evacuated_zones_are_replaced_as_a_whole() {
+    let zones = |names: &[&str]| -> BTreeSet<Name> { names.iter().map(|n| (*n).into()).collect() };
+    let (evacuated, now) = (EvacuatedZones::default(), Instant::now());
+    assert!(evacuated.load().is_empty());
+    for names in [&["a"][..], &["a", "b"], &["b"], &[]] {
+        evacuated.update(now, zones(names));
+        let known = evacuated.load();
+        assert_eq!(*known, zones(names));
+        evacuated.update(now, zones(names));
+        assert!(std::sync::Arc::ptr_eq(&known, &evacuated.load()));
+    }
+}
--- a/crates/node/tests/test_rebalancer.rs
+++ b/crates/node/tests/test_rebalancer.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -35,6 +36,7 @@
         state: MachineState::Up,
         worker,
         capacity: cpu(CPU),
+        zone: "".into(),
     }
 }
 
@@ -387,3 +389,61 @@
     assert_eq!(fleet.plan(), ["s1:a>spare"]);
     assert_eq!(fleet.plan_at_most(0), Vec::<String>::new());
 }
+
+/// Guards against a move of a machine in an evacuated zone to a pool that lacks capacity, where nothing
+/// would be started on it: of an idle machine, of one on standby, and of one whose command is repeated.
+#[test]
+fn machines_in_evacuated_zones_do_not_move() {
+    let mut fleet = TestFleet::new();
+    for machine in &mut fleet.list {
+        machine.zone = machine.name[1..].into();
+    }
+    fleet.rebalancer.observe(fleet.now, &fleet.list);
+    fleet.set_demand("a", 8, LONG_IDLE);
+    fleet.set_busy("a");
+    let zones = |names: &[&str]| {
+        let names = names.iter().map(|name| Name::from(*name));
+        Arc::new(names.collect::<BTreeSet<Name>>())
+    };
+    let moved_from = |plan: Vec<String>| -> BTreeSet<String> {
+        plan.iter().map(|m| m[1..2].to_owned()).collect()
+    };
+    assert!(moved_from(fleet.plan()).is_superset(&["1".into(), "2".into()].into()));
+    fleet.rebalancer.set_evacuated_zones(&zones(&["1", "3"]));
+    assert_eq!(
+        moved_from(fleet.plan()),
+        ["2".to_owned()].into(),
+        "pool b retains two machines in other zones"
+    );
+    fleet.rebalancer.set_evacuated_zones(&zones(&[]));
+    fleet.mark_moves_requested();
+    let requested = fleet.rebalancer.unconfirmed();
+    assert!(requested.iter().any(|m| &m.machine[1..] == "1"));
+    fleet.rebalancer.set_evacuated_zones(&zones(&["1"]));
+    fleet.rebalancer.observe(fleet.now, &fleet.list);
+    let repeated = fleet.rebalancer.unconfirmed();
+    assert!(!repeated.is_empty());
+    assert!(
+        repeated.iter().all(|m| &m.machine[1..] != "1"),
+        "{repeated:?}"
+    );
+    let allowed = fleet.rebalancer.without_evacuated(requested, &fleet.list);
+    assert_eq!(allowed, repeated);
+}
+
+/// Guards against a pool that gets no other machine because one in an evacuated zone is on its way to
+/// it, which adds no capacity.
+#[test]
+fn a_machine_in_an_evacuated_zone_adds_no_capacity_to_its_destination() {
+    let mut fleet = TestFleet::new();
+    fleet.list[8].zone = "1".into();
+    fleet.set_demand("a", 5, LONG_IDLE);
+    fleet.set_busy("a");
+    fleet.mark_moves_requested();
+    assert_eq!(fleet.rebalancer.unconfirmed().len(), 1);
+    fleet.rebalancer.observe(fleet.now, &fleet.list);
+    assert_eq!(fleet.plan(), [""; 0], "s1 is on its way");
+    let zones = Arc::new(BTreeSet::from([Name::from("1")]));
+    fleet.rebalancer.set_evacuated_zones(&zones);
+    assert_eq!(fleet.plan(), ["s2:spare>a"]);
+}
--- a/crates/node/tests/test_wave.rs
+++ b/crates/node/tests/test_wave.rs
@@ -1,6 +1,7 @@
 //! Tests of which machines a wave takes down, and when.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -20,6 +21,7 @@
         state,
         worker: Some(worker.into()),
         capacity: Resources::default(),
+        zone: "".into(),
     }
 }
 
@@ -174,3 +176,26 @@
     assert!(!active_wave.observe(now, &[machine("m1", "w1", MachineState::Maintenance)]));
     assert!(active_wave.observe(now, &[machine("m1", "w2", MachineState::Up)]));
 }
+
+/// Guards against a wave that takes machines which have tasks before those of an evacuated zone, also of
+/// one that was deferred before the evacuation, and against blocked machines of an evacuated zone that
+/// hold up the others.
+#[test]
+fn machines_of_evacuated_zones_go_down_first() {
+    let now = Instant::now();
+    let names = ["m1", "m2", "m3", "m4", "m5"];
+    let mut active_wave = ActiveWave::new(now, wave(&names, 1), BTreeSet::new(), MAINTENANCE_TIME);
+    let mut list: Vec<Machine> = names
+        .iter()
+        .map(|m| machine(m, m, MachineState::Up))
+        .collect();
+    for machine in &mut list[3..] {
+        machine.zone = "a".into();
+    }
+    active_wave.defer(now, &"m4".into());
+    active_wave.set_evacuated_zones(&Arc::new(["a".into()].into()));
+    active_wave.observe(now, &list);
+    assert_eq!(active_wave.draining(), ["m4", "m5"].map(Name::from));
+    active_wave.observe(now + Duration::from_secs(4), &list);
+    assert_eq!(active_wave.draining(), ["m1", "m2"].map(Name::from));
+}
--- a/crates/shard/src/admission.rs
+++ b/crates/shard/src/admission.rs
@@ -6,11 +6,14 @@
 //! A late result is still of use to its caller, so a job is rejected only if the pool is full and
 //! the queued work delays the job's completion beyond its expiry. The rejection is immediate.
 //!
+//! A job that only evacuated zones have capacity for is rejected as well, since it could not start.
+//!
 //! While the pool is full, jobs over their team's share are rejected as well.
 
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::evacuation::EVACUATION_RETRY_AFTER;
 use crate::job::Job;
 use crate::job::JobId;
 use crate::shard::Shard;
@@ -38,7 +41,7 @@
     /// The allocation of the tasks that run on these workers, in millicores.
     pub used: u64,
     /// The processor time requested by jobs with long-running tasks, without their best-effort
-    /// steps, in millicores.
+    /// steps and what is allocated to tasks in evacuated zones, in millicores.
     pub long_running: u64,
     /// The remaining work of the jobs that neither have expired nor are over their team's share, in
     /// core-milliseconds.
@@ -75,6 +78,21 @@
         if job.is_long_running() || job.repeat.is_some() {
             return None;
         }
+        if self.needs_evacuated_zone(job) {
+            // The demand of rejected jobs moves machines of other zones to the pool.
+            self.arrivals.remove(job.id);
+            if over_share.is_none() {
+                self.arrivals.add(now, job);
+            }
+            self.log_event("job_rejected", job.id, || {
+                format!(
+                    "queue={} cause=evacuated retry_ms={}",
+                    job.queue.name,
+                    EVACUATION_RETRY_AFTER.as_millis()
+                )
+            });
+            return Some(EVACUATION_RETRY_AFTER);
+        }
         let load = self.pool_load(now, &job.queue.pool);
         if load.capacity == 0 || !load.is_full() {
             return None;
@@ -124,7 +142,7 @@
         PoolLoad {
             capacity: workers.capacity,
             used: workers.used,
-            long_running: jobs.long_running,
+            long_running: jobs.long_running.saturating_sub(workers.evacuated),
             queued_work: u64::try_from(jobs.queued_work).unwrap_or(u64::MAX),
         }
     }
--- a/crates/shard/src/arrivals.rs
+++ b/crates/shard/src/arrivals.rs
@@ -17,7 +17,7 @@
 /// rate to drop soon after the peak.
 const WINDOW: Duration = Duration::from_millis(600);
 
-/// The work of one admitted job.
+/// The work of one job.
 #[derive(Clone, Debug)]
 struct Arrival {
     at: Instant,
@@ -34,7 +34,7 @@
 }
 
 impl Arrivals {
-    /// Records an admitted job, unless it is long-running or repeated.
+    /// Records an admitted job, or one that only evacuated zones have capacity for, unless it is long-running or repeated.
     pub(crate) fn add(&mut self, now: Instant, job: &Job) {
         self.expire(now);
         if job.is_long_running() || job.repeat.is_some() {
--- a/crates/shard/src/demand.rs
+++ b/crates/shard/src/demand.rs
@@ -58,8 +58,15 @@
     /// Returns the demand of a pool of this shard, and the capacity of the pool's workers.
     pub fn pool_demand(&self, now: Instant, pool: &str) -> PoolDemand {
         let mut demand = PoolDemand::default();
+        let mut evacuated = Resources::default();
         for (name, worker) in self.workers.iter() {
-            if &*worker.info.pool != pool || !worker.is_schedulable(now) {
+            if &*worker.info.pool != pool {
+                continue;
+            }
+            if worker.evacuated {
+                evacuated.add(worker.used);
+            }
+            if !worker.is_schedulable(now) {
                 continue;
             }
             demand.offered.add(worker.info.capacity);
@@ -78,6 +85,8 @@
                 false => queued.add(job.demand(now, MIN_HORIZON)),
             }
         }
+        // Long-running tasks in evacuated zones go on there, and need no other capacity.
+        long_running.sub(evacuated);
         let arriving = self.arrivals.rate(now, pool).scaled(ARRIVAL_HEADROOM);
         demand.needed = queued.scaled(BACKLOG_HEADROOM).max(arriving);
         let mut minimum = arriving;
--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -471,7 +471,7 @@
 
     /// Returns whether `count` times an allocation fits on the workers of a pool. Labels and limits
     /// per worker don't count. A pool without schedulable workers counts as having room, because a
-    /// new owner has reached none yet.
+    /// new owner has reached none yet, unless it has workers in evacuated zones.
     fn has_room(
         &self,
         pool: &Name,
@@ -480,7 +480,7 @@
         pass: &mut PlacementPass,
     ) -> bool {
         if self.workers.capacity(pool).capacity == 0 {
-            return true;
+            return !self.workers.has_evacuated(pool);
         }
         if pass.is_unplaceable(pool, allocation) {
             return false;
--- a/crates/shard/src/drain.rs
+++ b/crates/shard/src/drain.rs
@@ -45,7 +45,8 @@
     ///
     /// After [`DrainStatus::Drained`] the long-running tasks on the worker count as unavailable.
     /// The response is valid only for a short time, since other tasks of their steps may be lost.
-    /// Unless `urgent` is set, a drain of a worker whose pool is under high load is deferred.
+    /// Unless `urgent` is set, a drain of a worker whose pool is under high load is deferred. That of a
+    /// worker in an evacuated zone is not: the pool can't use it.
     pub fn drain(&mut self, at: Timestamp, worker_id: &Name, urgent: bool) -> DrainStatus {
         if !urgent && self.should_defer_drain(at.now, worker_id) {
             return DrainStatus::Deferred;
@@ -117,11 +118,15 @@
             .insert(Arc::clone(worker_id), worker.info.incarnation);
     }
 
-    /// Returns whether a worker has no drain in progress and belongs to a pool under high load.
+    /// Returns whether a worker has no drain in progress, is not in an evacuated zone and belongs to a
+    /// pool under high load.
     fn should_defer_drain(&mut self, now: Instant, worker_id: &Name) -> bool {
         let Some(worker) = self.workers.get(worker_id) else {
             return false;
         };
+        if worker.evacuated {
+            return false;
+        }
         let (pool, draining) = (Arc::clone(&worker.info.pool), worker.drain_since.is_some());
         let load = self.pool_load(now, &pool);
         let used = load.used as f64;
--- a/crates/shard/src/inspect.rs
+++ b/crates/shard/src/inspect.rs
@@ -34,6 +34,8 @@
     pub used: Resources,
     /// Whether tasks may be placed on the worker.
     pub schedulable: bool,
+    /// Whether the worker is in an evacuated zone.
+    pub evacuated: bool,
 }
 
 impl Shard {
@@ -56,6 +58,7 @@
             info: w.info.clone(),
             used: w.used,
             schedulable: w.is_schedulable(now),
+            evacuated: w.evacuated,
         });
         views.collect()
     }
--- a/crates/shard/src/lease.rs
+++ b/crates/shard/src/lease.rs
@@ -52,6 +52,11 @@
         })
     }
 
+    /// Returns whether a reading of the worker's clock is known, without which no lease is granted.
+    pub(crate) fn has_clock(&self) -> bool {
+        self.sample.is_some()
+    }
+
     /// Grants a lease for `length` from now and returns its deadline, in milliseconds on the
     /// worker's clock. A deadline never moves back, since workers ignore one that does. Returns
     /// `None` while no reading of the worker's clock is known.
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -13,6 +13,7 @@
 mod demand;
 mod dispatch;
 mod drain;
+mod evacuation;
 mod inspect;
 mod interference;
 mod job;
--- a/crates/shard/src/polling.rs
+++ b/crates/shard/src/polling.rs
@@ -63,6 +63,7 @@
                 continue;
             }
             registered_ids.insert(Arc::clone(&info.id));
+            let evacuated = self.evacuation.includes(&info);
             let Some(worker) = self.workers.get_mut(&info.id) else {
                 self.log_event("worker_registered", &info.id, || {
                     format!("pool={} address={}", info.pool, info.address)
@@ -70,6 +71,7 @@
                 let id = Arc::clone(&info.id);
                 let incarnation = info.incarnation;
                 let mut worker = Worker::new(info, at.now, self.max_fencing_token());
+                worker.evacuated = evacuated;
                 worker.misdirected_lease_end = self.restart_leases.earlier(&id);
                 self.workers.insert(worker);
                 self.attach_recovered_runs(at, &id, incarnation);
@@ -83,6 +85,7 @@
                 worker.next_poll = at.now;
             }
             worker.registered = true;
+            worker.evacuated = evacuated;
             // Sums and indexes of the workers don't show a change of the labels.
             self.settled &= worker.info.labels == info.labels;
             if info.incarnation > worker.info.incarnation {
@@ -110,6 +113,7 @@
             self.silent_leases.forget(&id);
             self.workers.remove(&id);
         }
+        self.log_evacuated_workers();
     }
 
     /// Sends the polls that are due.
--- a/crates/shard/src/runs.rs
+++ b/crates/shard/src/runs.rs
@@ -54,26 +54,20 @@
 }
 
 impl Shard {
-    /// Sends a start request whose run is stored, unless a stop of the run was requested since.
+    /// Sends a start request whose run is stored, and which nothing keeps from being sent
+    /// ([`Shard::release_effects`]).
     pub(crate) fn send_start(&mut self, now: Instant, worker_id: Name, mut request: StartRequest) {
         let id = request.run;
         let token = self.fencing_token(&worker_id);
         let Some(run) = self.run_mut(id) else {
             return;
         };
-        if run.stop_requested {
-            self.remove_run(id);
-            return;
-        }
         run.phase = Phase::Starting;
         run.since = now;
         run.token = token;
         let lease = self.timings.lease;
-        let withheld = self.silent_leases.is_withheld(&worker_id);
-        let worker = self.workers.get_mut(&worker_id).filter(|_| !withheld);
-        let deadline = worker.and_then(|worker| worker.lease.grant(now, lease));
-        let Some(deadline) = deadline else {
-            // The worker has restarted or has become silent since the placement.
+        let worker = self.workers.get_mut(&worker_id);
+        let Some(deadline) = worker.and_then(|worker| worker.lease.grant(now, lease)) else {
             self.remove_run(id);
             return;
         };
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -17,6 +17,7 @@
 use crate::arrivals::Arrivals;
 use crate::backlog::Backlog;
 use crate::dispatch::PlacementStats;
+use crate::evacuation::Evacuation;
 use crate::job::Job;
 use crate::job::JobId;
 use crate::job::JobState;
@@ -187,6 +188,7 @@
     /// When a poll of a reachable worker last got no response.
     pub(crate) last_unanswered: Option<Instant>,
     pub(crate) workers: Workers,
+    pub(crate) evacuation: Evacuation,
     /// The load of the unfinished jobs on each pool.
     pub(crate) backlog: Backlog,
     /// The workers that were terminated by a command to their machine, with the terminated
@@ -242,6 +244,7 @@
             next_pass: now,
             last_unanswered: None,
             workers: Workers::default(),
+            evacuation: Evacuation::default(),
             backlog: Backlog::default(),
             terminated_incarnations: BTreeMap::new(),
             teams: BTreeMap::new(),
@@ -462,12 +465,7 @@
                 self.poll_soon(at.now, &name);
             }
         }
-        for effect in batch.effects {
-            match effect {
-                Effect::Start(worker, request) => self.send_start(at.now, worker, request),
-                other => self.effects.push(other),
-            }
-        }
+        self.release_effects(at.now, batch.effects);
     }
 
     /// Sets the highest fencing token that this owner may use, the offset after its last record. The
--- a/crates/shard/src/worker.rs
+++ b/crates/shard/src/worker.rs
@@ -50,6 +50,8 @@
     /// The start of the worker's current incarnation, in milliseconds since the Unix epoch. It
     /// grows with each restart of the worker.
     pub incarnation: u64,
+    /// The zone that the worker is in; empty if its registration names none.
+    pub zone: Name,
 }
 
 /// Identifies one run (attempt) of a task.
@@ -130,6 +132,8 @@
     pub(crate) former_incarnation: Option<u64>,
     /// Whether the latest list of workers contains the worker.
     pub(crate) registered: bool,
+    /// Whether operators have evacuated the worker's zone, so that it gets no tasks.
+    pub(crate) evacuated: bool,
     pub(crate) lease: Lease,
     /// The resources allocated to `runs`.
     pub(crate) used: Resources,
@@ -200,6 +204,7 @@
             info,
             former_incarnation: None,
             registered: true,
+            evacuated: false,
             lease: Lease::default(),
             used: Resources::default(),
             runs: BTreeSet::new(),
@@ -238,14 +243,15 @@
     }
 
     /// Returns whether new tasks may be placed here. That excludes a worker that announced the
-    /// state `draining`, one for which the owner of the fleet shard requested a drain, and one that
-    /// was released for a move.
+    /// state `draining`, one for which the owner of the fleet shard requested a drain, one that
+    /// was released for a move, and one in an evacuated zone.
     pub(crate) fn is_schedulable(&self, now: Instant) -> bool {
         self.registered
             && self.synced
             && self.fenced
             && self.reachable
             && !self.info.draining
+            && !self.evacuated
             && self.drain_since.is_none()
             && self.backoff_until.is_none_or(|until| until <= now)
     }
--- a/crates/shard/src/workers.rs
+++ b/crates/shard/src/workers.rs
@@ -12,34 +12,40 @@
 use crate::job::Resources;
 use crate::worker::Worker;
 
-/// The schedulable workers of a pool.
+/// The workers of a pool that are schedulable or in evacuated zones.
 #[derive(Debug, Default)]
 struct PoolWorkers {
     capacity: PoolCapacity,
-    /// The ids of the workers by free processor time, in millicores.
+    /// The number of workers in evacuated zones.
+    evacuated: usize,
+    /// The ids of the schedulable workers by free processor time, in millicores.
     by_free: BTreeMap<u64, BTreeSet<Name>>,
 }
 
-/// The processor time of a pool's schedulable workers, in millicores.
+/// The processor time of a pool's workers, in millicores.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct PoolCapacity {
-    /// What the workers offer.
+    /// What the schedulable workers offer.
     pub(crate) capacity: u64,
-    /// What is allocated to tasks.
+    /// What is allocated to tasks on the schedulable workers.
     pub(crate) used: u64,
+    /// What is allocated to tasks on the workers of evacuated zones.
+    pub(crate) evacuated: u64,
 }
 
-/// What a schedulable worker adds to the sums of its pool.
+/// What a worker that is schedulable or in an evacuated zone adds to the sums of its pool.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Counted {
     pool: Name,
     capacity: Resources,
     used: Resources,
+    evacuated: bool,
 }
 
 impl Counted {
     fn of(worker: &Worker) -> Self {
         Self {
+            evacuated: worker.evacuated,
             pool: Arc::clone(&worker.info.pool),
             capacity: worker.info.capacity,
             used: worker.used,
@@ -58,7 +64,7 @@
     worker: Worker,
     /// Whether the worker is in the list of changed ones.
     changed: bool,
-    /// Absent while the worker is not schedulable.
+    /// Absent while the worker is neither schedulable nor in an evacuated zone.
     entry: Option<Counted>,
 }
 
@@ -148,6 +154,11 @@
         pool.map(|p| p.capacity).unwrap_or_default()
     }
 
+    /// Returns whether a pool has workers in evacuated zones, as of the last [`Workers::update`].
+    pub(crate) fn has_evacuated(&self, pool: &str) -> bool {
+        self.pools.get(pool).is_some_and(|p| p.evacuated > 0)
+    }
+
     /// Returns the schedulable workers of a pool with at least `min_cpu` millicores of free processor
     /// time, those with the least first, as of the last [`Workers::update`]. Among those with the
     /// same amount, the one with the greatest id comes first.
@@ -171,8 +182,8 @@
         if let Some(until) = slot.worker.backoff_until.filter(|until| *until > now) {
             self.backoffs.insert((until, Arc::clone(id)));
         }
-        let schedulable = slot.worker.is_schedulable(now);
-        let entry = schedulable.then(|| Counted::of(&slot.worker));
+        let is_counted = slot.worker.is_schedulable(now) || slot.worker.evacuated;
+        let entry = is_counted.then(|| Counted::of(&slot.worker));
         if entry == slot.entry {
             return;
         }
@@ -184,6 +195,11 @@
         if let Some(entry) = entry {
             let free = entry.free_cpu();
             let pool = self.pools.entry(entry.pool).or_default();
+            if entry.evacuated {
+                pool.capacity.evacuated += entry.used.cpu;
+                pool.evacuated += 1;
+                return;
+            }
             pool.capacity.capacity += entry.capacity.cpu;
             pool.capacity.used += entry.used.cpu;
             pool.by_free.entry(free).or_default().insert(Arc::clone(id));
@@ -192,6 +208,11 @@
 
     fn uncount(&mut self, id: &Name, counted: &Counted) {
         if let Some(pool) = self.pools.get_mut(&counted.pool) {
+            if counted.evacuated {
+                pool.capacity.evacuated -= counted.used.cpu;
+                pool.evacuated -= 1;
+                return;
+            }
             pool.capacity.capacity -= counted.capacity.cpu;
             pool.capacity.used -= counted.used.cpu;
             if let Entry::Occupied(mut ids) = pool.by_free.entry(counted.free_cpu()) {
--- a/crates/shard/tests/support/mod.rs
+++ b/crates/shard/tests/support/mod.rs
@@ -4,6 +4,8 @@
 pub(crate) mod simulation;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -94,6 +96,7 @@
         capacity: CAPACITY,
         draining: false,
         incarnation: 1,
+        zone: "".into(),
     }
 }
 
@@ -148,6 +151,12 @@
         self.shard.update_workers(self.at, worker_infos);
     }
 
+    /// Sets the evacuated zones.
+    pub(crate) fn evacuate(&mut self, zones: &[&str]) {
+        let zones: BTreeSet<Name> = zones.iter().map(|zone| Name::from(*zone)).collect();
+        self.shard.set_evacuated_zones(&Arc::new(zones));
+    }
+
     /// Replaces the owner by a new one that restores its state from the stored records alone.
     pub(crate) fn replace_owner(&mut self, workers: &[&str]) {
         self.replace_owner_with(timings(), workers);
--- a/crates/shard/tests/support/pool_load.rs
+++ b/crates/shard/tests/support/pool_load.rs
@@ -34,6 +34,11 @@
                 load.queued_work += remaining_work(view);
             }
         }
+        let evacuated = workers
+            .iter()
+            .filter(|w| w.info.pool == *pool && w.evacuated);
+        let evacuated = evacuated.map(|w| w.used.cpu).sum();
+        load.long_running = load.long_running.saturating_sub(evacuated);
         assert_eq!(shard.pool_load(now, pool), load, "the load of {pool}");
     }
 }
