shard: withdraw submissions that are in no batch yet

An owner whose store does not respond held every submission until its caller gave up, although the records of most of them were never sent. It can't tell these callers that their jobs don't run as long as the jobs stay in the shard.

Shard::withdraw_unsent removes the jobs that are in no batch yet as if they had never been submitted: their runs that are placed but not sent, their load, arrivals, tickets and due occurrences, and the token of their team's share. It returns the requests that waited for them. A job in the append in flight stays, and so does one that was cancelled meanwhile.

--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -32,6 +32,7 @@
 mod timings;
 mod tracked_job;
 mod waiting;
+mod withdrawal;
 mod worker;
 mod workers;
 
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -35,6 +35,7 @@
 use crate::tracked_job::Phase;
 use crate::tracked_job::TrackedJob;
 use crate::waiting::WaitingJob;
+use crate::withdrawal::UnsentJobs;
 use crate::worker::RunId;
 use crate::workers::Workers;
 
@@ -216,6 +217,7 @@
     pub(crate) log_events: Vec<LogEvent>,
     /// The jobs with changes that are in no batch yet.
     dirty: BTreeSet<JobId>,
+    pub(crate) unsent: UnsentJobs,
     /// The batch that collects effects until [`Shard::next_batch`] is called.
     pending_batch: Batch,
     /// The batch that is being stored.
@@ -259,6 +261,7 @@
             effects: Vec::new(),
             log_events: Vec::new(),
             dirty: BTreeSet::new(),
+            unsent: UnsentJobs::new(),
             pending_batch: Batch::default(),
             in_flight: None,
             pending_tombstones: Vec::new(),
@@ -306,6 +309,7 @@
         self.count_job(at.now, id);
         self.update_waiting(id);
         self.mark_dirty(id);
+        self.unsent.insert(id, vec![request_id]);
         self.pending_batch
             .effects
             .push(Effect::Respond(request_id, Response::Accepted));
@@ -317,6 +321,9 @@
         let Some(existing) = self.jobs.get(&id) else {
             return false;
         };
+        if let Some(requests) = self.unsent.get_mut(&id) {
+            requests.push(request_id);
+        }
         // A repeated submission waits for the batch that stores the first one.
         let response = Effect::Respond(request_id, Response::Accepted);
         match existing.persisted && !self.dirty.contains(&id) && self.in_flight.is_none() {
@@ -331,6 +338,11 @@
         self.queue_jobs.keys()
     }
 
+    /// Returns whether the records of a job are in no batch yet, so that the job may still be withdrawn.
+    pub fn is_unsent(&self, id: JobId) -> bool {
+        self.unsent.contains_key(&id)
+    }
+
     /// Returns whether the shard holds a job.
     pub fn holds_job(&self, id: JobId) -> bool {
         self.jobs.contains_key(&id)
@@ -344,8 +356,8 @@
         }
     }
 
-    /// Removes a finished job, and returns its parts with task records.
-    fn remove_job(&mut self, id: JobId) -> Vec<u32> {
+    /// Removes a job, and returns its parts with task records.
+    pub(crate) fn remove_job(&mut self, id: JobId) -> Vec<u32> {
         let Some(job) = self.jobs.remove(&id) else {
             return Vec::new();
         };
@@ -368,6 +380,7 @@
         };
         if !job.state.is_final() {
             self.arrivals.remove(id);
+            self.unsent.remove(&id);
             self.finish(at, id, JobState::Cancelled);
         }
         self.pending_batch
@@ -402,6 +415,7 @@
             return None;
         }
         let mut batch = mem::take(&mut self.pending_batch);
+        self.unsent.clear();
         let mut records = mem::take(&mut self.pending_tombstones);
         for id in mem::take(&mut self.dirty) {
             let Some(job) = self.jobs.get_mut(&id) else {
@@ -613,6 +627,16 @@
         self.dirty.insert(id);
     }
 
+    /// Drops the changes of a job that was removed before any of them was stored.
+    pub(crate) fn forget_changes(&mut self, id: JobId) {
+        self.dirty.remove(&id);
+    }
+
+    /// Drops the deferred effects for which `keep` returns false.
+    pub(crate) fn retain_deferred(&mut self, keep: impl FnMut(&Effect) -> bool) {
+        self.pending_batch.effects.retain(keep);
+    }
+
     /// Adds an effect that is released once the next batch is stored.
     pub(crate) fn defer_effect(&mut self, effect: Effect) {
         self.pending_batch.effects.push(effect);
--- a/crates/shard/tests/runner.rs
+++ b/crates/shard/tests/runner.rs
@@ -16,3 +16,4 @@
 mod test_selection;
 mod test_shard;
 mod test_simulation;
+mod test_withdrawal;
