node: refuse at once what an unresponsive store or owner can't store

After a zone was cut off, submissions that had reached no worker got 504 after 3 s: each was sent to an owner that did not answer, or was held by an owner without its store, until the caller's deadline.

- A process tracks which peers answer.
One that owes an answer for 0.5 s gets no requests, only probes on new connections, and is used again after its first answer.
Requests of which nothing was sent wait for a takeover, and are refused with 503 once the owner is known to be alive for others, the process has lost the store, or the takeover is late.
- An owner refuses submissions while an append has had no answer for 2.2 s, its process has had none from the store for 1.5 s, or its ownership is not confirmed.
It withdraws those that are in no batch.
Cancellations and queries of unknown jobs are refused as well.
- A request in progress is given up after 1.2 s only if its connection was replaced or a later owner is known, so that a late refusal of the owner still reaches the caller.
- Attempts are remembered over all shards of a submission.
A refusal after an attempt without a known outcome stays 504.

--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -16,6 +16,11 @@
         self.unknown = true;
     }
 
+    /// Returns whether an attempt may have been carried out.
+    pub fn is_unknown(self) -> bool {
+        self.unknown
+    }
+
     /// Returns the outcome of the request after an attempt was answered. A rejection says that nothing
     /// was done in that attempt alone, and another owner may accept an earlier one that was held up.
     ///
@@ -25,7 +30,9 @@
     /// attempt.
     pub fn conclude(self, response: ShardResponse) -> Result<ShardResponse, RequestError> {
         match response {
-            ShardResponse::Rejected { .. } if self.unknown => Err(RequestError::OutcomeUnknown),
+            ShardResponse::Rejected { .. } | ShardResponse::Unavailable { .. } if self.unknown => {
+                Err(RequestError::OutcomeUnknown)
+            }
             response => Ok(response),
         }
     }
--- a/crates/node/src/job_api.rs
+++ b/crates/node/src/job_api.rs
@@ -16,6 +16,7 @@
 use lavenderhollow_trace::Span;
 use lavenderhollow_types::Clock;
 
+use crate::attempts::Attempts;
 use crate::cluster_config::CallerLimits;
 use crate::cluster_config::Route;
 use crate::current_config::CurrentConfig;
@@ -220,8 +221,9 @@
                 return unavailable("queues_not_known");
             }
         }
+        let mut attempts = Attempts::default();
         loop {
-            match self.submit_once(authorized, &job).await {
+            match self.submit_once(authorized, &job, &mut attempts).await {
                 Ok(ShardResponse::Accepted) => return ApiResponse::Accepted,
                 Ok(ShardResponse::QueueMoved) => {}
                 other => return error_response(other),
@@ -232,7 +234,10 @@
             }
             let config = self.current_config.load();
             let Some(route) = config.queue(&authorized.route.name) else {
-                return ApiResponse::QueueNotFound;
+                return match attempts.is_unknown() {
+                    true => ApiResponse::OutcomeUnknown,
+                    false => ApiResponse::QueueNotFound,
+                };
             };
             job.queue = route.queue_settings();
         }
@@ -253,11 +258,13 @@
     /// # Errors
     ///
     /// Returns [`RequestError::OutcomeUnknown`] if a shard that may know the job does not respond, and
-    /// otherwise the error of the submission.
+    /// otherwise the error of the submission. `attempts` holds the attempts to submit the job to any
+    /// shard.
     async fn submit_once(
         &self,
         authorized: &AuthorizedRequest,
         job: &Job,
+        attempts: &mut Attempts,
     ) -> Result<ShardResponse, RequestError> {
         let shard = ShardId::of_pool(&job.queue.pool);
         let confirm = ShardRequest::ConfirmJob {
@@ -268,10 +275,10 @@
         for other in self.former_shards(&job.queue.name, shard) {
             match self.send_to(authorized, other, &confirm).await {
                 Ok(ShardResponse::NotFound) => {}
-                Ok(response) => return Ok(response),
-                Err(error) => {
+                Ok(response @ ShardResponse::Accepted) => return Ok(response),
+                other_result => {
                     log::info!(
-                        shard:display = other, job:display = job.id, error:display;
+                        shard:display = other, job:display = job.id, answer:? = other_result;
                         "former_shard_not_reached"
                     );
                     return Err(RequestError::OutcomeUnknown);
@@ -279,7 +286,8 @@
             }
         }
         let submit = ShardRequest::Submit(Box::new(job.clone()));
-        self.send_to(authorized, shard, &submit).await
+        self.send_attempts(authorized, shard, &submit, attempts)
+            .await
     }
 
     /// Returns the shards other than `current` that hold jobs of a queue. A shard whose pools were
@@ -306,12 +314,10 @@
                 .await
             {
                 Ok(ShardResponse::State(state)) => ApiResponse::State(state),
-                Ok(_) => ApiResponse::JobNotFound,
-                Err(_) => unavailable("owner_not_reached"),
+                Ok(ShardResponse::NotFound) => ApiResponse::JobNotFound,
+                other => read_error(other),
             },
-            // Reading changes nothing, so an unknown outcome is reported as unavailable.
-            Err(_) => unavailable("owner_not_reached"),
-            other => error_response(other),
+            other => read_error(other),
         }
     }
 
@@ -344,8 +350,7 @@
         for shard in shards {
             match self.send_to(authorized, shard, &request).await {
                 Ok(ShardResponse::Pending(count)) => total += count,
-                Err(_) => return unavailable("owner_not_reached"),
-                other => return error_response(other),
+                other => return read_error(other),
             }
         }
         ApiResponse::Pending(total)
@@ -367,12 +372,24 @@
         authorized: &AuthorizedRequest,
         shard: ShardId,
         request: &ShardRequest,
+    ) -> Result<ShardResponse, RequestError> {
+        self.send_attempts(authorized, shard, request, &mut Attempts::default())
+            .await
+    }
+
+    /// Sends a request to the owner of a shard, of which there may have been earlier attempts.
+    async fn send_attempts(
+        &self,
+        authorized: &AuthorizedRequest,
+        shard: ShardId,
+        request: &ShardRequest,
+        attempts: &mut Attempts,
     ) -> Result<ShardResponse, RequestError> {
         let context = Some(authorized.span.context());
-        let response = self
-            .router
-            .send_traced(context, shard, request, authorized.deadline);
-        response.await
+        let deadline = authorized.deadline;
+        self.router
+            .send_for_caller(context, shard, request, deadline, attempts)
+            .await
     }
 
     /// Sends a request for a job that the queue's shard does not know to the other shards, since
@@ -405,6 +422,15 @@
     }
 }
 
+/// Returns the response to the caller if reading failed. Reading changes nothing, so an unknown outcome
+/// is reported as unavailable.
+fn read_error(result: Result<ShardResponse, RequestError>) -> ApiResponse {
+    match result {
+        Err(RequestError::OutcomeUnknown) => unavailable("owner_not_reached"),
+        other => error_response(other),
+    }
+}
+
 /// Returns the response to the caller if the owner's response is not the one for success.
 fn error_response(result: Result<ShardResponse, RequestError>) -> ApiResponse {
     match result {
@@ -412,7 +438,15 @@
             retry_after: Duration::from_millis(retry_after_ms),
         },
         Ok(ShardResponse::NotFound) => ApiResponse::JobNotFound,
+        Ok(ShardResponse::Unavailable { retry_after_ms }) => ApiResponse::Unavailable {
+            cause: "store_unresponsive",
+            retry_after: Duration::from_millis(retry_after_ms),
+        },
         Err(RequestError::OwnerUnreachable) => unavailable("owner_not_reached"),
+        Err(RequestError::OwnerUnresponsive { retry_after }) => ApiResponse::Unavailable {
+            cause: "owner_unresponsive",
+            retry_after,
+        },
         Err(RequestError::OutcomeUnknown) => ApiResponse::OutcomeUnknown,
         Ok(response) => {
             log::error!(reply:? = response; "unexpected_response");
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -165,7 +165,9 @@
     async fn probe(&self) -> bool {
         match self.store.members().await {
             Ok(_) => {
-                *lock(&self.answered_at) = self.clock.now();
+                let now = self.clock.now();
+                *lock(&self.answered_at) = now;
+                self.router.handle_store_answer(now);
                 true
             }
             Err(error) => {
@@ -195,6 +197,7 @@
                     self.current.send_if_modified(is_other);
                 }
                 *lock(&self.answered_at) = now;
+                self.router.handle_store_answer(now);
                 self.joined_at.send_if_modified(|at| {
                     let is_first = at.is_none();
                     at.get_or_insert(now);
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -157,6 +157,11 @@
     OutcomeUnknown,
     /// The configuration sends the job's queue to another shard; nothing was done.
     QueueMoved,
+    /// The owner's store does not respond. The request was not carried out and never will be.
+    Unavailable {
+        /// How long the caller should wait before a retry, in milliseconds.
+        retry_after_ms: u64,
+    },
 }
 
 impl From<Response> for ShardResponse {
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -146,10 +146,12 @@
         .await;
     match response {
         Ok(ShardResponse::Accepted) => Ok(HttpResponseOk(update)),
-        Err(RequestError::OwnerUnreachable) => Err(HttpError::for_unavail(
-            None,
-            "no owner of the fleet shard was reached; nothing was changed".to_owned(),
-        )),
+        Err(RequestError::OwnerUnreachable | RequestError::OwnerUnresponsive { .. }) => {
+            Err(HttpError::for_unavail(
+                None,
+                "no owner of the fleet shard was reached; nothing was changed".to_owned(),
+            ))
+        }
         Ok(_) | Err(RequestError::OutcomeUnknown) => Err(outcome_unknown_error(
             "the owner of the fleet shard gave no answer; repeat the command, the switch may be \
              turned already",
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -57,6 +57,8 @@
 use crate::router::Router;
 use crate::shard_id::ShardId;
 use crate::shard_quotas;
+use crate::store_health::STORE_RETRY_AFTER;
+use crate::store_health::StoreHealth;
 use crate::worker_registry::WorkerUpdates;
 
 /// The maximum number of requests and events that are handled before decisions are made.
@@ -86,6 +88,11 @@
 /// The timeout for storing the record that the shard was released.
 pub(crate) const RELEASE_RECORD_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// The response to requests that are not carried out since the store does not respond.
+const UNAVAILABLE: ShardResponse = ShardResponse::Unavailable {
+    retry_after_ms: STORE_RETRY_AFTER.as_millis() as u64,
+};
+
 /// The components and settings that the owner of a shard uses.
 pub(crate) struct OwnerContext {
     pub(crate) shard_id: ShardId,
@@ -105,6 +112,8 @@
     Polled(Name, Instant, Result<WorkerReport, PollError>),
     Throttled(Name, RunId, bool),
     Stored(Instant, Result<Appender, OwnershipLost>),
+    /// A part of the batch in flight is stored, and the next part was sent.
+    PartStored,
     PolicyAnswered(StepId, Option<PolicyDecision>),
     /// The check began at the given time, when the partition was expected to end at the offset.
     OwnershipChecked(Instant, u64, Result<(), StoreError>),
@@ -138,6 +147,7 @@
     /// Whether the batch in flight is stored, and its effects wait until the ownership is confirmed.
     batch_stored: bool,
     queues: OwnerQueues,
+    store_health: StoreHealth,
     /// Set while the shard is being released; receives a message when that is done.
     release_reply: Option<oneshot::Sender<()>>,
     load: OwnerLoad,
@@ -181,6 +191,7 @@
         suspended: false,
         batch_stored: false,
         queues: OwnerQueues::new(at.now),
+        store_health: StoreHealth::default(),
         release_reply: None,
         load: OwnerLoad::new(at.now),
     };
@@ -235,6 +246,13 @@
             break;
         }
     }
+    requests.close();
+    while let Ok(request) = requests.try_recv() {
+        if let LocalRequest::Send(_, responder) = request {
+            // The send fails if the caller has stopped waiting.
+            let _ = responder.send(ShardResponse::NotOwner);
+        }
+    }
     owner.stop().await
 }
 
@@ -278,7 +296,11 @@
             released = self.release_reply.is_some(), open_jobs = self.shard.unfinished_jobs();
             "shard_owner_stopped"
         );
-        self.queues.reject_waiting();
+        self.queues.answer_waiting(&ShardResponse::NotOwner);
+        self.withdraw_unsent(&ShardResponse::NotOwner);
+        if self.store_health.is_unresponsive() {
+            metrics::gauge!("shards_without_store").decrement(1.0);
+        }
         let Some(done) = self.release_reply.take() else {
             return OwnerEnd::OwnershipLost;
         };
@@ -342,15 +364,20 @@
                 self.confirm_job(at.now, id, &queue, version, responder);
                 return;
             }
+            ShardRequest::Cancel(_) if self.store_health.is_unresponsive() => UNAVAILABLE,
             ShardRequest::Cancel(id) => {
                 let request_id = self.add_responder(responder);
                 self.shard.cancel(at, request_id, id);
                 return;
             }
-            ShardRequest::State(id) => self
-                .shard
-                .state(id)
-                .map_or(ShardResponse::NotFound, ShardResponse::State),
+            // The job may still be withdrawn.
+            ShardRequest::State(id) if self.shard.is_unsent(id) => UNAVAILABLE,
+            ShardRequest::State(id) => match self.shard.state(id) {
+                Some(state) => ShardResponse::State(state),
+                // A successor may know the job.
+                None if self.store_health.is_unresponsive() => UNAVAILABLE,
+                None => ShardResponse::NotFound,
+            },
             ShardRequest::Pending(queue) => {
                 ShardResponse::Pending(self.shard.queued_jobs(&queue) as u64)
             }
@@ -414,13 +441,22 @@
                 // A successor's token is higher than the offset at which its claim is stored.
                 self.shard.set_fencing_token(appender.end_offset());
                 self.appender = Some(appender);
+                self.store_health.handle_answer();
+                self.record_store_answer(at.now);
                 self.record_confirmation(sent);
                 self.batch_stored = true;
             }
+            Event::PartStored => {
+                self.store_health.handle_sent(at.now);
+                self.record_store_answer(at.now);
+            }
             Event::OwnershipChecked(sent, offset, result) => {
                 self.check_pending = false;
                 match result {
-                    Ok(()) => self.record_confirmation(sent),
+                    Ok(()) => {
+                        self.record_store_answer(at.now);
+                        self.record_confirmation(sent);
+                    }
                     Err(StoreError::OffsetMismatch { .. }) if self.has_appended_since(offset) => {}
                     Err(StoreError::OffsetMismatch { .. }) => return Err(OwnershipLost),
                     Err(error) => {
@@ -452,6 +488,52 @@
         end != Some(offset)
     }
 
+    fn record_store_answer(&self, now: Instant) {
+        self.context.router.handle_store_answer(now);
+    }
+
+    /// Decides whether the store responds. While it does not, submissions that are in no batch yet are
+    /// withdrawn and refused.
+    fn update_store_health(&mut self, now: Instant) {
+        let silence = self.context.router.store_silence(now);
+        if self.store_health.update(now, silence, !self.suspended) {
+            let unresponsive = self.store_health.is_unresponsive();
+            let silence_ms = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX);
+            log::warn!(
+                shard:display = self.context.shard_id, unresponsive, silence_ms;
+                "shard_store_changed"
+            );
+            metrics::gauge!("shards_without_store").increment(match unresponsive {
+                true => 1.0,
+                false => -1.0,
+            });
+        }
+        // A successor is known if the shard is being released.
+        let response = match self.release_reply {
+            Some(_) => ShardResponse::NotOwner,
+            None => UNAVAILABLE,
+        };
+        if self.store_health.is_unresponsive() {
+            self.withdraw_unsent(&response);
+        }
+        if self.store_health.is_unresponsive() || self.queues.is_publish_late(now) {
+            self.queues.answer_waiting(&response);
+        }
+    }
+
+    /// Withdraws the submissions that are in no batch yet, with a response that tells that they were not
+    /// carried out.
+    fn withdraw_unsent(&mut self, response: &ShardResponse) {
+        let now = self.context.clock.now();
+        for request_id in self.shard.withdraw_unsent(now) {
+            metrics::counter!("submissions_withdrawn_total").increment(1);
+            if let Some(responder) = self.responders.remove(&request_id) {
+                // The send fails if the caller has stopped waiting.
+                let _ = responder.send(response.clone());
+            }
+        }
+    }
+
     /// Records that this process owned the shard at the time `sent`.
     fn record_confirmation(&mut self, sent: Instant) {
         self.confirmed_at = self.confirmed_at.max(sent);
@@ -470,6 +552,7 @@
                 unconfirmed_ms = unconfirmed_for.as_millis() as u64; "scheduling_state_changed"
             );
         }
+        self.update_store_health(at.now);
         if !suspended && mem::take(&mut self.batch_stored) {
             self.shard.batch_stored(at);
         }
@@ -543,9 +626,13 @@
             };
             let events = self.events.clone();
             let batches = split_batch(records, self.context.platform.store.max_append_bytes());
+            self.store_health.handle_sent(at.now);
             self.calls.spawn(async move {
                 let mut result = Ok(());
-                for records in batches {
+                for (part, records) in batches.into_iter().enumerate() {
+                    if result.is_ok() && part > 0 {
+                        send_event(&events, Event::PartStored).await;
+                    }
                     if result.is_ok() {
                         result = appender.append(&records).await;
                     }
--- a/crates/node/src/owner/queues.rs
+++ b/crates/node/src/owner/queues.rs
@@ -19,11 +19,13 @@
 use crate::message::ShardResponse;
 use crate::owner::Event;
 use crate::owner::Owner;
+use crate::owner::UNAVAILABLE;
 use crate::owner::send_event;
 use crate::queue_fence::QueueFence;
 use crate::queue_shards::queue_record;
 use crate::shard_id::ShardId;
 use crate::shard_manager::STORE_RETRY_DELAY;
+use crate::store_health::MAX_APPEND_TIME;
 
 /// How often the owner publishes of which queues the shard holds jobs, if they have changed.
 const QUEUES_INTERVAL: Duration = Duration::from_secs(1);
@@ -34,6 +36,8 @@
     fence: QueueFence,
     waiting: Vec<WaitingSubmission>,
     publish_pending: bool,
+    /// When the first publication was sent that has not succeeded since, for submissions that wait.
+    unpublished_since: Option<Instant>,
     next_publish: Instant,
     /// The callers to be told that a job is unknown once the ownership is confirmed, with the time of
     /// the request.
@@ -46,6 +50,7 @@
             fence: QueueFence::default(),
             waiting: Vec::new(),
             publish_pending: false,
+            unpublished_since: None,
             next_publish: now,
             absences: Vec::new(),
         }
@@ -56,11 +61,17 @@
         !self.absences.is_empty()
     }
 
-    /// Rejects the submissions that wait, when the owner ends.
-    pub(super) fn reject_waiting(&mut self) {
+    /// Returns whether the store has not stored a publication for longer than it may take.
+    pub(super) fn is_publish_late(&self, now: Instant) -> bool {
+        let is_late = |at: Instant| now.saturating_duration_since(at) >= MAX_APPEND_TIME;
+        self.publish_pending && self.unpublished_since.is_some_and(is_late)
+    }
+
+    /// Answers the submissions that wait, none of which was carried out.
+    pub(super) fn answer_waiting(&mut self, response: &ShardResponse) {
         for submission in mem::take(&mut self.waiting) {
             // The send fails if the caller has stopped waiting.
-            let _ = submission.responder.send(ShardResponse::NotOwner);
+            let _ = submission.responder.send(response.clone());
         }
     }
 }
@@ -103,6 +114,10 @@
                 let _ = responder.send(ShardResponse::QueueMoved);
                 return;
             }
+            if self.store_health.is_unresponsive() {
+                let _ = responder.send(UNAVAILABLE);
+                return;
+            }
             if !self.context.router.queue_shards.contains(shard, queue) {
                 self.queues
                     .waiting
@@ -183,6 +198,7 @@
         }
         log::info!(shard:display, added:? = changes.added, removed:? = changes.removed; "queues_published");
         self.queues.publish_pending = true;
+        self.queues.unpublished_since.get_or_insert(now);
         let (store, events) = (
             Arc::clone(&self.context.platform.store),
             self.events.clone(),
@@ -208,10 +224,14 @@
         self.queues.publish_pending = false;
         if let Err(error) = result {
             log::warn!(shard:display, error:display; "queues_publish_failed");
+            if self.queues.waiting.is_empty() {
+                self.queues.unpublished_since = None;
+            }
             // They are withdrawn again later.
             changes.removed.iter().for_each(|q| known.insert(shard, q));
             return;
         }
+        self.queues.unpublished_since = None;
         changes.added.iter().for_each(|q| known.insert(shard, q));
         self.submit_waiting(at);
     }
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -22,19 +22,22 @@
 use crate::attempts::Attempts;
 use crate::message::ShardRequest;
 use crate::message::ShardResponse;
+use crate::peers::MIN_CALL_TIME;
 use crate::peers::PeerError;
 use crate::peers::PeerHandler;
 use crate::peers::Peers;
 use crate::queue_shards::QueueShards;
 use crate::shard_id::ShardId;
+use crate::takeover_wait::SilentOwner;
+use crate::takeover_wait::WaitDecision;
 
 /// The delay before a request is sent to the owner again. A change of owner takes about a hundred
 /// times as long.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
-/// The timeout of one attempt. An owner that takes longer has likely terminated or hangs, and the
-/// next attempt may reach its successor.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// How long a request from a peer waits for the owner in this process: as long as callers wait. An owner
+/// whose store is slow answers late, and until then the outcome is unknown.
+const PEER_REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// The number of requests that may be queued for one owner in this process.
 pub(crate) const OWNER_QUEUE_CAPACITY: usize = 1_024;
@@ -45,6 +48,12 @@
     /// No owner received the request, so nothing was done.
     #[display("no owner of the shard was reached")]
     OwnerUnreachable,
+    /// The owner does not respond to this process and got no request, so nothing was done.
+    #[display("the owner of the shard does not respond, nothing was sent")]
+    OwnerUnresponsive {
+        /// The delay after which the request may be repeated.
+        retry_after: Duration,
+    },
     /// An owner received the request and may have carried it out.
     #[display("no response from the owner, outcome unknown")]
     OutcomeUnknown,
@@ -70,6 +79,20 @@
     clock: Arc<dyn Clock>,
     cluster: Mutex<ClusterState>,
     local_owners: Mutex<BTreeMap<ShardId, OwnerHandle>>,
+    /// When the store last answered a call of this process.
+    store_answered_at: Mutex<Option<Instant>>,
+}
+
+/// The outcome of one attempt to have a request carried out.
+enum Attempt {
+    /// The owner has responded.
+    Answered(ShardResponse),
+    /// Nothing was sent.
+    NotSent,
+    /// The owner may carry the request out.
+    Unknown,
+    /// Nothing was sent, since the owner does not respond.
+    Withheld(SilentOwner),
 }
 
 impl Router {
@@ -77,14 +100,33 @@
     pub fn new(me: Member, clock: Arc<dyn Clock>) -> Self {
         Self {
             me,
-            peers: Peers::default(),
+            peers: Peers::new(Arc::clone(&clock)),
             queue_shards: QueueShards::default(),
             clock,
             cluster: Mutex::default(),
             local_owners: Mutex::default(),
+            store_answered_at: Mutex::default(),
         }
     }
 
+    /// Records that the store has answered a call of this process.
+    pub(crate) fn handle_store_answer(&self, now: Instant) {
+        let mut answered_at = self.lock_store_answer();
+        *answered_at = (*answered_at).max(Some(now));
+    }
+
+    /// Returns the time since the store last answered a call of this process.
+    pub(crate) fn store_silence(&self, now: Instant) -> Duration {
+        let answered_at = *self.lock_store_answer();
+        answered_at.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
+    }
+
+    fn lock_store_answer(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.store_answered_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks and returns the known members and shard owners.
     pub fn cluster(&self) -> MutexGuard<'_, ClusterState> {
         self.cluster.lock().unwrap_or_else(PoisonError::into_inner)
@@ -110,69 +152,131 @@
         request: &ShardRequest,
         deadline: Instant,
     ) -> Result<ShardResponse, RequestError> {
-        self.send_traced(None, shard, request, deadline).await
+        let mut attempts = Attempts::default();
+        while self.clock.now() < deadline {
+            let attempt = self.try_send(None, shard, request, deadline).await;
+            if let Some(response) = self.conclude(&mut attempts, attempt) {
+                return response;
+            }
+            self.wait_until_retry(deadline).await;
+        }
+        Err(attempts.error())
     }
 
-    /// Does the same as [`send`](Self::send), and records the calls as child spans of `parent`.
+    /// Sends a caller's request like [`send`](Self::send), and records the calls as child spans of
+    /// `parent`. `attempts` holds the earlier attempts of the request, also those for other shards. A
+    /// request of which nothing was sent is refused as soon as its owner is known to be cut off from
+    /// this process.
     ///
     /// # Errors
     ///
-    /// Returns an error if no owner has responded by then.
-    pub async fn send_traced(
+    /// Returns an error if the request is refused, or if no owner has responded by then.
+    pub async fn send_for_caller(
         &self,
         parent: Option<SpanContext>,
         shard: ShardId,
         request: &ShardRequest,
         deadline: Instant,
+        attempts: &mut Attempts,
     ) -> Result<ShardResponse, RequestError> {
-        let mut attempts = Attempts::default();
-        loop {
-            let remaining = deadline.saturating_duration_since(self.clock.now());
-            if remaining.is_zero() {
-                return Err(attempts.error());
+        while self.clock.now() < deadline {
+            let attempt = self.try_send(parent, shard, request, deadline).await;
+            if let Attempt::Withheld(owner) = attempt
+                && !attempts.is_unknown()
+                && let WaitDecision::Refuse { retry_after } = owner.decide(self.clock.now())
+            {
+                return Err(RequestError::OwnerUnresponsive { retry_after });
             }
-            let timeout = remaining.min(ATTEMPT_TIMEOUT);
-            match self.send_once(parent, shard, request, timeout).await {
-                Ok(ShardResponse::NotOwner) => {}
-                Ok(ShardResponse::OutcomeUnknown) => attempts.add_unknown(),
-                Ok(response) => return attempts.conclude(response),
-                Err(PeerError::NotSent { detail }) => {
-                    log::debug!(shard:display, detail:display; "owner_not_reached");
-                }
-                Err(PeerError::OutcomeUnknown { detail }) => {
-                    log::info!(
-                        shard:display, kind = request.kind(), detail:display; "owner_call_failed"
-                    );
-                    attempts.add_unknown();
-                }
+            if let Some(response) = self.conclude(attempts, attempt) {
+                return response;
+            }
+            self.wait_until_retry(deadline).await;
+        }
+        Err(attempts.error())
+    }
+
+    /// Returns the response to a request if an attempt concludes it. An owner whose store does not
+    /// respond says nothing of earlier attempts, and another attempt may still be answered.
+    fn conclude(
+        &self,
+        attempts: &mut Attempts,
+        attempt: Attempt,
+    ) -> Option<Result<ShardResponse, RequestError>> {
+        match attempt {
+            Attempt::Answered(ShardResponse::Unavailable { .. }) if attempts.is_unknown() => None,
+            Attempt::Answered(response) => Some(attempts.conclude(response)),
+            Attempt::NotSent | Attempt::Withheld(_) => None,
+            Attempt::Unknown => {
+                attempts.add_unknown();
+                None
             }
-            // The attempt may have taken all the time that was left.
-            let remaining = deadline.saturating_duration_since(self.clock.now());
-            tokio::time::sleep(RETRY_DELAY.min(remaining)).await;
         }
     }
 
-    /// Sends a request to the known owner, here or on another VM, and waits up to `timeout`.
-    async fn send_once(
+    /// Waits before the next attempt. The last one may have taken all the time that was left.
+    async fn wait_until_retry(&self, deadline: Instant) {
+        let remaining = deadline.saturating_duration_since(self.clock.now());
+        tokio::time::sleep(RETRY_DELAY.min(remaining)).await;
+    }
+
+    /// Sends a request to the known owner, here or on another VM, and waits for it until `deadline`.
+    async fn try_send(
         &self,
         parent: Option<SpanContext>,
         shard: ShardId,
         request: &ShardRequest,
-        timeout: Duration,
-    ) -> Result<ShardResponse, PeerError> {
-        if self.local_owners().contains_key(&shard) {
-            let response = self.send_local(parent, shard, request.clone(), timeout);
-            return Ok(response.await);
-        }
-        let owner = self.cluster().owner(shard).cloned();
-        match owner {
-            Some(owner) if owner.member != self.me && !owner.released => {
+        deadline: Instant,
+    ) -> Attempt {
+        let now = self.clock.now();
+        let timeout = deadline.saturating_duration_since(now);
+        let is_local = self.local_owners().contains_key(&shard);
+        let response = match is_local {
+            true => {
+                let response = self.send_local(parent, shard, request.clone(), timeout);
+                response.await
+            }
+            false => {
+                let (owner, is_member) = {
+                    let cluster = self.cluster();
+                    let owner = cluster.owner(shard).filter(|o| !o.released);
+                    (owner.cloned(), cluster.has_live_owner(shard))
+                };
+                let Some(owner) = owner.filter(|o| o.member != self.me) else {
+                    return Attempt::NotSent;
+                };
                 let address = &owner.member.address;
-                self.peers
-                    .send(address, parent, shard, request.clone(), timeout)
-                    .await
+                if let Some(since) = self.peers.unresponsive_since(address) {
+                    return Attempt::Withheld(SilentOwner {
+                        since,
+                        is_member,
+                        store_silence: self.store_silence(now),
+                    });
+                }
+                let is_owner = || {
+                    let cluster = self.cluster();
+                    cluster.owner(shard) == Some(&owner)
+                };
+                let call = (shard, request.clone());
+                let response = self.peers.send(address, parent, call, timeout, is_owner);
+                match response.await {
+                    Ok(response) => response,
+                    Err(PeerError::NotSent { detail }) => {
+                        log::debug!(shard:display, detail:display; "owner_not_reached");
+                        return Attempt::NotSent;
+                    }
+                    Err(PeerError::OutcomeUnknown { detail }) => {
+                        log::info!(
+                            shard:display, kind = request.kind(), detail:display; "owner_call_failed"
+                        );
+                        return Attempt::Unknown;
+                    }
+                }
             }
-            _ => Ok(ShardResponse::NotOwner),
+        };
+        match response {
+            ShardResponse::NotOwner => Attempt::NotSent,
+            ShardResponse::OutcomeUnknown => Attempt::Unknown,
+            response => Attempt::Answered(response),
         }
     }
 
@@ -201,10 +305,31 @@
         {
             return ShardResponse::NotOwner;
         }
-        match tokio::time::timeout(timeout, response_receiver).await {
-            Ok(Ok(response)) => response,
+        let wait = self.wait_for_owner(shard, &owner, response_receiver);
+        match tokio::time::timeout(timeout, wait).await {
+            Ok(Some(response)) => response,
             // The owner stopped or is slow. It may already have stored the requested change.
-            Ok(Err(_)) | Err(_) => ShardResponse::OutcomeUnknown,
+            Ok(None) | Err(_) => ShardResponse::OutcomeUnknown,
+        }
+    }
+
+    /// Waits for the response of an owner in this process. Gives up early if the owner has been
+    /// superseded, since it may wait for its store.
+    async fn wait_for_owner(
+        &self,
+        shard: ShardId,
+        owner: &OwnerHandle,
+        mut response: oneshot::Receiver<ShardResponse>,
+    ) -> Option<ShardResponse> {
+        loop {
+            if let Ok(result) = tokio::time::timeout(MIN_CALL_TIME, &mut response).await {
+                return result.ok();
+            }
+            let local = self.local_owners();
+            let current = local.get(&shard);
+            if !current.is_some_and(|o| o.same_channel(owner)) {
+                return None;
+            }
         }
     }
 }
@@ -220,7 +345,9 @@
         shard: ShardId,
         request: ShardRequest,
     ) -> ShardResponse {
-        let response = self.0.send_local(parent, shard, request, ATTEMPT_TIMEOUT);
+        let response = self
+            .0
+            .send_local(parent, shard, request, PEER_REQUEST_TIMEOUT);
         response.await
     }
 
--- a/crates/node/tests/runner.rs
+++ b/crates/node/tests/runner.rs
@@ -13,5 +13,8 @@
 mod test_peers;
 mod test_rebalancer;
 mod test_recent_commands;
+mod test_refusal_scenarios;
+mod test_refusals;
 mod test_shard_quotas;
+mod test_silent_peer;
 mod test_wave;
