--- a/crates/node/src/job_api.rs
+++ b/crates/node/src/job_api.rs
@@ -422,6 +422,12 @@
     }
 }
 
+/// Counts and returns a refusal of a request that was not carried out and never will be.
+fn refused(cause: &'static str, retry_after: Duration) -> ApiResponse {
+    metrics::counter!("requests_refused_total", "cause" => cause).increment(1);
+    ApiResponse::Unavailable { cause, retry_after }
+}
+
 /// Returns the response to the caller if reading failed. Reading changes nothing, so an unknown outcome
 /// is reported as unavailable.
 fn read_error(result: Result<ShardResponse, RequestError>) -> ApiResponse {
@@ -438,15 +444,13 @@
             retry_after: Duration::from_millis(retry_after_ms),
         },
         Ok(ShardResponse::NotFound) => ApiResponse::JobNotFound,
-        Ok(ShardResponse::Unavailable { retry_after_ms }) => ApiResponse::Unavailable {
-            cause: "store_unresponsive",
-            retry_after: Duration::from_millis(retry_after_ms),
-        },
+        Ok(ShardResponse::Unavailable { retry_after_ms }) => {
+            refused("store_unresponsive", Duration::from_millis(retry_after_ms))
+        }
         Err(RequestError::OwnerUnreachable) => unavailable("owner_not_reached"),
-        Err(RequestError::OwnerUnresponsive { retry_after }) => ApiResponse::Unavailable {
-            cause: "owner_unresponsive",
-            retry_after,
-        },
+        Err(RequestError::OwnerUnresponsive { retry_after }) => {
+            refused("owner_unresponsive", retry_after)
+        }
         Err(RequestError::OutcomeUnknown) => ApiResponse::OutcomeUnknown,
         Ok(response) => {
             log::error!(reply:? = response; "unexpected_response");
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -297,7 +297,7 @@
             "shard_owner_stopped"
         );
         self.queues.answer_waiting(&ShardResponse::NotOwner);
-        self.withdraw_unsent(&ShardResponse::NotOwner);
+        self.withdraw_unsent(&ShardResponse::NotOwner, "owner_ends");
         if self.store_health.is_unresponsive() {
             metrics::gauge!("shards_without_store").decrement(1.0);
         }
@@ -514,7 +514,7 @@
             None => UNAVAILABLE,
         };
         if self.store_health.is_unresponsive() {
-            self.withdraw_unsent(&response);
+            self.withdraw_unsent(&response, "store_unresponsive");
         }
         if self.store_health.is_unresponsive() || self.queues.is_publish_late(now) {
             self.queues.answer_waiting(&response);
@@ -523,9 +523,9 @@
 
     /// Withdraws the submissions that are in no batch yet, with a response that tells that they were not
     /// carried out.
-    fn withdraw_unsent(&mut self, response: &ShardResponse) {
+    fn withdraw_unsent(&mut self, response: &ShardResponse, cause: &'static str) {
         let now = self.context.clock.now();
-        for request_id in self.shard.withdraw_unsent(now) {
+        for request_id in self.shard.withdraw_unsent(now, cause) {
             metrics::counter!("submissions_withdrawn_total").increment(1);
             if let Some(responder) = self.responders.remove(&request_id) {
                 // The send fails if the caller has stopped waiting.
--- a/crates/node/src/peer_health.rs
+++ b/crates/node/src/peer_health.rs
@@ -45,8 +45,10 @@
     WaitUntil(Instant),
     /// Probe the peer.
     Probe,
-    /// Nothing; the peer has answered or is forgotten.
+    /// Nothing, since the peer has answered.
     Stop,
+    /// Nothing, since no request was for the peer for a while.
+    Forget,
 }
 
 /// The peers that have not answered.
@@ -100,7 +102,8 @@
         silence.is_unresponsive(now).then_some(silence.since)
     }
 
-    /// Returns what the task that watches a peer does next. After [`ProbeStep::Stop`] it ends.
+    /// Returns what the task that watches a peer does next. It ends after [`ProbeStep::Stop`]
+    /// and [`ProbeStep::Forget`].
     pub fn next_step(&mut self, now: Instant, peer: &str) -> ProbeStep {
         let Some(silence) = self.silences.get(peer) else {
             self.watched.remove(peer);
@@ -109,7 +112,7 @@
         if now.saturating_duration_since(silence.used_at) >= MAX_AGE {
             self.silences.remove(peer);
             self.watched.remove(peer);
-            return ProbeStep::Stop;
+            return ProbeStep::Forget;
         }
         let probe_at = silence.since + PROBE_DELAY;
         match now >= probe_at || silence.unreachable {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -66,6 +66,10 @@
 /// the one to use. The next attempt may reach the successor of an owner that has terminated or hangs.
 pub(crate) const MIN_CALL_TIME: Duration = Duration::from_millis(1_200);
 
+/// The time without an answer after which a peer that owes only late answers is watched again. It is
+/// long, since all processes wait while the store is slow.
+const ANSWER_INTERVAL: Duration = Duration::from_secs(1);
+
 /// How often a peer that does not answer is probed on a new connection. A peer that is reachable again
 /// is used after that time at the latest.
 const PROBE_INTERVAL: Duration = Duration::from_millis(700);
@@ -141,9 +145,13 @@
             if let Ok(result) = tokio::time::timeout(PROBE_DELAY, &mut call).await {
                 return self.handle_result(address, &connection, sent, result);
             }
-            // Others' calls may have been answered since this one was sent.
-            self.handle_call(address);
-            let waited = self.clock.now().saturating_duration_since(sent);
+            let now = self.clock.now();
+            let waited = now.saturating_duration_since(sent);
+            // The peer may have answered since this call was sent, and be silent now.
+            let answer_due = now.checked_sub(ANSWER_INTERVAL);
+            if answer_due.is_some_and(|at| sent < at && !connection.has_answered_since(at)) {
+                self.handle_call(address);
+            }
             if waited >= MIN_CALL_TIME && !(is_owner() && self.is_current(address, &connection)) {
                 return Err(PeerError::OutcomeUnknown {
                     detail: "given up".to_owned(),
@@ -194,6 +202,10 @@
                     continue;
                 }
                 ProbeStep::Stop => return,
+                ProbeStep::Forget => {
+                    log::info!(peer = &**address; "peer_forgotten");
+                    return;
+                }
                 ProbeStep::Probe => {}
             }
             let connection = self.connection(address);
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -35,6 +35,10 @@
 /// times as long.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
+/// The delay before a request that may have been carried out is sent again to an owner whose store does
+/// not respond. It leaves a small VM processor time for its other calls.
+const STORE_RETRY_DELAY: Duration = Duration::from_millis(300);
+
 /// How long a request from a peer waits for the owner in this process: as long as callers wait. An owner
 /// whose store is slow answers late, and until then the outcome is unknown.
 const PEER_REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
@@ -110,7 +114,7 @@
     }
 
     /// Records that the store has answered a call of this process.
-    pub(crate) fn handle_store_answer(&self, now: Instant) {
+    pub fn handle_store_answer(&self, now: Instant) {
         let mut answered_at = self.lock_store_answer();
         *answered_at = (*answered_at).max(Some(now));
     }
@@ -158,7 +162,7 @@
             if let Some(response) = self.conclude(&mut attempts, attempt) {
                 return response;
             }
-            self.wait_until_retry(deadline).await;
+            self.wait_until_retry(deadline, RETRY_DELAY).await;
         }
         Err(attempts.error())
     }
@@ -187,10 +191,14 @@
             {
                 return Err(RequestError::OwnerUnresponsive { retry_after });
             }
+            let delay = match attempt {
+                Attempt::Answered(ShardResponse::Unavailable { .. }) => STORE_RETRY_DELAY,
+                _ => RETRY_DELAY,
+            };
             if let Some(response) = self.conclude(attempts, attempt) {
                 return response;
             }
-            self.wait_until_retry(deadline).await;
+            self.wait_until_retry(deadline, delay).await;
         }
         Err(attempts.error())
     }
@@ -214,9 +222,9 @@
     }
 
     /// Waits before the next attempt. The last one may have taken all the time that was left.
-    async fn wait_until_retry(&self, deadline: Instant) {
+    async fn wait_until_retry(&self, deadline: Instant, delay: Duration) {
         let remaining = deadline.saturating_duration_since(self.clock.now());
-        tokio::time::sleep(RETRY_DELAY.min(remaining)).await;
+        tokio::time::sleep(delay.min(remaining)).await;
     }
 
     /// Sends a request to the known owner, here or on another VM, and waits for it until `deadline`.
--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -137,6 +137,8 @@
             {
                 Ok(changes) => {
                     failing = false;
+                    let router = &self.context.router;
+                    router.handle_store_answer(self.context.clock.now());
                     let queue_shards = &self.context.router.queue_shards;
                     let changed = changes
                         .changed
--- a/crates/node/src/store_health.rs
+++ b/crates/node/src/store_health.rs
@@ -15,6 +15,10 @@
 /// has expired by then, so that other processes claim its shards.
 pub(crate) const MAX_STORE_SILENCE: Duration = Duration::from_millis(1_500);
 
+/// The longest time between two decisions of a process that does not stand still: an owner makes them ten
+/// times a second.
+const MAX_UPDATE_GAP: Duration = Duration::from_millis(500);
+
 /// The delay after which a caller may submit a job again that was refused for the store: a successor of
 /// the owner takes over within three seconds, and the caller may reach it from another VM before.
 pub(crate) const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -26,6 +30,8 @@
     sent_at: Option<Instant>,
     /// Since when the store counts as unresponsive.
     unresponsive_since: Option<Instant>,
+    /// When that was last decided.
+    updated_at: Option<Instant>,
 }
 
 impl StoreHealth {
@@ -44,6 +50,13 @@
     /// `silence` is the time since this process last had an answer from the store, and `confirmed` tells
     /// whether the ownership of the shard is confirmed.
     pub fn update(&mut self, now: Instant, silence: Duration, confirmed: bool) -> bool {
+        // After a time without processor time the answers may have arrived and not been read yet.
+        let updated_at = self.updated_at.replace(now);
+        let stood_still =
+            updated_at.is_some_and(|at| now.saturating_duration_since(at) > MAX_UPDATE_GAP);
+        if stood_still && confirmed {
+            return false;
+        }
         let waited = self.sent_at.map(|at| now.saturating_duration_since(at));
         let is_unresponsive = !confirmed
             || silence >= MAX_STORE_SILENCE
--- a/crates/shard/src/withdrawal.rs
+++ b/crates/shard/src/withdrawal.rs
@@ -19,10 +19,11 @@
 
 impl Shard {
     /// Removes the jobs that are in no batch yet, as if they had never been submitted, and returns the
-    /// requests that were waiting for their storage. These requests get no [`Effect::Respond`].
+    /// requests that were waiting for their storage. These requests get no [`Effect::Respond`]. `cause`
+    /// goes to the log.
     ///
     /// A job that was cancelled meanwhile stays, since its runs may be stopping.
-    pub fn withdraw_unsent(&mut self, now: Instant) -> Vec<RequestId> {
+    pub fn withdraw_unsent(&mut self, now: Instant, cause: &'static str) -> Vec<RequestId> {
         let unsent = mem::take(&mut self.unsent);
         let jobs: BTreeSet<JobId> = unsent.keys().copied().collect();
         if jobs.is_empty() {
@@ -30,6 +31,7 @@
         }
         for &id in &jobs {
             self.withdraw(now, id);
+            self.log_event("job_withdrawn", id, || format!("cause={cause}"));
         }
         let requests: BTreeSet<RequestId> = unsent.into_values().flatten().collect();
         self.due.retain(|(_, id)| !jobs.contains(id));
@@ -61,8 +63,5 @@
         self.remove_job(id);
         self.forget_changes(id);
         self.update_waiting(id);
-        self.log_event("job_withdrawn", id, || {
-            "cause=store_unresponsive".to_owned()
-        });
     }
 }
