--- a/crates/shard/tests/runner.rs
+++ b/crates/shard/tests/runner.rs
@@ -17,3 +17,4 @@
 mod test_selection;
 mod test_shard;
 mod test_simulation;
+mod test_withdrawal;
