shard: keep images that slow each other down on different workers

Tasks of some images take longer, or report higher tail latencies, while tasks of certain other images run on the same worker. Placement did not know that, and packed them together although other workers had room.

The cause was that nothing compared the run times of an image with what ran beside it. ImageSlowdown now does. Colocation follows which images run on which worker and for which share of a run's time. Suitability has a last field for it, so that it decides only between workers that are alike in all else. The record "slowdowns" lets a successor know the pairs; older builds ignore the key.

--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -46,6 +46,9 @@
     pub attached: u64,
     /// The steps whose tickets were looked at when a job became final.
     pub tickets: u64,
+    /// The tasks that were placed on another worker than otherwise, since their image is kept apart from
+    /// those there.
+    pub kept_apart: u64,
 }
 
 /// The minimum time between two placement passes for each job that waits beyond
@@ -72,6 +75,8 @@
     held_quotas: BTreeMap<Name, Resources>,
     /// The number of workers that were considered for a task.
     checked_workers: Cell<u64>,
+    /// The number of tasks for which another worker was chosen because of the images there.
+    kept_apart: Cell<u64>,
 }
 
 /// Returns whether an allocation needs at least as much of every resource as one of those of a pool.
@@ -93,6 +98,13 @@
         includes_any(&self.unplaceable, pool, allocation)
     }
 
+    /// Counts a task for which `chosen` is selected, and `nearest` without regard to the images there.
+    fn count_kept_apart(&self, chosen: Option<&Name>, nearest: Option<&Name>) {
+        if chosen != nearest {
+            self.kept_apart.set(self.kept_apart.get() + 1);
+        }
+    }
+
     fn add_unplaceable(&mut self, pool: &Name, allocation: Resources) {
         if !self.is_unplaceable(pool, allocation) {
             let unplaceable = self.unplaceable.entry(Arc::clone(pool));
@@ -117,6 +129,7 @@
         self.send_polls(at.now);
         self.update_lease_record(at.now);
         self.update_restart_record(at.now);
+        self.update_slowdowns(at);
         self.gc_finished(at.now);
     }
 
@@ -199,6 +212,7 @@
             self.dispatch_job(at, id, &job, &mut pass);
         }
         self.placement.workers += pass.checked_workers.get();
+        self.placement.kept_apart += pass.kept_apart.get();
     }
 
     /// Places the tasks of a job whose dependencies are done and that have no run.
@@ -503,7 +517,9 @@
     /// Selects the worker for a task among those that are eligible and have room, as of the last
     /// [`Workers::update`](crate::workers::Workers::update).
     ///
-    /// It prefers the workers with the greatest [`Suitability`].
+    /// It prefers the workers with the greatest [`Suitability`]. Of those that differ only in the images
+    /// there, it also determines which one it would choose without regard to these, to count the tasks
+    /// that are kept apart.
     fn select_worker(
         &self,
         now: Instant,
@@ -548,6 +564,7 @@
                 in_same_rack,
                 within_budget: step.max_unavailable == 0 || placed(name) < step.max_unavailable,
                 not_failed: failed_on != Some(name),
+                apart: self.image_slowdown.suits(step.image.as_ref(), name),
             }
         };
         // Short tasks go to the worker with the least free processor time, and long-running tasks
@@ -555,15 +572,21 @@
         // pools that need them. Long-running tasks of one step are spread, since a worker may be
         // lost.
         if step.long_running {
-            let best = candidates.max_by_key(|&(name, w)| {
+            let (mut best, mut nearest) = (None, None);
+            for (name, w) in candidates {
                 let free = w.info.capacity.cpu.saturating_sub(w.used.cpu);
                 let packing = (Reverse(placed(name)), self.has_long_running(w), free);
-                (suitability(name, w), packing, name)
-            });
-            return best.map(|(name, _)| Arc::clone(name));
+                let suits = suitability(name, w);
+                best = best.max(Some((suits, packing, name)));
+                nearest = nearest.max(Some((suits.anywhere(), packing, name)));
+            }
+            let best = best.map(|(_, _, name)| name);
+            pass.count_kept_apart(best, nearest.map(|(_, _, name)| name));
+            return best.map(Arc::clone);
         }
         // The candidates have ascending free processor time.
         let mut best: Option<(Suitability, &Name)> = None;
+        let mut nearest: Option<(Suitability, &Name)> = None;
         while best.is_none_or(|(suits, _)| suits != Suitability::BEST)
             && let Some((name, w)) = candidates.next()
         {
@@ -571,8 +594,13 @@
             if best.is_none_or(|(b, _)| suits > b) {
                 best = Some((suits, name));
             }
+            if nearest.is_none_or(|(n, _)| suits.anywhere() > n) {
+                nearest = Some((suits.anywhere(), name));
+            }
         }
-        best.map(|(_, name)| Arc::clone(name))
+        let best = best.map(|(_, name)| name);
+        pass.count_kept_apart(best, nearest.map(|(_, name)| name));
+        best.map(Arc::clone)
     }
 
     /// Returns whether a job with long-running tasks has a run on a worker.
--- a/crates/shard/src/polling.rs
+++ b/crates/shard/src/polling.rs
@@ -180,6 +180,7 @@
         };
         worker.poll_pending = false;
         worker.next_poll = at.now + retry;
+        self.image_slowdown.colocation.distrust_all(worker_id);
         if worker.reachable {
             if failure == PollFailure::NoResponse {
                 // Most workers that miss one call respond to the next.
@@ -267,7 +268,9 @@
             self.handle_run_status(at.now, worker_id, incarnation, status);
         }
         self.handle_missing_runs(at.now, worker_id, sent, report);
+        self.record_tails(at.now, worker_id);
         self.adjust_throttling(at.now, worker_id);
+        self.record_shares(at.now, worker_id);
         let idle = self.timings.idle_poll;
         let retry = self.timings.poll_retry;
         let Some(worker) = self.workers.get_mut(worker_id) else {
@@ -301,6 +304,8 @@
     fn handle_finished_run(&mut self, at: Timestamp, worker_id: &Name, finished_run: &FinishedRun) {
         let id = finished_run.run;
         if self.run(id).is_some_and(|r| r.worker == *worker_id) {
+            let done = finished_run.outcome == RunOutcome::Done;
+            self.record_end(at.now, worker_id, id, done);
             self.remove_run(id);
             self.record_outcome(at.now, worker_id, finished_run);
         } else if !self.take_lost_run(id) {
@@ -458,6 +463,7 @@
             run.phase = Phase::Running { confirmed: now };
             self.mark_started(id.task);
             self.mark_dirty(id.task.job);
+            self.record_execution(now, worker_id, id, false);
             if !stop_requested {
                 // A start request without a response was carried out, so the stop that was to keep
                 // it from being carried out later is not needed.
@@ -548,6 +554,7 @@
         let abandoned = worker.take_abandoned(at.now);
         worker.begin_incarnation(at.now, incarnation);
         self.restarted.insert(Arc::clone(worker_id), incarnation);
+        self.image_slowdown.colocation.distrust_all(worker_id);
         worker.next_poll = at.now;
         worker.synced = false;
         let runs: Vec<RunId> = worker.runs.iter().copied().collect();
--- a/crates/shard/src/records.rs
+++ b/crates/shard/src/records.rs
@@ -1,6 +1,6 @@
 //! The records of a shard in the platform's store. Each job has two: the job as submitted and its
 //! progress. The tasks of a job with many of them are in further ones. Another one holds the leases of
-//! silent workers. The store retains the latest record of each key, and a new owner restores its whole
+//! silent workers, and another one the pairs of images that are kept apart. The store retains the latest record of each key, and a new owner restores its whole
 //! state from them.
 
 use std::collections::BTreeMap;
@@ -37,6 +37,10 @@
 /// The key of the record of the leases of restarted workers.
 const RESTARTS_KEY: &str = "restarts";
 
+/// The key of the record of the pairs of images that are kept apart. A build that does not know the key
+/// ignores the record, as [`decode_record`] returns nothing for it.
+const SLOWDOWNS_KEY: &str = "slowdowns";
+
 /// A keyed record in a topic of the platform's store. A record without a value is a tombstone,
 /// which removes the key.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -114,6 +118,23 @@
     pub remaining: Duration,
 }
 
+/// The stored form of a pair of images that is kept apart.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredSlowdown {
+    /// The image that is slowed down.
+    pub slowed: Name,
+    /// The image beside it.
+    pub beside: Name,
+    /// Whether tail latencies show it. Otherwise run times do.
+    pub is_tail: bool,
+    /// The slowdown in percent, 100 for twice the time.
+    pub percent: u32,
+    /// Until when the pair is kept apart without further evidence, as time since the Unix epoch.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub until: Duration,
+}
+
 /// A decoded record of a shard.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StoredRecord {
@@ -121,6 +142,8 @@
     Leases(BTreeMap<Name, StoredLease>),
     /// The leases that calls meant for earlier incarnations may have granted, by the id of the worker.
     Restarts(BTreeMap<Name, StoredLease>),
+    /// The pairs of images that are kept apart.
+    Slowdowns(Vec<StoredSlowdown>),
     /// A job as it was submitted.
     Job(Box<Job>),
     /// The progress of a job.
@@ -225,6 +248,14 @@
     }
 }
 
+/// Returns the record of the pairs of images that are kept apart, a tombstone if there are none.
+pub(crate) fn slowdowns_record(pairs: &[StoredSlowdown]) -> Record {
+    Record {
+        key: SLOWDOWNS_KEY.to_owned(),
+        value: (!pairs.is_empty()).then(|| encode(&pairs)),
+    }
+}
+
 /// Returns the tombstones that remove the records of a job, with those of the given parts.
 pub(crate) fn tombstones(
     id: JobId,
@@ -250,7 +281,8 @@
     let Some((kind, id)) = key.split_at_checked(1) else {
         return Ok(None);
     };
-    if ![LEASES_KEY, RESTARTS_KEY].contains(&key) && !["j", "p", "t"].contains(&kind) {
+    if ![LEASES_KEY, RESTARTS_KEY, SLOWDOWNS_KEY].contains(&key) && !["j", "p", "t"].contains(&kind)
+    {
         return Ok(None);
     }
     let parse_id = || -> Result<JobId, InvalidRecord> {
@@ -279,6 +311,7 @@
     let stored = match kind {
         _ if key == LEASES_KEY => postcard::from_bytes(body).map(StoredRecord::Leases),
         _ if key == RESTARTS_KEY => postcard::from_bytes(body).map(StoredRecord::Restarts),
+        _ if key == SLOWDOWNS_KEY => postcard::from_bytes(body).map(StoredRecord::Slowdowns),
         "j" => {
             parse_id()?;
             postcard::from_bytes(body).map(|job| StoredRecord::Job(Box::new(job)))
--- a/crates/shard/src/recovery.rs
+++ b/crates/shard/src/recovery.rs
@@ -27,7 +27,8 @@
 }
 
 impl Shard {
-    /// Restores the jobs and the leases of silent workers from the stored records. The owner task
+    /// Restores the jobs, the leases of silent workers and the pairs of images that are kept apart from the
+    /// stored records. The owner task
     /// calls this once, before any other method. Whether the recovered runs still exist is known
     /// only after their workers were polled.
     pub fn restore(&mut self, at: Timestamp, records: Vec<StoredRecord>) {
@@ -47,6 +48,7 @@
                 }
                 StoredRecord::Leases(stored) => leases = stored,
                 StoredRecord::Restarts(stored) => restarts = stored,
+                StoredRecord::Slowdowns(stored) => self.image_slowdown.restore(at, stored),
             }
         }
         for (id, stored) in jobs {
--- a/crates/shard/src/runs.rs
+++ b/crates/shard/src/runs.rs
@@ -78,6 +78,8 @@
             return;
         };
         request.lease_deadline = deadline;
+        let whole = request.checkpoint.is_none();
+        self.record_execution(now, &worker_id, id, whole);
         self.effects.push(Effect::Start(worker_id, request));
     }
 
@@ -136,6 +138,7 @@
                 run.phase = Phase::Unresolved {
                     stop_confirmed: None,
                 };
+                self.image_slowdown.colocation.distrust(worker_id, id);
                 self.poll_soon(now, worker_id);
                 self.log_event("start_unconfirmed", id.task, || {
                     format!("run={} worker={worker_id}", id.number)
@@ -243,6 +246,10 @@
         let (allocation, resources) = (step.allocation(), step.resources);
         let team = job.job.team.clone();
         let (worker, since) = (Arc::clone(&run.worker), run.since);
+        if let Some(image) = &step.image {
+            let colocation = &mut self.image_slowdown.colocation;
+            colocation.place(since, &worker, id, image);
+        }
         if let Some(task) = job.task_mut(task_id) {
             task.last_run = task.last_run.max(run.number);
             task.runs.push(run);
@@ -279,6 +286,7 @@
         };
         let run = task.runs.remove(position);
         job.update_unplaced(id.task);
+        self.image_slowdown.colocation.remove(&run.worker, id);
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.used.sub(allocation);
             worker.runs.remove(&id);
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -17,6 +17,7 @@
 use crate::arrivals::Arrivals;
 use crate::backlog::Backlog;
 use crate::dispatch::PlacementStats;
+use crate::image_slowdown::ImageSlowdown;
 use crate::job::Job;
 use crate::job::JobId;
 use crate::job::JobState;
@@ -194,6 +195,7 @@
     pub(crate) terminated_incarnations: BTreeMap<Name, u64>,
     pub(crate) silent_leases: SilentLeases,
     pub(crate) restart_leases: RestartLeases,
+    pub(crate) image_slowdown: ImageSlowdown,
     pub(crate) teams: BTreeMap<Name, TeamUsage>,
     pub(crate) share_limiter: ShareLimiter,
     pub(crate) arrivals: Arrivals,
@@ -256,6 +258,7 @@
             unattached: BTreeMap::new(),
             silent_leases: SilentLeases::default(),
             restart_leases: RestartLeases::default(),
+            image_slowdown: ImageSlowdown::default(),
             effects: Vec::new(),
             log_events: Vec::new(),
             dirty: BTreeSet::new(),
@@ -423,6 +426,7 @@
             records.push(record);
             batch.raised = mem::take(&mut self.restarted);
         }
+        records.extend(self.image_slowdown.record.take_record());
         if records.is_empty() && batch.effects.is_empty() && batch.acks.is_empty() {
             return None;
         }
--- a/crates/shard/src/silent_leases.rs
+++ b/crates/shard/src/silent_leases.rs
@@ -201,16 +201,17 @@
         }
     }
 
-    /// Returns the records to store last before the shard is released. They name the workers that
-    /// have not responded to this owner and those that may hold longer leases than it granted, so
+    /// Returns the records to store last before the shard is released, with the pairs of images that are kept
+    /// apart if the stored ones are outdated. The others name the workers that have not responded to this owner and those that may hold longer leases than it granted, so
     /// that its successor doesn't consider their runs lost too early.
     pub fn release_records(&mut self, at: Timestamp) -> Vec<Record> {
+        let mut records: Vec<Record> = self.release_slowdowns(at).into_iter().collect();
         let mut leases = self.leases_to_store(at.now, |_, _| true);
         leases.extend(self.misdirected_leases(at.now));
-        if leases.is_empty() && self.silent_leases.recorded.is_empty() {
-            return Vec::new();
+        if !leases.is_empty() || !self.silent_leases.recorded.is_empty() {
+            records.push(self.silent_leases.record(leases));
         }
-        vec![self.silent_leases.record(leases)]
+        records
     }
 
     /// Returns the remaining leases of the workers with runs that may hold leases on the clock of an
--- a/crates/shard/src/suitability.rs
+++ b/crates/shard/src/suitability.rs
@@ -13,6 +13,9 @@
     pub(crate) within_budget: bool,
     /// The last run of the task did not fail there.
     pub(crate) not_failed: bool,
+    /// No task runs there whose image is known to slow the task down, or to be slowed down by it. It is
+    /// last, since a slower task costs less than what the other fields prevent.
+    pub(crate) apart: bool,
 }
 
 impl Suitability {
@@ -22,5 +25,14 @@
         in_same_rack: true,
         within_budget: true,
         not_failed: true,
+        apart: true,
     };
+
+    /// Returns the value without regard to the images on the worker.
+    pub(crate) fn anywhere(self) -> Self {
+        Self {
+            apart: true,
+            ..self
+        }
+    }
 }
--- a/crates/shard/tests/runner.rs
+++ b/crates/shard/tests/runner.rs
@@ -5,6 +5,7 @@
 mod test_batches;
 mod test_cost;
 mod test_drain;
+mod test_interference;
 mod test_job;
 mod test_kinds;
 mod test_lease;
--- a/crates/shard/tests/support/mod.rs
+++ b/crates/shard/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! Builders for jobs, workers and worker reports, and a test harness for one shard.
 
+pub(crate) mod contended_pool;
 pub(crate) mod pool_load;
 pub(crate) mod simulation;
 
