testing, cli: whole processes while zones are evacuated

No test ran whole processes with operators' requests to evacuate a zone, and the fakes put all workers into one zone and listed machines without any.

The fake platform now has a zone for each machine, in the list of machines and in the registration of its worker, and publishes and withdraws requests.

--- a/crates/testing/src/fakes/machines.rs
+++ b/crates/testing/src/fakes/machines.rs
@@ -27,6 +27,7 @@
     pub(super) worker: String,
     pub(super) fencing_token: u64,
     pub(super) capacity: Value,
+    pub(super) zone: String,
 }
 
 /// The machines by name, and which of them had maintenance in which wave.
@@ -84,6 +85,21 @@
         machine.map(|m| m.pool.clone())
     }
 
+    /// Returns the zone of the machine that a worker runs on.
+    pub(super) fn zone_of(&self, worker: &str) -> Option<String> {
+        let machines = self.lock();
+        let machine = machines.values().find(|m| m.worker == worker);
+        machine.map(|m| m.zone.clone())
+    }
+
+    /// Sets the zone of the machine that a worker runs on.
+    pub(super) fn set_zone(&self, worker: &str, zone: &str) {
+        let mut machines = self.lock();
+        if let Some(machine) = machines.values_mut().find(|m| m.worker == worker) {
+            zone.clone_into(&mut machine.zone);
+        }
+    }
+
     fn list(&self) -> HttpResponse {
         let rows: Vec<Value> = self
             .lock()
@@ -92,7 +108,7 @@
                 let worker = (machine.pool != STANDBY_POOL).then_some(&machine.worker);
                 json!({
                     "machine": name, "pool": machine.pool, "state": "up", "id": worker,
-                    "capacity": machine.capacity,
+                    "capacity": machine.capacity, "zone": machine.zone,
                 })
             })
             .collect();
--- a/crates/testing/src/fakes/platform.rs
+++ b/crates/testing/src/fakes/platform.rs
@@ -43,6 +43,9 @@
 /// The capacity of each worker, in cores; it runs at most this many tasks at once.
 const WORKER_CORES: usize = 8;
 
+/// The zone of a machine unless [`FakePlatform::set_zone`] sets another one.
+const DEFAULT_ZONE: &str = "zone";
+
 /// A running fake platform, whose servers stop when it is dropped.
 pub struct FakePlatform {
     store: Arc<Store>,
@@ -94,6 +97,7 @@
                 worker: id,
                 fencing_token: 0,
                 capacity: capacity(),
+                zone: DEFAULT_ZONE.to_owned(),
             };
             machines.lock().insert(format!("machine-{i}"), machine);
             servers.push((worker, server));
@@ -162,6 +166,29 @@
         self.put("keyed.op", &format!("wave/{wave}"), &body);
     }
 
+    /// Sets the zone of the worker with this index and of its machine.
+    pub fn set_zone(&self, worker: usize, zone: &str) {
+        if let Some((worker, _)) = self.workers.get(worker) {
+            self.machines.set_zone(&worker.id, zone);
+        }
+    }
+
+    /// Publishes an operators' request to evacuate a zone.
+    pub fn evacuate(&self, zone: &str) {
+        self.put_raw_operator(&format!("evacuate/{zone}"), b"{}");
+    }
+
+    /// Withdraws the request to evacuate a zone.
+    pub fn withdraw_evacuation(&self, zone: &str) {
+        self.put_raw_operator(&format!("evacuate/{zone}"), b"");
+    }
+
+    /// Writes a record to the operators' topic; an empty value removes the key.
+    pub fn put_raw_operator(&self, key: &str, value: &[u8]) {
+        let mut store = self.store.state();
+        store.put("keyed.op", key.as_bytes(), value);
+    }
+
     /// Returns whether the published status of a wave says that it is completed.
     pub fn wave_completed(&self, wave: u64) -> bool {
         let (rows, _) = self.store.state().read_latest("keyed.status", 0, None);
@@ -278,6 +305,12 @@
         worker.map_or(0, |(worker, _)| worker.task_starts().len())
     }
 
+    /// Returns how many starts the worker with this index has carried out.
+    pub fn run_count(&self, worker: usize) -> u32 {
+        let worker = self.workers.get(worker);
+        worker.map_or(0, |(worker, _)| worker.task_starts().values().sum())
+    }
+
     /// Returns the pool of the machine that the worker with this index runs on.
     pub fn pool_of(&self, worker: usize) -> Option<String> {
         let (worker, _) = self.workers.get(worker)?;
@@ -322,8 +355,9 @@
             else {
                 continue;
             };
+            let zone = machines.zone_of(&worker.id);
             let registration = json!({
-                "service": pool, "address": address.to_string(), "zone": "zone", "version": "v1",
+                "service": pool, "address": address.to_string(), "zone": zone, "version": "v1",
                 "slots": 8, "state": "ready", "sequence": sequence,
                 "born": worker.registered_incarnation(),
                 "capacity": capacity(),
