node: tests of processes that follow requests to evacuate zones

No test showed that a process knows the requests before its first configuration, that the last known ones hold while the operators' topic can't be read, and that a start whose records were being stored when the request came is not sent.

The store in memory can reject reads of the operators' topic, and its workers may have a zone.

--- a/crates/node/tests/memory_store.rs
+++ b/crates/node/tests/memory_store.rs
@@ -87,6 +87,8 @@
     pub(crate) rival_appends: bool,
     /// Whether the store rejects appends to the owners' topic.
     pub(crate) owner_appends_fail: bool,
+    /// Whether the store rejects reads of the operators' topic.
+    pub(crate) operator_reads_fail: bool,
     /// Whether the store rejects all calls.
     pub(crate) outage: bool,
     /// How many appends were refused as such.
@@ -119,6 +121,14 @@
         });
     }
 
+    /// Appends a record that removes a key.
+    pub(crate) fn remove(&mut self, topic: Topic, key: &str) {
+        self.topics.entry(topic).or_default().push(Record {
+            key: key.to_owned(),
+            value: None,
+        });
+    }
+
     /// Returns the values of the records of a key, in the order of their offsets.
     pub(crate) fn values(&self, topic: Topic, key: &str) -> Vec<String> {
         let records = self.topics.get(&topic).into_iter().flatten();
@@ -254,6 +264,7 @@
 
     async fn read(&self, topic: Topic, from: u64, wait: Duration) -> Result<Page, StoreError> {
         self.check_available()?;
+        reject_if(topic == Topic::Operator && self.state().operator_reads_fail)?;
         let deadline = Instant::now() + wait;
         self.delay().await;
         if matches!(topic, Topic::Shard(_)) {
@@ -521,9 +532,10 @@
         Ok(config)
     }
 
-    /// The record of a worker is the name of its pool.
+    /// The record of a worker is the name of its pool, which may be followed by `@` and its zone.
     fn worker_info(&self, id: &str, value: &[u8]) -> Result<WorkerInfo, String> {
-        let pool = std::str::from_utf8(value).map_err(|e| e.to_string())?;
+        let value = std::str::from_utf8(value).map_err(|e| e.to_string())?;
+        let (pool, zone) = value.split_once('@').unwrap_or((value, ""));
         Ok(WorkerInfo {
             id: id.into(),
             pool: pool.into(),
@@ -536,7 +548,7 @@
             },
             draining: false,
             incarnation: INCARNATION,
-            zone: "".into(),
+            zone: zone.into(),
         })
     }
 
