node: put off the decision about the store once only

An owner whose turns always take longer than 0.5 s, on a VM with too little processor time, took each of them for a time in which it stood still, and never found its store unresponsive before its ownership had lapsed. The decision is put off once, and made at the next turn. The jobs that an owner withdraws when it ends are logged.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -298,6 +298,7 @@
         );
         self.queues.answer_waiting(&ShardResponse::NotOwner);
         self.withdraw_unsent(&ShardResponse::NotOwner, "owner_ends");
+        self.write_log_events();
         if self.store_health.is_unresponsive() {
             metrics::gauge!("shards_without_store").decrement(1.0);
         }
@@ -577,15 +578,20 @@
         for effect in self.shard.take_effects() {
             self.execute_effect(effect);
         }
+        self.write_log_events();
+        while self.calls.try_join_next().is_some() {}
+        self.add_work(Work::Effects, encoded_at);
+        Ok(())
+    }
+
+    /// Writes the decisions of the shard to the log.
+    fn write_log_events(&mut self) {
         for log_event in self.shard.take_log_events() {
             log::info!(
                 shard:display = self.context.shard_id, subject = log_event.subject.as_str(),
                 detail = log_event.detail.as_str(); "{}", log_event.event
             );
         }
-        while self.calls.try_join_next().is_some() {}
-        self.add_work(Work::Effects, encoded_at);
-        Ok(())
     }
 
     /// Adds the time since `start` to a part of the work, and returns the current time.
--- a/crates/node/src/store_health.rs
+++ b/crates/node/src/store_health.rs
@@ -32,6 +32,8 @@
     unresponsive_since: Option<Instant>,
     /// When that was last decided.
     updated_at: Option<Instant>,
+    /// Whether the last decision was put off.
+    put_off: bool,
 }
 
 impl StoreHealth {
@@ -54,7 +56,8 @@
         let updated_at = self.updated_at.replace(now);
         let stood_still =
             updated_at.is_some_and(|at| now.saturating_duration_since(at) > MAX_UPDATE_GAP);
-        if stood_still && confirmed {
+        self.put_off = stood_still && confirmed && !self.put_off;
+        if self.put_off {
             return false;
         }
         let waited = self.sent_at.map(|at| now.saturating_duration_since(at));
--- a/crates/node/tests/test_attempts.rs
+++ b/crates/node/tests/test_attempts.rs
@@ -25,3 +25,18 @@
     let accepted = ShardResponse::Accepted;
     assert_eq!(attempts.conclude(accepted.clone()), Ok(accepted));
 }
+
+/// Guards against the same for the refusal of an owner whose store does not respond.
+#[test]
+fn an_owner_without_its_store_says_nothing_of_earlier_attempts() {
+    let refused = ShardResponse::Unavailable {
+        retry_after_ms: 1_000,
+    };
+    let mut attempts = Attempts::default();
+    assert_eq!(attempts.conclude(refused.clone()), Ok(refused.clone()));
+    attempts.add_unknown();
+    assert_eq!(
+        attempts.conclude(refused),
+        Err(RequestError::OutcomeUnknown)
+    );
+}
--- a/crates/node/tests/test_refusal_scenarios.rs
+++ b/crates/node/tests/test_refusal_scenarios.rs
@@ -372,4 +372,7 @@
     health.handle_answer();
     assert!(health.update(at(3_200), Duration::ZERO, true));
     assert!(!health.is_unresponsive());
+    // A process that always needs longer between two decisions decides at the second.
+    assert!(!health.update(at(4_000), silence, true));
+    assert!(health.update(at(5_000), silence, true));
 }
