--- a/crates/node/tests/test_refusals.rs
+++ b/crates/node/tests/test_refusals.rs
@@ -39,6 +39,13 @@
     matches!(response, ApiResponse::Unavailable { cause, .. } if *cause == "store_unresponsive")
 }
 
+/// Queries the state of a job.
+async fn state(node: &Node, id: u64) -> ApiResponse {
+    let api = node.job_api();
+    let authorized = api.authorize(HOST, "/queue/state", None, None, None);
+    api.state(&authorized.expect("a queue"), JobId(id)).await
+}
+
 /// Returns how many records and starts there are of a job.
 fn traces(store: &MemoryStore, id: u64) -> (usize, usize) {
     let topic = Topic::Shard(ShardId::of_pool("pool"));
@@ -57,6 +64,10 @@
     let in_flight = submit_later(&node, 2);
     tokio::time::sleep(Duration::from_millis(100)).await;
     let waiting = submit_later(&node, 3);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    // A job that is shown must not be denied later.
+    let shown = state(&node, 3).await;
+    assert!(is_refused(&shown), "{shown:?}");
     let (response, taken) = waiting.await.expect("no panic");
     assert!(is_refused(&response), "{response:?}");
     assert!(taken < Duration::from_millis(2_300), "{taken:?}");
@@ -112,11 +123,8 @@
     assert!(taken < Duration::from_millis(10), "{taken:?}");
     let api = node.job_api();
     let authorized = api.authorize(HOST, "/queue/2", None, None, None);
-    let authorized = authorized.expect("a queue");
-    for response in [
-        api.state(&authorized, JobId(2)).await,
-        api.cancel(&authorized, JobId(2)).await,
-    ] {
+    let cancelled = api.cancel(&authorized.expect("a queue"), JobId(2)).await;
+    for response in [state(&node, 2).await, cancelled] {
         assert!(is_refused(&response), "{response:?}");
     }
     store.state().outage = false;
