node: send a refused request to a later owner that is known by then

An owner without its store refused requests whose process already knew its successor, and the callers got 503. Such a request was not carried out, so that it now goes to the later owner.

--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -265,8 +265,12 @@
                     cluster.owner(shard) == Some(&owner)
                 };
                 let call = (shard, request.clone());
-                let response = self.peers.send(address, parent, call, timeout, is_owner);
+                let response = self.peers.send(address, parent, call, timeout, &is_owner);
                 match response.await {
+                    // The request was not carried out, and a later owner is known by now.
+                    Ok(ShardResponse::Unavailable { .. }) if !is_owner() => {
+                        return Attempt::NotSent;
+                    }
                     Ok(response) => response,
                     Err(PeerError::NotSent { detail }) => {
                         log::debug!(shard:display, detail:display; "owner_not_reached");
