shard: name the cause of a withheld gang in the log

The log showed the cause as the name of a variant. It is `evacuated` or `run_ended_or_no_lease` now.

--- a/crates/shard/src/evacuation.rs
+++ b/crates/shard/src/evacuation.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use derive_more::Display;
+
 use crate::job::Job;
 use crate::job::Name;
 use crate::job::Resources;
@@ -42,11 +44,13 @@
 }
 
 /// Why a stored start is not sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 enum Obstacle {
     /// The worker is in an evacuated zone.
+    #[display("evacuated")]
     Evacuated,
     /// The run was removed or is to be stopped, or the worker can't be granted a lease.
+    #[display("run_ended_or_no_lease")]
     Other,
 }
 
@@ -138,7 +142,7 @@
         }
         for ((step, number), obstacle) in broken {
             self.log_event("gang_withheld", step, || {
-                format!("run={number} cause={obstacle:?}")
+                format!("run={number} cause={obstacle}")
             });
         }
         if let Some(first) = withheld.first() {
--- a/crates/shard/tests/test_evacuation.rs
+++ b/crates/shard/tests/test_evacuation.rs
@@ -130,6 +130,22 @@
     assert_eq!(place(&mut harness).len(), 1);
 }
 
+/// Guards against a worker whose registration names another zone than before, and that is taken for one
+/// of the former zone.
+#[test]
+fn a_worker_is_in_the_zone_of_its_last_registration() {
+    let mut harness = harness(&["a1"], &["b"]);
+    let moved = WorkerInfo {
+        zone: "b".into(),
+        ..info("a1")
+    };
+    harness.shard.update_workers(harness.at, vec![moved]);
+    harness.submit(job(1, vec![long_running(1)]));
+    assert_eq!(place(&mut harness), []);
+    register(&mut harness, &["a1"]);
+    assert_eq!(place(&mut harness).len(), 1);
+}
+
 /// Guards against a start that was placed before the evacuation was known and is sent after it, and
 /// against a task that is not placed elsewhere then.
 #[test]
