shard: compare workers cautiously, and spread the estimates over ticks

In a trial with two workers that are slow by factors of 3 and 2 and host a service alone, all other images were learned as slowed down by the service, since the model expected workers to differ by a quarter of a logarithm at most. In a pool with three tasks of an image a second, a slowdown by half was not learned within two minutes. With estimates for ten images in one tick, the longest tick took 1.4 ms instead of 0.4 ms of a whole core.

Workers are now expected to differ by 0.5, independent of the noise of the run times. The half-life is 60 s, the limit three standard errors, and a pair is held for 120 s. Four images are estimated each 250 ms in turn. When a pair expires, its effect is removed from its samples, which counted as slow samples without the image before and hid the pair when it was to be learned anew.

--- a/crates/shard/src/image_slowdown.rs
+++ b/crates/shard/src/image_slowdown.rs
@@ -6,6 +6,8 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::ops::Bound::Excluded;
+use std::ops::Bound::Unbounded;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -25,28 +27,32 @@
 use crate::tracked_job::Phase;
 use crate::worker::RunId;
 
-/// How often effects are estimated. A fit takes some ten microseconds, on a VM with an eighth of a core
-/// some hundred, and behaviour changes within seconds.
-const EVALUATION_INTERVAL: Duration = Duration::from_secs(1);
+/// How often effects are estimated for [`MAX_EVALUATED`] images.
+const EVALUATION_INTERVAL: Duration = Duration::from_millis(250);
 
-/// How long a pair is held after its last evidence: three half-lives, after which the samples from
-/// before it was learned count an eighth.
-pub(crate) const HOLD: Duration = Duration::from_secs(90);
+/// The number of images whose effects are estimated at once. With ten images on 90 workers, one took some
+/// 100 us of a whole core, which is 1 ms on a VM with an eighth of a core. All images of a pool with
+/// [`MAX_FITS`] of them take their turn within 4 s.
+const MAX_EVALUATED: usize = 4;
+
+/// How long a pair is held after its last evidence. Behaviour changes within minutes, and learning a pair
+/// anew takes about a minute, so that a pair that still interferes is kept apart most of the time.
+pub(crate) const HOLD: Duration = Duration::from_secs(120);
 
 /// The number of images with a fit. Each takes some 25 kB in a pool of 90 workers.
 const MAX_FITS: usize = 64;
 
 /// How long after its last sample a fit is dropped: ten half-lives, after which the samples weigh a
 /// thousandth.
-const MAX_UNUSED: Duration = Duration::from_secs(300);
+const MAX_UNUSED: Duration = Duration::from_secs(600);
 
 /// The number of pairs that are held. With the longest names, their record takes half of the 256 KiB of an
 /// append.
 pub(crate) const MAX_PAIRS: usize = 64;
 
-/// The number of pairs that are learned at once, the strongest first. What was blamed on others beside
-/// them often vanishes from the next estimates, and the log is bounded.
-const MAX_LEARNED: usize = 4;
+/// The number of pairs that are learned at once, the strongest first. It bounds the lines of the log to
+/// four a second.
+const MAX_LEARNED: usize = 1;
 
 /// The slowdown that is worth acting on, as a factor. Estimates are off by half, so that callers don't
 /// notice less than a tenth.
@@ -57,8 +63,9 @@
 const FORGOTTEN_SLOWDOWN: f64 = 1.05;
 
 /// How many standard errors the slowdown has to exceed [`MIN_SLOWDOWN`] by. Some hundred pairs are
-/// tested again and again; one in 4,000 tests without a slowdown would pass at this distance from one.
-const LEARNING_ERRORS: f64 = 3.5;
+/// tested again and again. With the usual error of 0.2, an effect of zero is half an error further away,
+/// which one in 4,000 tests exceeds by chance.
+const LEARNING_ERRORS: f64 = 3.0;
 
 /// How many standard errors the slowdown of a known pair may be above [`FORGOTTEN_SLOWDOWN`] and be
 /// forgotten.
@@ -133,8 +140,10 @@
 pub(crate) struct ImageSlowdown {
     pub(crate) colocation: Colocation,
     fits: BTreeMap<(Name, Measure), SlowdownFit>,
-    /// The fits with samples since the last estimate.
+    /// The fits with samples since their last estimate.
     changed: BTreeSet<(Name, Measure)>,
+    /// The fit that was estimated last. The next one follows it in order.
+    estimated: Option<(Name, Measure)>,
     pairs: BTreeMap<ImagePair, Slowdown>,
     /// For each image, those that it is kept apart from.
     apart: BTreeMap<Name, BTreeSet<Name>>,
@@ -200,6 +209,16 @@
         self.changed.insert(key);
     }
 
+    /// Returns the next fit to estimate.
+    fn take_changed(&mut self) -> Option<(Name, Measure)> {
+        let after = self.estimated.as_ref().map_or(Unbounded, Excluded);
+        let next = self.changed.range((after, Unbounded)).next();
+        let next = next.or_else(|| self.changed.first())?.clone();
+        self.changed.remove(&next);
+        self.estimated = Some(next.clone());
+        Some(next)
+    }
+
     /// Learns and forgets pairs, at most once in [`EVALUATION_INTERVAL`]. Returns the changes.
     pub(crate) fn evaluate(&mut self, now: Instant) -> Vec<PairChange> {
         let is_early = self.next_evaluation.is_some_and(|next| now < next);
@@ -210,7 +229,10 @@
         let is_used = |fit: &SlowdownFit| now.saturating_duration_since(fit.last()) < MAX_UNUSED;
         self.fits.retain(|_, fit| is_used(fit));
         let (mut candidates, mut refuted) = (Vec::new(), Vec::new());
-        for (slowed, measure) in std::mem::take(&mut self.changed) {
+        for _ in 0..MAX_EVALUATED {
+            let Some((slowed, measure)) = self.take_changed() else {
+                break;
+            };
             let fit = self.fits.get_mut(&(Arc::clone(&slowed), measure));
             let Some(fit) = fit else {
                 continue;
@@ -293,7 +315,8 @@
         if effect.is_none()
             && let Some(fit) = self.fit(pair)
         {
-            fit.forget(&pair.beside);
+            let mean = f64::from(known.percent) / 100.0;
+            fit.forget(&pair.beside, mean.ln_1p());
         }
         Some(PairChange {
             pair: pair.clone(),
--- a/crates/shard/src/records.rs
+++ b/crates/shard/src/records.rs
@@ -1,7 +1,7 @@
 //! The records of a shard in the platform's store. Each job has two: the job as submitted and its
 //! progress. The tasks of a job with many of them are in further ones. Another one holds the leases of
-//! silent workers, and another one the pairs of images that are kept apart. The store retains the latest record of each key, and a new owner restores its whole
-//! state from them.
+//! silent workers, and another one the pairs of images that are kept apart. The store retains the latest
+//! record of each key, and a new owner restores its whole state from them.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/shard/src/recovery.rs
+++ b/crates/shard/src/recovery.rs
@@ -27,10 +27,9 @@
 }
 
 impl Shard {
-    /// Restores the jobs, the leases of silent workers and the pairs of images that are kept apart from the
-    /// stored records. The owner task
-    /// calls this once, before any other method. Whether the recovered runs still exist is known
-    /// only after their workers were polled.
+    /// Restores the jobs, the leases of silent workers and the pairs of images that are kept apart
+    /// from the stored records. The owner task calls this once, before any other method. Whether the
+    /// recovered runs still exist is known only after their workers were polled.
     pub fn restore(&mut self, at: Timestamp, records: Vec<StoredRecord>) {
         let mut jobs: HashMap<JobId, StoredJob> = HashMap::new();
         let (mut leases, mut restarts) = (BTreeMap::new(), BTreeMap::new());
--- a/crates/shard/src/slowdown_fit.rs
+++ b/crates/shard/src/slowdown_fit.rs
@@ -15,9 +15,10 @@
 
 use crate::job::Name;
 
-/// The time after which a sample counts half. Behaviour changes within seconds to minutes, and an image
-/// with ten runs a second needs some 20 s of them until a slowdown by a third is certain.
-pub(crate) const HALF_LIFE: Duration = Duration::from_secs(30);
+/// The time after which a sample counts half. Behaviour changes within seconds to minutes. An image with
+/// three runs a second, a quarter of them beside the other one, needs about a minute of samples until a
+/// slowdown by half is certain; with 30 s, it was not learned at all.
+pub(crate) const HALF_LIFE: Duration = Duration::from_secs(60);
 
 /// The images whose effects are fitted for one image. A worker runs some dozen tasks at once.
 const MAX_SLOTS: usize = 24;
@@ -37,16 +38,20 @@
 /// The length of a row.
 const ROW: usize = FIRST_SLOT + MAX_SLOTS;
 
-/// The variance of the noise relative to that of the workers' offsets. With the usual noise of one half,
-/// workers differ by a quarter.
-const NOISE_RATIO: f64 = 4.0;
+/// By how much workers are expected to differ, as a standard deviation of the logarithm. It is a factor of
+/// 1.6, more than between the kinds of machines in a pool, so that even two slow workers are no evidence.
+const WORKER_SPREAD: f64 = 0.5;
+
+/// The noise that is assumed until it can be estimated, as a standard deviation of the logarithm. Run
+/// times of one image vary by half or more.
+const INITIAL_NOISE: f64 = 0.5;
 
 /// The weight of the assumption that an effect is zero, in samples. One sample moves an estimate only
 /// half way.
 const PRIOR_WEIGHT: f64 = 1.0;
 
-/// The lowest noise that is assumed, as a standard deviation of the logarithm. Times that the owner
-/// measures vary by some milliseconds in a hundred.
+/// The lowest noise that is assumed, as a standard deviation of the logarithm. The owner measures times
+/// of half a second to within some 20 ms.
 const MIN_NOISE: f64 = 0.05;
 
 /// By how much a logarithm may differ from the mean of its image, a factor of 7. A single task that is
@@ -122,6 +127,8 @@
     /// The sums of the products of two entries of a row.
     products: Vec<f64>,
     workers: BTreeMap<Name, WorkerSums>,
+    /// The variance of the noise in the last estimate.
+    variance: f64,
 }
 
 impl SlowdownFit {
@@ -132,6 +139,7 @@
             slots: Vec::new(),
             products: vec![0.0; ROW * ROW],
             workers: BTreeMap::new(),
+            variance: INITIAL_NOISE * INITIAL_NOISE,
         }
     }
 
@@ -220,11 +228,26 @@
         Some(oldest)
     }
 
-    /// Removes what is known about an image beside the tasks.
-    pub(crate) fn forget(&mut self, image: &Name) {
-        if let Some(index) = self.slots.iter().position(|s| s.image == *image) {
-            self.clear(index);
+    /// Removes what is known about an image beside the tasks. `mean` is its estimated effect. It is removed
+    /// from the samples, which would count as slow ones without the image otherwise.
+    pub(crate) fn forget(&mut self, image: &Name, mean: f64) {
+        let Some(slot) = self.slots.iter().position(|s| s.image == *image) else {
+            return;
+        };
+        let column = FIRST_SLOT + slot;
+        let products = &mut self.products;
+        products[VALUE] += mean * mean * products[column * ROW + column]
+            - 2.0 * mean * products[column * ROW + VALUE];
+        for index in 0..ROW {
+            if index != VALUE {
+                products[index * ROW + VALUE] -= mean * products[index * ROW + column];
+                products[index] = products[index * ROW + VALUE];
+            }
+        }
+        for worker in self.workers.values_mut() {
+            worker.rows[VALUE] -= mean * worker.rows[column];
         }
+        self.clear(slot);
     }
 
     fn clear(&mut self, slot: usize) {
@@ -295,7 +318,7 @@
     }
 
     /// Returns the estimated effects of the images beside the tasks.
-    pub(crate) fn effects(&self, now: Instant) -> Vec<ImageEffect> {
+    pub(crate) fn effects(&mut self, now: Instant) -> Vec<ImageEffect> {
         let growth = self.growth(now);
         let weight: f64 = self.workers.values().map(|w| w.weight).sum::<f64>() / growth;
         if weight < MIN_WEIGHT {
@@ -319,6 +342,7 @@
         let unexplained = scatter[VALUE] - dot(&means, &targets);
         let freedom = (weight - size as f64 - 1.0).max(1.0);
         let variance = (unexplained / freedom).max(MIN_NOISE * MIN_NOISE);
+        self.variance = variance;
         let slots = self.slots.iter().enumerate();
         let effects = slots.map(|(index, slot)| {
             let column = FIRST_SLOT + index;
@@ -348,7 +372,8 @@
         let mut total = 0.0;
         let known = |w: &&WorkerSums| w.weight > 0.0;
         // The weight with which the mean of a worker counts as an observation of the image's offset.
-        let between = |weight: f64| weight * NOISE_RATIO / (weight + NOISE_RATIO);
+        let ratio = self.variance / (WORKER_SPREAD * WORKER_SPREAD);
+        let between = |weight: f64| weight * ratio / (weight + ratio);
         for worker in self.workers.values().filter(known) {
             let share = between(worker.weight / growth);
             total += share;
