node: metrics of the images that are kept apart

Operators saw in the log which pairs of images were learned, but not how many are in force and what they change.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod command_budget;
 mod current_config;
 mod fleet;
+mod interference_metrics;
 mod job_api;
 mod listing;
 mod load_monitor;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -43,6 +43,7 @@
 use crate::clock::timestamp;
 use crate::cluster_config::Pool;
 use crate::current_config::CurrentConfig;
+use crate::interference_metrics::InterferenceMetrics;
 use crate::message::SentQuotas;
 use crate::message::ShardRequest;
 use crate::message::ShardResponse;
@@ -141,6 +142,7 @@
     /// Set while the shard is being released; receives a message when that is done.
     release_reply: Option<oneshot::Sender<()>>,
     load: OwnerLoad,
+    interference: InterferenceMetrics,
 }
 
 /// Why the owner of a shard ended.
@@ -183,6 +185,7 @@
         queues: OwnerQueues::new(at.now),
         release_reply: None,
         load: OwnerLoad::new(at.now),
+        interference: InterferenceMetrics::default(),
     };
     loop {
         let wait = owner.time_until_tick();
@@ -518,6 +521,7 @@
         let taken = now.saturating_duration_since(start);
         metrics::histogram!("owner_turn_seconds").record(taken.as_secs_f64());
         self.load.count_turn(handled, taken);
+        self.interference.update(&self.shard);
         let (id, token) = (self.context.shard_id, self.fencing_token);
         self.load.log_if_due(now, id, token, &self.shard);
     }
