--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod current_config;
 mod evacuation;
 mod fleet;
+mod interference_metrics;
 mod job_api;
 mod listing;
 mod load_monitor;
