--- a/crates/testing/src/process.rs
+++ b/crates/testing/src/process.rs
@@ -27,6 +27,8 @@
     child: Child,
     /// The address that the process serves callers on.
     pub caller_address: SocketAddr,
+    /// The address that the process serves readiness checks on.
+    pub readiness_address: SocketAddr,
     /// The address that the process serves operators on.
     pub operator_address: SocketAddr,
 }
@@ -51,10 +53,27 @@
         platform: &FakePlatform,
         dir: &Path,
         vm: &str,
+    ) -> eyre::Result<Self> {
+        Self::start_with_limits(binary, platform, dir, vm, "")
+    }
+
+    /// Starts `binary` like [`NodeProcess::start`]. `limits` holds the lines of the section `limits`
+    /// of the settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a file can't be written or the binary can't be started.
+    pub fn start_with_limits(
+        binary: &Path,
+        platform: &FakePlatform,
+        dir: &Path,
+        vm: &str,
+        limits: &str,
     ) -> eyre::Result<Self> {
         let ports: [u16; 4] = free_ports();
         let settings_file = dir.join(format!("{vm}.toml"));
-        std::fs::write(&settings_file, platform.settings_toml(vm, ports))?;
+        let settings = platform.settings_toml(vm, ports);
+        std::fs::write(&settings_file, format!("{settings}[limits]\n{limits}"))?;
         // Another process may be reading its own file at this time.
         let own_settings_file = dir.join(format!("{vm}.json"));
         std::fs::write(&own_settings_file, OWN_SETTINGS)?;
@@ -72,10 +91,25 @@
         Ok(Self {
             child,
             caller_address: loopback(ports[0]),
+            readiness_address: loopback(ports[1]),
             operator_address: loopback(ports[3]),
         })
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns whether the process has not exited.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the state of the process can't be read.
+    pub fn is_running(&mut self) -> eyre::Result<bool> {
+        Ok(self.child.try_wait()?.is_none())
+    }
+
     /// Stops the process with SIGTERM and waits until it has exited.
     ///
     /// # Errors
