node: bound the bytes of submissions that owners have not answered

An owner's queue holds up to 1,024 requests whatever their size. A job within the limits takes up to some 200 kB, so that the submissions of all entry VMs to one owner could take more memory than a small VM has. Queues were bounded by number alone.

A process now holds at most 16 MB of submissions for its owners, counted from their arrival, from this process or from a peer, until the owner has taken them from its queue and they are answered or their attempt has ended. Beyond that a submission is rejected before it is queued, and the caller gets 429 with Retry-After. Other requests have a fixed size and are bounded by the queue as before.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -250,7 +250,7 @@
     let mut next = Some(first);
     while let Some(request) = next {
         match request {
-            LocalRequest::Send(request, responder) => sent.push((request, responder)),
+            LocalRequest::Send(request, responder, _) => sent.push((request, responder)),
             LocalRequest::Release(done) => release = Some(done),
         }
         next = requests.try_recv().ok();
--- /dev/null
+++ b/crates/node/src/held_bytes.rs
@@ -0,0 +1,48 @@
+//! The bytes of submissions that owners have not answered.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+/// A limited number of bytes, shared by those who hold some of them.
+#[derive(Debug)]
+pub struct HeldBytes {
+    limit: usize,
+    used: Arc<AtomicUsize>,
+}
+
+/// Bytes that are held until the last clone is dropped.
+#[derive(Clone, Debug)]
+pub struct Hold(#[expect(dead_code, reason = "held for its drop")] Arc<Held>);
+
+#[derive(Debug)]
+struct Held {
+    bytes: usize,
+    used: Arc<AtomicUsize>,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.used.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+impl HeldBytes {
+    /// Creates a number of bytes that nobody holds.
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            used: Arc::default(),
+        }
+    }
+
+    /// Holds bytes, or returns `None` if more than the limit would be held.
+    pub fn try_hold(&self, bytes: usize) -> Option<Hold> {
+        let add = |used: usize| used.checked_add(bytes).filter(|sum| *sum <= self.limit);
+        let used = &self.used;
+        used.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add)
+            .ok()?;
+        let used = Arc::clone(used);
+        Some(Hold(Arc::new(Held { bytes, used })))
+    }
+}
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -321,7 +321,10 @@
     fn handle_local_request(&mut self, request: LocalRequest) {
         match request {
             LocalRequest::Release(done) => self.release_reply = Some(done),
-            LocalRequest::Send(request, responder) => self.handle_request(request, responder),
+            LocalRequest::Send(request, responder, hold) => {
+                self.handle_request(request, responder);
+                drop(hold);
+            }
         }
     }
 
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -20,6 +20,8 @@
 use crate::assignment::Member;
 use crate::assignment::Ownership;
 use crate::attempts::Attempts;
+use crate::held_bytes::HeldBytes;
+use crate::held_bytes::Hold;
 use crate::message::ShardRequest;
 use crate::message::ShardResponse;
 use crate::peers::PeerError;
@@ -39,6 +41,13 @@
 /// The number of requests that may be queued for one owner in this process.
 pub(crate) const OWNER_QUEUE_CAPACITY: usize = 1_024;
 
+/// The most bytes of submissions that the owners in this process hold unanswered, a tenth of the memory
+/// of the smallest VM. Jobs of 5 kB fill the queues of three owners with it.
+const OWNER_QUEUE_BYTES: usize = 16_000_000;
+
+/// How long the caller of a submission beyond that should wait: an owner takes several turns per second.
+const OWNER_RETRY_MS: u64 = 1_000;
+
 /// Why a request to the owner of a shard has no response.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 pub enum RequestError {
@@ -52,8 +61,9 @@
 
 /// A request to the owner of a shard in this process.
 pub(crate) enum LocalRequest {
-    /// Handle a request and send the response.
-    Send(ShardRequest, oneshot::Sender<ShardResponse>),
+    /// Handle a request and send the response. The bytes of a submission are held until the owner
+    /// takes it from its queue.
+    Send(ShardRequest, oneshot::Sender<ShardResponse>, Option<Hold>),
     /// Release the shard once all changes in progress are stored, then signal completion.
     Release(oneshot::Sender<()>),
 }
@@ -70,6 +80,8 @@
     clock: Arc<dyn Clock>,
     cluster: Mutex<ClusterState>,
     local_owners: Mutex<BTreeMap<ShardId, OwnerHandle>>,
+    /// The submissions that the owners in this process have not answered.
+    held: HeldBytes,
 }
 
 impl Router {
@@ -82,6 +94,7 @@
             clock,
             cluster: Mutex::default(),
             local_owners: Mutex::default(),
+            held: HeldBytes::new(OWNER_QUEUE_BYTES),
         }
     }
 
@@ -177,7 +190,7 @@
     }
 
     /// Sends a request to an owner in this process. Returns `NotOwner` if there is none or its
-    /// queue is full.
+    /// queue is full, and `Rejected` if too many bytes of submissions have no answer yet.
     pub(crate) async fn send_local(
         &self,
         parent: Option<SpanContext>,
@@ -193,10 +206,22 @@
         let Some(owner) = owner else {
             return ShardResponse::NotOwner;
         };
+        let hold = match &request {
+            ShardRequest::Submit(job) => {
+                let Some(hold) = self.held.try_hold(job.approximate_size()) else {
+                    metrics::counter!("submissions_not_held_total").increment(1);
+                    return ShardResponse::Rejected {
+                        retry_after_ms: OWNER_RETRY_MS,
+                    };
+                };
+                Some(hold)
+            }
+            _ => None,
+        };
         let (response_sender, response_receiver) = oneshot::channel();
         // A full queue rejects the request at once, since its owner is too slow to respond in time.
         if owner
-            .try_send(LocalRequest::Send(request, response_sender))
+            .try_send(LocalRequest::Send(request, response_sender, hold.clone()))
             .is_err()
         {
             return ShardResponse::NotOwner;
--- a/crates/node/tests/runner.rs
+++ b/crates/node/tests/runner.rs
@@ -6,6 +6,7 @@
 mod test_automatic;
 mod test_claim;
 mod test_command_budget;
+mod test_held_bytes;
 mod test_membership;
 mod test_moved_queue;
 mod test_operator_topic;
--- a/crates/shard/src/job.rs
+++ b/crates/shard/src/job.rs
@@ -388,6 +388,17 @@
         Ok(())
     }
 
+    /// Returns about how much memory the job takes, in bytes.
+    pub fn approximate_size(&self) -> usize {
+        let step_size = |step: &Step| {
+            let names = [&step.required_label, &step.data_rack, &step.image];
+            let names: usize = names.into_iter().flatten().map(|name| name.len()).sum();
+            size_of::<Step>() + names + step.depends_on.len() * size_of::<u16>()
+        };
+        let steps: usize = self.steps.iter().map(step_size).sum();
+        size_of::<Self>() + self.payload.len() + steps
+    }
+
     /// Returns whether any step of the job has tasks that run until the job is cancelled.
     pub fn is_long_running(&self) -> bool {
         self.steps.iter().any(|s| s.long_running)
