--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -258,7 +258,7 @@
     }
     requests.close();
     while let Ok(request) = requests.try_recv() {
-        if let LocalRequest::Send(_, responder) = request {
+        if let LocalRequest::Send(_, responder, _) = request {
             // The send fails if the caller has stopped waiting.
             let _ = responder.send(ShardResponse::NotOwner);
         }
@@ -354,7 +354,10 @@
     fn handle_local_request(&mut self, request: LocalRequest) {
         match request {
             LocalRequest::Release(done) => self.release_reply = Some(done),
-            LocalRequest::Send(request, responder) => self.handle_request(request, responder),
+            LocalRequest::Send(request, responder, hold) => {
+                self.handle_request(request, responder);
+                drop(hold);
+            }
         }
     }
 
