shard: let images keep their place in an estimate until they can be learned

An estimate holds 24 images, and a new one took the place of the one that had not been seen for the longest time, so that none kept its place for more than a few tasks.

An image now keeps its place for 120 s unless it is not seen for 60 s. After that, the one that is the least likely to have an effect makes room.

The new test fails with the former choice.

--- a/crates/shard/src/slowdown_fit.rs
+++ b/crates/shard/src/slowdown_fit.rs
@@ -23,6 +23,10 @@
 /// The images whose effects are fitted for one image. A worker runs some dozen tasks at once.
 const MAX_SLOTS: usize = 24;
 
+/// How long an image has a slot before another one may get it that runs as often. It is enough to learn
+/// most effects, and all images of a pool with some dozen of them take their turn within minutes.
+const MIN_SLOT_TIME: Duration = Duration::from_secs(120);
+
 /// The workers with offsets of their own. A pool has 50 to 90.
 const MAX_WORKERS: usize = 96;
 
@@ -75,6 +79,10 @@
 struct Slot {
     image: Name,
     seen: Instant,
+    /// When the image got the slot.
+    since: Instant,
+    /// The highest likely effect in the last estimate, two standard errors above the mean.
+    limit: f64,
     /// The shares since [`SlowdownFit::reset_fresh`], not decayed.
     fresh: f64,
 }
@@ -202,8 +210,9 @@
         value.clamp(mean - MAX_DEVIATION, mean + MAX_DEVIATION)
     }
 
-    /// Returns the slot of an image that was seen now. A new image gets that of the one that has not been
-    /// seen for the longest time if there are too many.
+    /// Returns the slot of an image that was seen now. If there are too many images, a new one gets the
+    /// slot of one that is not seen any more, or that has had it for [`MIN_SLOT_TIME`], whichever is the
+    /// least likely to have an effect. Otherwise no image would keep its slot until it is learned.
     fn slot(&mut self, now: Instant, image: &Name) -> Option<usize> {
         let known = self.slots.iter().position(|s| s.image == *image);
         if let Some(index) = known {
@@ -213,19 +222,27 @@
         let slot = Slot {
             image: Arc::clone(image),
             seen: now,
+            since: now,
+            limit: f64::INFINITY,
             fresh: 0.0,
         };
         if self.slots.len() < MAX_SLOTS {
             self.slots.push(slot);
             return Some(self.slots.len() - 1);
         }
+        let is_past = |at: Instant, time: Duration| now.saturating_duration_since(at) >= time;
+        let likely = |s: &Slot| match is_past(s.seen, HALF_LIFE) {
+            true => f64::NEG_INFINITY,
+            false => s.limit,
+        };
         let slots = self.slots.iter().enumerate();
-        let (oldest, _) = slots
-            .filter(|(_, s)| s.seen < now)
-            .min_by_key(|(_, s)| s.seen)?;
-        self.clear(oldest);
-        *self.slots.get_mut(oldest)? = slot;
-        Some(oldest)
+        let free = slots.filter(|(_, s)| {
+            is_past(s.seen, HALF_LIFE) || s.seen < now && is_past(s.since, MIN_SLOT_TIME)
+        });
+        let (index, _) = free.min_by(|(_, a), (_, b)| likely(a).total_cmp(&likely(b)))?;
+        self.clear(index);
+        *self.slots.get_mut(index)? = slot;
+        Some(index)
     }
 
     /// Removes what is known about an image beside the tasks. `mean` is its estimated effect. It is removed
@@ -362,7 +379,11 @@
                 fresh: slot.fresh,
             }
         });
-        effects.collect()
+        let effects: Vec<ImageEffect> = effects.collect();
+        for (slot, effect) in self.slots.iter_mut().zip(&effects) {
+            slot.limit = effect.mean + 2.0 * effect.error;
+        }
+        effects
     }
 
     /// Returns the sums of products after the offsets of the image and of its workers are removed, those
--- a/crates/shard/tests/test_interference.rs
+++ b/crates/shard/tests/test_interference.rs
@@ -83,6 +83,26 @@
     assert!(pool.harness.shard.placement_stats().kept_apart > 0);
 }
 
+/// Guards against images that take each other's places in an estimate before any of them is learned.
+#[test]
+fn a_pair_is_learned_among_more_images_than_an_estimate_holds() {
+    let names: Vec<&'static str> = (10..40).map(|i| &*format!("w{i}").leak()).collect();
+    let mut pool = ContendedPool::new(&names, SEED);
+    let images: Vec<&'static str> = (10..40).map(|i| &*format!("i{i}").leak()).collect();
+    let stream = |image: &&'static str| Stream {
+        image,
+        rate: 3.0,
+        seconds: 1.0,
+    };
+    pool.streams = images.iter().map(stream).collect();
+    pool.factors.insert(("i10", "i11"), 4.0);
+    while pool.elapsed() < 3 * MINUTE && pool.events.is_empty() {
+        pool.run(Duration::from_secs(5), "i10", "i11");
+    }
+    let learned = pairs_of(&pool.events, "interference_learned");
+    assert_eq!(learned, [("i10".to_owned(), "i11".to_owned())]);
+}
+
 /// Guards against acting on chance, and against a placement or a cost of placement that depends on the
 /// names of images which don't slow each other down.
 #[test]
