node: hold the bytes of a submission until its owner answers it

The bytes of a submission were counted until its sender stopped waiting, 1.2 s at most. An owner that waits for the store keeps the job longer, so that repeated submissions could exceed the 16 MB while the store does not respond.

The count now belongs to the responder of the request, which the owner keeps until it answers.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -45,6 +45,7 @@
 use crate::recent_commands::RecentCommands;
 use crate::recent_commands::StoredCommands;
 use crate::router::LocalRequest;
+use crate::router::Responder;
 use crate::router::Router;
 use crate::shard_id::ShardId;
 use crate::shard_quotas::QuotaGrant;
@@ -239,7 +240,7 @@
 }
 
 /// A request of another process or of this one, and where its response goes.
-type SentRequest = (ShardRequest, oneshot::Sender<ShardResponse>);
+type SentRequest = (ShardRequest, Responder);
 
 /// Takes the requests that have arrived, and a request to release the shard if there is one.
 fn split_requests(
@@ -250,7 +251,7 @@
     let mut next = Some(first);
     while let Some(request) = next {
         match request {
-            LocalRequest::Send(request, responder, _) => sent.push((request, responder)),
+            LocalRequest::Send(request, responder) => sent.push((request, responder)),
             LocalRequest::Release(done) => release = Some(done),
         }
         next = requests.try_recv().ok();
--- a/crates/node/src/held_bytes.rs
+++ b/crates/node/src/held_bytes.rs
@@ -11,17 +11,14 @@
     used: Arc<AtomicUsize>,
 }
 
-/// Bytes that are held until the last clone is dropped.
-#[derive(Clone, Debug)]
-pub struct Hold(#[expect(dead_code, reason = "held for its drop")] Arc<Held>);
-
+/// Bytes that are held until this is dropped.
 #[derive(Debug)]
-struct Held {
+pub struct Hold {
     bytes: usize,
     used: Arc<AtomicUsize>,
 }
 
-impl Drop for Held {
+impl Drop for Hold {
     fn drop(&mut self) {
         self.used.fetch_sub(self.bytes, Ordering::Relaxed);
     }
@@ -43,6 +40,6 @@
         used.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add)
             .ok()?;
         let used = Arc::clone(used);
-        Some(Hold(Arc::new(Held { bytes, used })))
+        Some(Hold { bytes, used })
     }
 }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -54,6 +54,7 @@
 use crate::owner_load::OwnerLoad;
 use crate::owner_load::Work;
 use crate::router::LocalRequest;
+use crate::router::Responder;
 use crate::router::Router;
 use crate::shard_id::ShardId;
 use crate::shard_quotas;
@@ -122,7 +123,7 @@
     events: mpsc::Sender<Event>,
     calls: JoinSet<()>,
     /// The callers that wait for a response.
-    responders: HashMap<RequestId, oneshot::Sender<ShardResponse>>,
+    responders: HashMap<RequestId, Responder>,
     next_request: u64,
     /// When the ownership was last confirmed by an append or a check.
     confirmed_at: Instant,
@@ -321,14 +322,11 @@
     fn handle_local_request(&mut self, request: LocalRequest) {
         match request {
             LocalRequest::Release(done) => self.release_reply = Some(done),
-            LocalRequest::Send(request, responder, hold) => {
-                self.handle_request(request, responder);
-                drop(hold);
-            }
+            LocalRequest::Send(request, responder) => self.handle_request(request, responder),
         }
     }
 
-    fn handle_request(&mut self, request: ShardRequest, responder: oneshot::Sender<ShardResponse>) {
+    fn handle_request(&mut self, request: ShardRequest, responder: Responder) {
         let at = timestamp(&*self.context.clock);
         if self.release_reply.is_some() {
             // The send fails if the caller has stopped waiting.
@@ -381,7 +379,7 @@
     }
 
     /// Stores the responder of a request and returns the id with which the shard refers to it.
-    fn add_responder(&mut self, responder: oneshot::Sender<ShardResponse>) -> RequestId {
+    fn add_responder(&mut self, responder: Responder) -> RequestId {
         self.next_request += 1;
         let request_id = RequestId(self.next_request);
         self.responders.insert(request_id, responder);
--- a/crates/node/src/owner/queues.rs
+++ b/crates/node/src/owner/queues.rs
@@ -12,7 +12,6 @@
 use lavenderhollow_shard::Name;
 use lavenderhollow_shard::Record;
 use lavenderhollow_shard::Timestamp;
-use tokio::sync::oneshot;
 
 use crate::backend::StoreError;
 use crate::backend::Topic;
@@ -22,6 +21,7 @@
 use crate::owner::send_event;
 use crate::queue_fence::QueueFence;
 use crate::queue_shards::queue_record;
+use crate::router::Responder;
 use crate::shard_id::ShardId;
 use crate::shard_manager::STORE_RETRY_DELAY;
 
@@ -37,7 +37,7 @@
     next_publish: Instant,
     /// The callers to be told that a job is unknown once the ownership is confirmed, with the time of
     /// the request.
-    absences: Vec<(Instant, oneshot::Sender<ShardResponse>)>,
+    absences: Vec<(Instant, Responder)>,
 }
 
 impl OwnerQueues {
@@ -83,7 +83,7 @@
 /// A job that waits until it is published that the shard holds jobs of its queue.
 pub(super) struct WaitingSubmission {
     pub(super) job: Box<Job>,
-    pub(super) responder: oneshot::Sender<ShardResponse>,
+    pub(super) responder: Responder,
 }
 
 impl Owner {
@@ -122,7 +122,7 @@
         id: JobId,
         queue: &Name,
         version: u64,
-        responder: oneshot::Sender<ShardResponse>,
+        responder: Responder,
     ) {
         self.queues.fence.close(queue, version);
         if self.shard.holds_job(id) {
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -61,13 +61,36 @@
 
 /// A request to the owner of a shard in this process.
 pub(crate) enum LocalRequest {
-    /// Handle a request and send the response. The bytes of a submission are held until the owner
-    /// takes it from its queue.
-    Send(ShardRequest, oneshot::Sender<ShardResponse>, Option<Hold>),
+    /// Handle a request and send the response.
+    Send(ShardRequest, Responder),
     /// Release the shard once all changes in progress are stored, then signal completion.
     Release(oneshot::Sender<()>),
 }
 
+/// Sends the response to a request. The bytes of a submission are held until then, also if its sender
+/// has stopped waiting.
+#[derive(Debug)]
+pub(crate) struct Responder {
+    sender: oneshot::Sender<ShardResponse>,
+    _hold: Option<Hold>,
+}
+
+impl Responder {
+    /// Sends the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns the response if the sender of the request has stopped waiting.
+    pub(crate) fn send(self, response: ShardResponse) -> Result<(), ShardResponse> {
+        self.sender.send(response)
+    }
+
+    /// Returns whether the sender of the request has stopped waiting.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
 /// The sender of requests to an owner in this process.
 pub(crate) type OwnerHandle = mpsc::Sender<LocalRequest>;
 
@@ -218,10 +241,14 @@
             }
             _ => None,
         };
-        let (response_sender, response_receiver) = oneshot::channel();
+        let (sender, response_receiver) = oneshot::channel();
+        let responder = Responder {
+            sender,
+            _hold: hold,
+        };
         // A full queue rejects the request at once, since its owner is too slow to respond in time.
         if owner
-            .try_send(LocalRequest::Send(request, response_sender, hold.clone()))
+            .try_send(LocalRequest::Send(request, responder))
             .is_err()
         {
             return ShardResponse::NotOwner;
