node: keep the budget of callers' memory beside the other decisions

The adapter translates the platform's wire and decides nothing, but held the choice of whose connection ends. The type and its tests move to the node crate.

A caller that sends the next request before the response was charged 65,536 bytes until it left, so that some 780 such callers used up the budget of the smallest VM; the charge now ends with the response. The new test of the charge fails without the change.

--- a/platform/src/caller_budget.rs
+++ b/crates/node/src/caller_budget.rs
@@ -17,7 +17,7 @@
 
 /// The further charge for a connection that sends on while its request is served, in bytes: what the
 /// kernel keeps of it, which is twice the size that was asked for.
-pub(crate) const UNREAD_CHARGE: usize = 65_536;
+pub const UNREAD_CHARGE: usize = 65_536;
 
 /// The charge for a request that is being served, as a multiple of its body: the job, its copies for
 /// the attempt and for the call, and the encoded message.
@@ -32,7 +32,7 @@
 const IDLE_GRACE: Duration = Duration::from_millis(500);
 
 /// The most connections that were told to close and are still open, beyond the limit of connections.
-pub(crate) const MAX_CLOSING: usize = 32;
+pub const MAX_CLOSING: usize = 32;
 
 /// The part of the budget by which connections that were told to close may exceed it: 1 / 16, which
 /// holds more than [`MAX_CLOSING`] connections on the smallest VM.
@@ -315,9 +315,17 @@
         self.set_state(id, State::Serving)
     }
 
-    /// Notes that a request has its response, and ends the charge for its body.
+    /// Notes that a request has its response, and ends the charges for its body and for what arrived while
+    /// it was served.
     pub fn finish_request(&mut self, id: u64, now: Instant) {
         self.set_body(id, 0);
+        let served = self.connections.get_mut(&id);
+        // From now on the process reads what the caller has sent on.
+        if let Some(connection) = served.filter(|c| c.state == State::Serving && c.has_unread) {
+            connection.has_unread = false;
+            connection.fixed -= UNREAD_CHARGE;
+            self.used -= UNREAD_CHARGE;
+        }
         self.set_state(id, State::Idle { since: now });
     }
 
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -259,7 +259,7 @@
     }
     requests.close();
     while let Ok(request) = requests.try_recv() {
-        if let LocalRequest::Send(_, responder, _) = request {
+        if let LocalRequest::Send(_, responder) = request {
             // The send fails if the caller has stopped waiting.
             let _ = responder.send(ShardResponse::NotOwner);
         }
--- a/crates/node/tests/runner.rs
+++ b/crates/node/tests/runner.rs
@@ -4,6 +4,7 @@
 mod test_assignment;
 mod test_attempts;
 mod test_automatic;
+mod test_caller_budget;
 mod test_claim;
 mod test_command_budget;
 mod test_evacuated_zones;
--- a/platform/tests/test_caller_budget.rs
+++ b/crates/node/tests/test_caller_budget.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use lavenderhollow_adapter::CONNECTION_CHARGE;
-use lavenderhollow_adapter::CallerBounds;
-use lavenderhollow_adapter::CallerBudget;
-use lavenderhollow_adapter::LARGE_READ_CHARGE;
-use lavenderhollow_adapter::Reason;
-use lavenderhollow_adapter::Room;
-use lavenderhollow_adapter::Victim;
+use lavenderhollow_node::CONNECTION_CHARGE;
+use lavenderhollow_node::CallerBounds;
+use lavenderhollow_node::CallerBudget;
+use lavenderhollow_node::LARGE_READ_CHARGE;
+use lavenderhollow_node::Reason;
+use lavenderhollow_node::Room;
+use lavenderhollow_node::Victim;
 
 /// The rate of the slowest caller within the limits, in bytes per second.
 const RATE: f64 = 100_000.0;
@@ -196,6 +196,24 @@
     assert_eq!(fixture.budget.used(), CONNECTION_CHARGE);
 }
 
+/// Guards against callers who send the next request early and use up the budget with charges that stay
+/// until they leave.
+#[test]
+fn what_arrives_while_a_request_is_served_is_charged_until_its_response() {
+    let mut fixture = Fixture::new(8, 0);
+    let id = fixture.open();
+    for _ in 0..2 {
+        assert!(fixture.budget.begin_request(id));
+        fixture.budget.add_unread(id);
+        fixture.budget.add_unread(id);
+        assert!(fixture.budget.used() > CONNECTION_CHARGE);
+        fixture.budget.finish_request(id, fixture.now);
+        assert_eq!(fixture.budget.used(), CONNECTION_CHARGE);
+    }
+    fixture.budget.close(id);
+    assert_eq!(fixture.budget.used(), 0);
+}
+
 /// Guards against connections that were told to close and are still open, and that together exceed the
 /// bounds.
 #[test]
