shard: spread long-running tasks before keeping their images apart

The tasks of a long-running step without a disruption budget were all placed on one worker if its other workers ran an image that is kept apart from theirs. The loss of that worker would have ended all of them. The number of the step's runs on a worker was compared after the images there, although only workers that are alike in everything else should be told apart by images.

The number is now a field of Suitability, before the one of the images. The new test placed three tasks on one of three workers before, and places one on each now.

--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -564,18 +564,18 @@
                 in_same_rack,
                 within_budget: step.max_unavailable == 0 || placed(name) < step.max_unavailable,
                 not_failed: failed_on != Some(name),
+                step_runs: Reverse(if step.long_running { placed(name) } else { 0 }),
                 apart: self.image_slowdown.suits(step.image.as_ref(), name),
             }
         };
         // Short tasks go to the worker with the least free processor time, and long-running tasks
         // of several steps share workers, so that other workers become idle and can be moved to
-        // pools that need them. Long-running tasks of one step are spread, since a worker may be
-        // lost.
+        // pools that need them.
         if step.long_running {
             let (mut best, mut nearest) = (None, None);
             for (name, w) in candidates {
                 let free = w.info.capacity.cpu.saturating_sub(w.used.cpu);
-                let packing = (Reverse(placed(name)), self.has_long_running(w), free);
+                let packing = (self.has_long_running(w), free);
                 let suits = suitability(name, w);
                 best = best.max(Some((suits, packing, name)));
                 nearest = nearest.max(Some((suits.anywhere(), packing, name)));
--- a/crates/shard/src/suitability.rs
+++ b/crates/shard/src/suitability.rs
@@ -1,7 +1,10 @@
 //! How well a worker suits a task.
 
-/// How well an eligible worker suits a task. Placement takes the greatest value: the fields are in the
-/// order of their importance, and the later ones decide only between workers that are alike in the earlier ones.
+use std::cmp::Reverse;
+
+/// How well an eligible worker suits a task. Placement takes the greatest value: the fields are in
+/// the order of their importance, and the later ones decide only between workers that are alike in
+/// the earlier ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Suitability {
     /// The worker is in the rack of the task's data, if that matters.
@@ -13,6 +16,9 @@
     pub(crate) within_budget: bool,
     /// The last run of the task did not fail there.
     pub(crate) not_failed: bool,
+    /// The number of runs of the task's step there, if the step is long-running; zero otherwise. Tasks
+    /// of such a step are spread, since a worker may be lost.
+    pub(crate) step_runs: Reverse<u32>,
     /// No task runs there whose image is known to slow the task down, or to be slowed down by it. It is
     /// last, since a slower task costs less than what the other fields prevent.
     pub(crate) apart: bool,
@@ -25,6 +31,7 @@
         in_same_rack: true,
         within_budget: true,
         not_failed: true,
+        step_runs: Reverse(0),
         apart: true,
     };
 
--- a/crates/shard/tests/test_interference.rs
+++ b/crates/shard/tests/test_interference.rs
@@ -301,6 +301,25 @@
     assert_eq!(spread, ["w1".into(), "w2".into(), "w3".into()]);
 }
 
+/// Guards against a step whose long-running tasks are all lost with one worker, since its image is kept
+/// apart from those on the others.
+#[test]
+fn long_running_tasks_are_spread_although_their_image_is_kept_apart() {
+    let mut harness = harness_with_pair(&["w1", "w2", "w3"]);
+    let disturbing = Step {
+        max_per_worker: Some(1),
+        ..step(2, &[])
+    };
+    assert_eq!(place(&mut harness, 1, "b", disturbing).len(), 2);
+    let service = Step {
+        long_running: true,
+        ..step(3, &[])
+    };
+    let mut spread = place(&mut harness, 2, "a", service);
+    spread.sort();
+    assert_eq!(spread, ["w1".into(), "w2".into(), "w3".into()]);
+}
+
 /// Guards against a record that is larger than the store takes, or that ends the owner.
 #[test]
 fn the_record_is_bounded_and_may_be_damaged() {
