shard: choose the rack of a step regardless of the images there

A step whose tasks are to share a rack was spread over two racks although one had room for all of its tasks. Its first task avoided a worker with an image that it is kept apart from, and went to another rack, which the other tasks then followed as far as there was room. Racks take precedence over images.

The first of several such tasks is now placed as if its image were in no pair. The others still prefer workers without the other image within the rack.

--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -551,6 +551,9 @@
                 && w.info.capacity.fits(w.used, allocation)
         });
         let placed = |name: &Name| siblings.get(name).copied().unwrap_or(0);
+        // The first task of such a step determines the rack of the others. Any choice that depends on
+        // images could lead to a rack with less room.
+        let chooses_rack = step.same_rack && step.count > 1 && siblings.is_empty();
         let suitability = |name: &Name, w: &Worker| {
             let near_data = step.data_rack.is_none() || w.rack() == step.data_rack.as_ref();
             let in_same_rack = !step.same_rack
@@ -565,7 +568,7 @@
                 within_budget: step.max_unavailable == 0 || placed(name) < step.max_unavailable,
                 not_failed: failed_on != Some(name),
                 step_runs: Reverse(if step.long_running { placed(name) } else { 0 }),
-                apart: self.image_slowdown.suits(step.image.as_ref(), name),
+                apart: chooses_rack || self.image_slowdown.suits(step.image.as_ref(), name),
             }
         };
         // Short tasks go to the worker with the least free processor time, and long-running tasks
--- a/crates/shard/src/suitability.rs
+++ b/crates/shard/src/suitability.rs
@@ -19,8 +19,8 @@
     /// The number of runs of the task's step there, if the step is long-running; zero otherwise. Tasks
     /// of such a step are spread, since a worker may be lost.
     pub(crate) step_runs: Reverse<u32>,
-    /// No task runs there whose image is known to slow the task down, or to be slowed down by it. It is
-    /// last, since a slower task costs less than what the other fields prevent.
+    /// No task runs there whose image is known to slow the task down, or to be slowed down by it, if
+    /// that matters. It is last, since a slower task costs less than what the other fields prevent.
     pub(crate) apart: bool,
 }
 
--- a/crates/shard/tests/test_interference.rs
+++ b/crates/shard/tests/test_interference.rs
@@ -320,6 +320,30 @@
     assert_eq!(spread, ["w1".into(), "w2".into(), "w3".into()]);
 }
 
+/// Guards against a step that is spread over racks, since its first task avoids a worker in the rack
+/// that has room for all of them.
+#[test]
+fn the_rack_of_a_step_does_not_depend_on_the_images_there() {
+    let mut harness = harness_with_pair(&[]);
+    let mut other = worker_info("w3");
+    other.labels = vec!["r2".into()];
+    let infos = vec![worker_info("w1"), worker_info("w2"), other];
+    harness.shard.update_workers(harness.at, infos);
+    harness.poll_all(&["w1", "w2", "w3"]);
+    let near_data = Step {
+        data_rack: Some("r1".into()),
+        ..step(1, &[])
+    };
+    assert_eq!(place(&mut harness, 1, "b", near_data), ["w2".into()]);
+    let together = Step {
+        same_rack: true,
+        ..step(6, &[])
+    };
+    let placed = place(&mut harness, 2, "a", together);
+    assert_eq!(placed.len(), 6);
+    assert!(placed.iter().all(|w| **w != *"w3"), "{placed:?}");
+}
+
 /// Guards against a record that is larger than the store takes, or that ends the owner.
 #[test]
 fn the_record_is_bounded_and_may_be_damaged() {
