shard: don't count a gang that was not placed as kept apart

placements_kept_apart_total rose in each pass in which a gang waited for room, if its image is kept apart from others, although none of its tasks was placed. The selection of each member is counted, and that was not taken back with the placement.

--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -349,6 +349,7 @@
         }
         let mut placed: Vec<RunId> = Vec::new();
         let deferred_len = self.deferred_len();
+        let kept_apart = pass.kept_apart.get();
         for &task in &tasks {
             self.workers.update(at.now, &mut self.placement);
             let Some(worker) = self.select_worker(at.now, task, step, pool, pass) else {
@@ -356,6 +357,7 @@
                     self.undo_start(run);
                 }
                 self.truncate_deferred(deferred_len, false);
+                pass.kept_apart.set(kept_apart);
                 return;
             };
             if let Some(t) = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(task)) {
--- a/crates/shard/tests/test_interference.rs
+++ b/crates/shard/tests/test_interference.rs
@@ -344,6 +344,19 @@
     assert!(placed.iter().all(|w| **w != *"w3"), "{placed:?}");
 }
 
+/// Guards against a count of tasks that are kept apart which rises in each pass in which a gang waits.
+#[test]
+fn a_gang_that_is_not_placed_is_not_counted_as_kept_apart() {
+    let mut harness = harness_with_pair(&["w1", "w2"]);
+    assert_eq!(place(&mut harness, 1, "b", step(1, &[])), ["w2".into()]);
+    let gang = Step {
+        gang: true,
+        ..step(8, &[])
+    };
+    assert!(place(&mut harness, 2, "a", gang).is_empty());
+    assert_eq!(harness.shard.placement_stats().kept_apart, 0);
+}
+
 /// Guards against a record that is larger than the store takes, or that ends the owner.
 #[test]
 fn the_record_is_bounded_and_may_be_damaged() {
