--- a/crates/shard/src/silent_leases.rs
+++ b/crates/shard/src/silent_leases.rs
@@ -201,10 +201,10 @@
         }
     }
 
-    /// Returns the records to store last before the shard is released. The one of the leases names the
-    /// workers that have not responded to this owner and those that may hold longer leases than it granted,
-    /// so that its successor doesn't consider their runs lost too early. The one of the pairs of images
-    /// that are kept apart is missing if the stored one still holds.
+    /// Returns the records to store last before the shard is released. The record of the leases names
+    /// the workers that have not responded to this owner and those that may hold longer leases than
+    /// it granted, so that its successor doesn't consider their runs lost too early. The record of the
+    /// pairs of images that are kept apart is absent if the stored one is still valid.
     pub fn release_records(&mut self, at: Timestamp) -> Vec<Record> {
         let mut records: Vec<Record> = self.release_slowdowns(at).into_iter().collect();
         let mut leases = self.leases_to_store(at.now, |_, _| true);
