shard: don't blame images for tasks of another size

A wrong pair was learned if the tasks of an image were of several sizes, all with correct estimates, and another image ran beside those of one size only. Each run time was limited to a factor of seven from the mean of its image, before the estimate was taken into account. The largest tasks then seemed to be faster than estimated, the fitted factor of the estimate became too small, and tasks of medium size seemed to be slowed down by what ran beside them.

A run time is now limited to a factor of seven around the range from the mean to what the estimate lets expect. Without different estimates, the limit is the same as before.

--- a/crates/shard/src/slowdown_fit.rs
+++ b/crates/shard/src/slowdown_fit.rs
@@ -58,8 +58,8 @@
 /// of half a second to within some 20 ms.
 const MIN_NOISE: f64 = 0.05;
 
-/// By how much a logarithm may differ from the mean of its image, a factor of 7. A single task that is
-/// stuck must not outweigh many others.
+/// By how much a logarithm may differ from the mean of its image, or from that scaled by the estimate,
+/// a factor of 7. A single task that is stuck must not outweigh many others.
 const MAX_DEVIATION: f64 = 2.0;
 
 /// The weight of samples from which on their mean is used to limit the next ones.
@@ -167,7 +167,7 @@
         self.rescale(now);
         self.last = now;
         let mut row = [0.0; ROW];
-        row[VALUE] = self.limit(sample.value);
+        row[VALUE] = self.limit(sample.value, sample.estimate);
         row[ESTIMATE] = sample.estimate;
         for (image, share) in sample.shares {
             if let Some(slot) = self.slot(now, image) {
@@ -199,15 +199,23 @@
         }
     }
 
-    /// Returns a logarithm, limited to the neighbourhood of the mean so far.
-    fn limit(&self, value: f64) -> f64 {
+    /// Returns a logarithm, limited to the neighbourhood of the mean so far, and of what the estimate
+    /// lets expect. Without the latter, large tasks would count as faster than estimated, and those of
+    /// medium size as slower.
+    fn limit(&self, value: f64, estimate: f64) -> f64 {
         let weight: f64 = self.workers.values().map(|w| w.weight).sum();
         if weight < MIN_MEAN_WEIGHT {
             return value;
         }
-        let sum: f64 = self.workers.values().map(|w| w.rows[VALUE]).sum();
-        let mean = sum / weight;
-        value.clamp(mean - MAX_DEVIATION, mean + MAX_DEVIATION)
+        let mean = |column: usize| {
+            let sum: f64 = self.workers.values().map(|w| w.rows[column]).sum();
+            sum / weight
+        };
+        let mean_value = mean(VALUE);
+        let expected = mean_value + estimate - mean(ESTIMATE);
+        let least = mean_value.min(expected) - MAX_DEVIATION;
+        let most = mean_value.max(expected) + MAX_DEVIATION;
+        value.clamp(least, most)
     }
 
     /// Returns the slot of an image that was seen now. If there are too many images, a new one gets the
--- a/crates/shard/tests/support/contended_pool.rs
+++ b/crates/shard/tests/support/contended_pool.rs
@@ -74,6 +74,8 @@
     sequences: BTreeMap<Name, u64>,
     polls: BTreeMap<Name, (Instant, PollRequest)>,
     images: BTreeMap<JobId, Vec<&'static str>>,
+    /// The middle of the run times of the tasks of some jobs, in seconds, instead of their stream's.
+    pub(crate) seconds: BTreeMap<JobId, f64>,
     rng: TestRng,
     next_job: u64,
     start: Instant,
@@ -100,6 +102,7 @@
             sequences: BTreeMap::new(),
             polls: BTreeMap::new(),
             images: BTreeMap::new(),
+            seconds: BTreeMap::new(),
             rng: TestRng::from_seed(RngAlgorithm::ChaCha, &bytes),
             next_job: 0,
             start,
@@ -264,6 +267,7 @@
                 let image = self.image(run);
                 let stream = self.streams.iter().find(|s| s.image == image);
                 let seconds = stream.map_or(f64::INFINITY, |s| s.seconds);
+                let seconds = self.seconds.get(&run.task.job).copied().unwrap_or(seconds);
                 let left = seconds * self.factor(0.5);
                 let share = 1.0;
                 self.executions.push(Execution {
--- a/crates/shard/tests/test_interference.rs
+++ b/crates/shard/tests/test_interference.rs
@@ -141,6 +141,37 @@
     }
 }
 
+/// Guards against blaming an image for tasks that take longer beside it and are estimated to.
+#[test]
+fn tasks_of_several_sizes_are_not_taken_for_an_interfering_pair() {
+    let submit = |pool: &mut ContendedPool, images: &[&'static str], seconds: u32| {
+        let task = Step {
+            estimate: Duration::from_secs(u64::from(seconds)),
+            ..step(1, &[])
+        };
+        let id = pool.submit(vec![task; images.len()], images);
+        pool.seconds.insert(id, f64::from(seconds));
+    };
+    for seed in 0..4 {
+        let mut pool = ContendedPool::new(&WORKERS, SEED + seed);
+        pool.streams = vec![Stream {
+            image: "a",
+            rate: 5.0,
+            seconds: 0.5,
+        }];
+        for _ in 0..20 {
+            submit(&mut pool, &["a"], 30);
+            pool.run(Duration::from_secs(4), "a", "b");
+        }
+        pool.streams.clear();
+        for _ in 0..60 {
+            submit(&mut pool, &["a", "b"], 4);
+            pool.run(Duration::from_secs(1), "a", "b");
+        }
+        assert!(pool.events.is_empty(), "seed {seed}: {:?}", pool.events);
+    }
+}
+
 /// Guards against a pair that is kept apart for ever since it is no longer observed.
 #[test]
 fn a_pair_is_unlearned_after_its_behaviour_has_changed() {
