shard: count an image as present until its last run has ended

If more than 64 images ran on a worker at once, an image that was not followed at first and was later counted as absent while one of its tasks still ran there, so that tasks it slows down were placed beside it. The end of the earlier run, which was not counted, was subtracted from the count of the later ones.

An image that is added is now counted with all of its runs on the worker.

--- a/crates/shard/src/colocation.rs
+++ b/crates/shard/src/colocation.rs
@@ -96,7 +96,8 @@
         self.images.iter_mut().find(|p| p.image == *image)
     }
 
-    /// Adds an image, in place of the one that has not run for the longest time if there are too many.
+    /// Adds the image of placed runs, in place of the one that has not run for the longest time if there
+    /// are too many.
     fn add_image(&mut self, image: &Name, at: Instant) {
         if self.images.len() >= MAX_IMAGES {
             let unused = self.images.iter().enumerate();
@@ -106,7 +107,11 @@
             };
             self.images.swap_remove(oldest);
         }
-        self.images.push(Presence::new(image, at));
+        // Earlier runs of the image may have been placed while there were too many.
+        let runs = self.runs.values().filter(|r| r.image == *image);
+        let mut presence = Presence::new(image, at);
+        presence.placed = u32::try_from(runs.count()).unwrap_or(u32::MAX);
+        self.images.push(presence);
     }
 
     fn mark(&self, image: &Name, at: Instant) -> Mark {
@@ -167,12 +172,6 @@
         if images.runs.contains_key(&run) {
             return;
         }
-        if images.presence(image).is_none() {
-            images.add_image(image, now);
-        }
-        if let Some(presence) = images.presence(image) {
-            presence.placed += 1;
-        }
         let placed = PlacedRun {
             image: Arc::clone(image),
             start: None,
@@ -180,6 +179,11 @@
             whole: false,
         };
         images.runs.insert(run, placed);
+        if let Some(presence) = images.presence(image) {
+            presence.placed += 1;
+        } else {
+            images.add_image(image, now);
+        }
     }
 
     /// Records that a run executes from now on, unless it is known to. `whole` is whether the time
--- a/crates/shard/tests/test_interference.rs
+++ b/crates/shard/tests/test_interference.rs
@@ -3,19 +3,25 @@
 use std::mem;
 use std::time::Duration;
 
+use lavenderhollow_shard::JobId;
 use lavenderhollow_shard::LogEvent;
 use lavenderhollow_shard::MAX_NAME_BYTES;
 use lavenderhollow_shard::Name;
+use lavenderhollow_shard::RunId;
+use lavenderhollow_shard::RunOutcome;
 use lavenderhollow_shard::Shard;
 use lavenderhollow_shard::Step;
 use lavenderhollow_shard::StoredRecord;
 use lavenderhollow_shard::StoredSlowdown;
+use lavenderhollow_shard::TaskId;
 use lavenderhollow_shard::decode_record;
 
 use crate::support::Harness;
 use crate::support::contended_pool::ContendedPool;
 use crate::support::contended_pool::Stream;
+use crate::support::finished_run;
 use crate::support::job;
+use crate::support::report;
 use crate::support::starts;
 use crate::support::step;
 use crate::support::timings;
@@ -388,6 +394,47 @@
     assert_eq!(harness.shard.placement_stats().kept_apart, 0);
 }
 
+/// Reports the end of the only task of a job on `w1`.
+fn end(harness: &mut Harness, sequence: u64, id: u64) {
+    let task = TaskId {
+        job: JobId(id),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    let run = RunId { task, number: 1 };
+    let finished = finished_run(sequence, run, RunOutcome::Done);
+    harness.answer_poll("w1", &report(1_000, vec![], vec![finished]));
+}
+
+/// Guards against an image that counts as absent from a worker while a task of it runs there, after more
+/// images ran there at once than are followed.
+#[test]
+fn an_image_counts_until_its_last_run_has_ended() {
+    let mut harness = harness_with_pair(&[]);
+    let mut large = worker_info("w1");
+    large.capacity.cpu = 67_000;
+    large.capacity.memory = 100_000;
+    large.labels.insert(0, "large".into());
+    let infos = vec![large, worker_info("w2")];
+    harness.shard.update_workers(harness.at, infos);
+    harness.poll_all(&["w1", "w2"]);
+    let labelled = Step {
+        required_label: Some("large".into()),
+        ..step(1, &[])
+    };
+    for id in 1..=64 {
+        let image = format!("image-{id}");
+        assert_eq!(place(&mut harness, id, &image, labelled.clone()).len(), 1);
+    }
+    assert_eq!(place(&mut harness, 65, "b", labelled.clone()).len(), 1);
+    end(&mut harness, 1, 1);
+    assert_eq!(place(&mut harness, 66, "b", labelled.clone()).len(), 1);
+    end(&mut harness, 2, 65);
+    // The other worker has more free processor time.
+    assert_eq!(place(&mut harness, 67, "a", step(1, &[])), ["w2".into()]);
+}
+
 /// Guards against a record that is larger than the store takes, or that ends the owner.
 #[test]
 fn the_record_is_bounded_and_may_be_damaged() {
