shard: test the placement beside images on several workers with room

The test of a full pool has only one worker with room, so that it would pass with any order of the workers. The new test has two, both with an image that the task is kept apart from, and checks that the task goes to the one where it would go without images.

--- a/crates/shard/tests/test_interference.rs
+++ b/crates/shard/tests/test_interference.rs
@@ -305,6 +305,21 @@
     assert_eq!(harness.shard.placement_stats().kept_apart, 0);
 }
 
+/// Guards against a choice by the number of tasks there, if all workers with room have an image that
+/// slows the task down.
+#[test]
+fn placement_beside_other_images_is_as_before() {
+    let mut harness = harness_with_pair(&["w1", "w2"]);
+    let everywhere = Step {
+        max_per_worker: Some(1),
+        ..step(2, &[])
+    };
+    assert_eq!(place(&mut harness, 1, "b", everywhere).len(), 2);
+    assert_eq!(place(&mut harness, 2, "b", step(1, &[])), ["w2".into()]);
+    assert_eq!(place(&mut harness, 3, "a", step(1, &[])), ["w2".into()]);
+    assert_eq!(harness.shard.placement_stats().kept_apart, 0);
+}
+
 /// Guards against keeping images apart at the cost of what is more important.
 #[test]
 fn data_racks_and_budgets_and_labels_take_precedence() {
