--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -349,6 +349,7 @@
         }
         let mut placed: Vec<RunId> = Vec::new();
         let deferred_len = self.deferred_len();
+        let kept_apart = pass.kept_apart.get();
         for &task in &tasks {
             self.workers.update(at.now, &mut self.placement);
             let Some(worker) = self.select_worker(at.now, task, step, pool, pass) else {
@@ -356,6 +357,7 @@
                     self.undo_start(run);
                 }
                 self.truncate_deferred(deferred_len, false);
+                pass.kept_apart.set(kept_apart);
                 return;
             };
             if let Some(t) = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(task)) {
@@ -551,6 +553,9 @@
                 && w.info.capacity.fits(w.used, allocation)
         });
         let placed = |name: &Name| siblings.get(name).copied().unwrap_or(0);
+        // The first task of such a step determines the rack of the others. Any choice that depends on
+        // images could lead to a rack with less room.
+        let chooses_rack = step.same_rack && step.count > 1 && siblings.is_empty();
         let suitability = |name: &Name, w: &Worker| {
             let near_data = step.data_rack.is_none() || w.rack() == step.data_rack.as_ref();
             let in_same_rack = !step.same_rack
@@ -564,18 +569,18 @@
                 in_same_rack,
                 within_budget: step.max_unavailable == 0 || placed(name) < step.max_unavailable,
                 not_failed: failed_on != Some(name),
-                apart: self.image_slowdown.suits(step.image.as_ref(), name),
+                step_runs: Reverse(if step.long_running { placed(name) } else { 0 }),
+                apart: chooses_rack || self.image_slowdown.suits(step.image.as_ref(), name),
             }
         };
         // Short tasks go to the worker with the least free processor time, and long-running tasks
         // of several steps share workers, so that other workers become idle and can be moved to
-        // pools that need them. Long-running tasks of one step are spread, since a worker may be
-        // lost.
+        // pools that need them.
         if step.long_running {
             let (mut best, mut nearest) = (None, None);
             for (name, w) in candidates {
                 let free = w.info.capacity.cpu.saturating_sub(w.used.cpu);
-                let packing = (Reverse(placed(name)), self.has_long_running(w), free);
+                let packing = (self.has_long_running(w), free);
                 let suits = suitability(name, w);
                 best = best.max(Some((suits, packing, name)));
                 nearest = nearest.max(Some((suits.anywhere(), packing, name)));
--- a/crates/shard/tests/test_interference.rs
+++ b/crates/shard/tests/test_interference.rs
@@ -3,19 +3,25 @@
 use std::mem;
 use std::time::Duration;
 
+use lavenderhollow_shard::JobId;
 use lavenderhollow_shard::LogEvent;
 use lavenderhollow_shard::MAX_NAME_BYTES;
 use lavenderhollow_shard::Name;
+use lavenderhollow_shard::RunId;
+use lavenderhollow_shard::RunOutcome;
 use lavenderhollow_shard::Shard;
 use lavenderhollow_shard::Step;
 use lavenderhollow_shard::StoredRecord;
 use lavenderhollow_shard::StoredSlowdown;
+use lavenderhollow_shard::TaskId;
 use lavenderhollow_shard::decode_record;
 
 use crate::support::Harness;
 use crate::support::contended_pool::ContendedPool;
 use crate::support::contended_pool::Stream;
+use crate::support::finished_run;
 use crate::support::job;
+use crate::support::report;
 use crate::support::starts;
 use crate::support::step;
 use crate::support::timings;
@@ -141,6 +147,37 @@
     }
 }
 
+/// Guards against blaming an image for tasks that take longer beside it and are estimated to.
+#[test]
+fn tasks_of_several_sizes_are_not_taken_for_an_interfering_pair() {
+    let submit = |pool: &mut ContendedPool, images: &[&'static str], seconds: u32| {
+        let task = Step {
+            estimate: Duration::from_secs(u64::from(seconds)),
+            ..step(1, &[])
+        };
+        let id = pool.submit(vec![task; images.len()], images);
+        pool.seconds.insert(id, f64::from(seconds));
+    };
+    for seed in 0..4 {
+        let mut pool = ContendedPool::new(&WORKERS, SEED + seed);
+        pool.streams = vec![Stream {
+            image: "a",
+            rate: 5.0,
+            seconds: 0.5,
+        }];
+        for _ in 0..20 {
+            submit(&mut pool, &["a"], 30);
+            pool.run(Duration::from_secs(4), "a", "b");
+        }
+        pool.streams.clear();
+        for _ in 0..60 {
+            submit(&mut pool, &["a", "b"], 4);
+            pool.run(Duration::from_secs(1), "a", "b");
+        }
+        assert!(pool.events.is_empty(), "seed {seed}: {:?}", pool.events);
+    }
+}
+
 /// Guards against a pair that is kept apart for ever since it is no longer observed.
 #[test]
 fn a_pair_is_unlearned_after_its_behaviour_has_changed() {
@@ -268,6 +305,21 @@
     assert_eq!(harness.shard.placement_stats().kept_apart, 0);
 }
 
+/// Guards against a choice by the number of tasks there, if all workers with room have an image that
+/// slows the task down.
+#[test]
+fn placement_beside_other_images_is_as_before() {
+    let mut harness = harness_with_pair(&["w1", "w2"]);
+    let everywhere = Step {
+        max_per_worker: Some(1),
+        ..step(2, &[])
+    };
+    assert_eq!(place(&mut harness, 1, "b", everywhere).len(), 2);
+    assert_eq!(place(&mut harness, 2, "b", step(1, &[])), ["w2".into()]);
+    assert_eq!(place(&mut harness, 3, "a", step(1, &[])), ["w2".into()]);
+    assert_eq!(harness.shard.placement_stats().kept_apart, 0);
+}
+
 /// Guards against keeping images apart at the cost of what is more important.
 #[test]
 fn data_racks_and_budgets_and_labels_take_precedence() {
@@ -301,6 +353,103 @@
     assert_eq!(spread, ["w1".into(), "w2".into(), "w3".into()]);
 }
 
+/// Guards against a step whose long-running tasks are all lost with one worker, since its image is kept
+/// apart from those on the others.
+#[test]
+fn long_running_tasks_are_spread_although_their_image_is_kept_apart() {
+    let mut harness = harness_with_pair(&["w1", "w2", "w3"]);
+    let disturbing = Step {
+        max_per_worker: Some(1),
+        ..step(2, &[])
+    };
+    assert_eq!(place(&mut harness, 1, "b", disturbing).len(), 2);
+    let service = Step {
+        long_running: true,
+        ..step(3, &[])
+    };
+    let mut spread = place(&mut harness, 2, "a", service);
+    spread.sort();
+    assert_eq!(spread, ["w1".into(), "w2".into(), "w3".into()]);
+}
+
+/// Guards against a step that is spread over racks, since its first task avoids a worker in the rack
+/// that has room for all of them.
+#[test]
+fn the_rack_of_a_step_does_not_depend_on_the_images_there() {
+    let mut harness = harness_with_pair(&[]);
+    let mut other = worker_info("w3");
+    other.labels = vec!["r2".into()];
+    let infos = vec![worker_info("w1"), worker_info("w2"), other];
+    harness.shard.update_workers(harness.at, infos);
+    harness.poll_all(&["w1", "w2", "w3"]);
+    let near_data = Step {
+        data_rack: Some("r1".into()),
+        ..step(1, &[])
+    };
+    assert_eq!(place(&mut harness, 1, "b", near_data), ["w2".into()]);
+    let together = Step {
+        same_rack: true,
+        ..step(6, &[])
+    };
+    let placed = place(&mut harness, 2, "a", together);
+    assert_eq!(placed.len(), 6);
+    assert!(placed.iter().all(|w| **w != *"w3"), "{placed:?}");
+}
+
+/// Guards against a count of tasks that are kept apart which rises in each pass in which a gang waits.
+#[test]
+fn a_gang_that_is_not_placed_is_not_counted_as_kept_apart() {
+    let mut harness = harness_with_pair(&["w1", "w2"]);
+    assert_eq!(place(&mut harness, 1, "b", step(1, &[])), ["w2".into()]);
+    let gang = Step {
+        gang: true,
+        ..step(8, &[])
+    };
+    assert!(place(&mut harness, 2, "a", gang).is_empty());
+    assert_eq!(harness.shard.placement_stats().kept_apart, 0);
+}
+
+/// Reports the end of the only task of a job on `w1`.
+fn end(harness: &mut Harness, sequence: u64, id: u64) {
+    let task = TaskId {
+        job: JobId(id),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    let run = RunId { task, number: 1 };
+    let finished = finished_run(sequence, run, RunOutcome::Done);
+    harness.answer_poll("w1", &report(1_000, vec![], vec![finished]));
+}
+
+/// Guards against an image that counts as absent from a worker while a task of it runs there, after more
+/// images ran there at once than are followed.
+#[test]
+fn an_image_counts_until_its_last_run_has_ended() {
+    let mut harness = harness_with_pair(&[]);
+    let mut large = worker_info("w1");
+    large.capacity.cpu = 67_000;
+    large.capacity.memory = 100_000;
+    large.labels.insert(0, "large".into());
+    let infos = vec![large, worker_info("w2")];
+    harness.shard.update_workers(harness.at, infos);
+    harness.poll_all(&["w1", "w2"]);
+    let labelled = Step {
+        required_label: Some("large".into()),
+        ..step(1, &[])
+    };
+    for id in 1..=64 {
+        let image = format!("image-{id}");
+        assert_eq!(place(&mut harness, id, &image, labelled.clone()).len(), 1);
+    }
+    assert_eq!(place(&mut harness, 65, "b", labelled.clone()).len(), 1);
+    end(&mut harness, 1, 1);
+    assert_eq!(place(&mut harness, 66, "b", labelled.clone()).len(), 1);
+    end(&mut harness, 2, 65);
+    // The other worker has more free processor time.
+    assert_eq!(place(&mut harness, 67, "a", step(1, &[])), ["w2".into()]);
+}
+
 /// Guards against a record that is larger than the store takes, or that ends the owner.
 #[test]
 fn the_record_is_bounded_and_may_be_damaged() {
