node: forget the age of a publication whose response was lost

A job that was the first of its queue could be refused with 503 and the cause store_unresponsive although the store answered all calls.

The owner remembers since when a publication of its queues has not succeeded, and refuses the jobs that wait for it after 2.2 s. If the response to a publication was lost and the records were read from the topic instead, the time was kept. The next publication, possibly hours later, then counted as late as soon as it was in progress.

The time is now reset when the records turn out to be published. The new test submits the first job of another queue five seconds after such a publication: it got 503 before and is accepted now.

--- a/crates/node/src/owner/queues.rs
+++ b/crates/node/src/owner/queues.rs
@@ -189,6 +189,7 @@
         let records = changes.records(shard);
         if records.is_empty() {
             // An append without a response may have published the queues.
+            self.queues.unpublished_since = None;
             self.submit_waiting(at);
             return;
         }
--- a/crates/node/tests/test_moved_queue.rs
+++ b/crates/node/tests/test_moved_queue.rs
@@ -167,6 +167,29 @@
     assert!(taken < Duration::from_millis(500), "{taken:?}");
 }
 
+/// Guards against a job of another queue that is refused long after a publication without a response,
+/// as if that one were still in progress.
+#[tokio::test(start_paused = true)]
+async fn a_publication_without_a_response_does_not_count_for_later_ones() {
+    let store = MemoryStore::new();
+    let config = b"@1 queue>pool-1 other>pool-1";
+    store.state().put(Topic::Operator, "config", config);
+    let node = store.start_node("vm-1").await;
+    tokio::time::sleep(START_TIME).await;
+    store.state().append_responses_lost = true;
+    let lost = Arc::clone(&store);
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        lost.state().append_responses_lost = false;
+    });
+    assert_eq!(submit(&node, "queue", 1).await, ApiResponse::Accepted);
+    // Longer than the store may take for a publication.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    // The owner decides several times before the next publication has its response.
+    store.state().call_time = Duration::from_millis(240);
+    assert_eq!(submit(&node, "other", 2).await, ApiResponse::Accepted);
+}
+
 /// Guards against submissions that ask the former pool of a queue for good.
 #[tokio::test(start_paused = true)]
 async fn a_former_pool_is_withdrawn_with_its_last_job() {
