node: simulate the time in the test of replaced connections

a_failed_call_closes_only_its_own_connection failed once beside load. It slept for 650 ms of real time and expected two connections until then. A peer without an answer is probed and its connection replaced after 950 ms, and gets no requests after 500 ms, as intended. A delay of the test by some 300 ms therefore changes the number of connections without a fault of the product.

The test now uses simulated time, in which its steps take no time. The calls, their limits and the expected number are the same.

--- a/crates/node/tests/test_peers.rs
+++ b/crates/node/tests/test_peers.rs
@@ -87,9 +87,12 @@
 
 /// Guards against late failures of the calls on an old connection that close the connection that
 /// has replaced it.
-#[tokio::test]
+///
+/// The time is simulated. A connection without an answer for long is replaced, also without a failed call,
+/// so that a delay of the test would count as a further connection.
+#[tokio::test(start_paused = true)]
 async fn a_failed_call_closes_only_its_own_connection() {
-    let clock: Arc<dyn Clock> = Arc::new(BootClock::new());
+    let clock: Arc<dyn Clock> = Arc::new(SimulatedClock);
     let (router, accepted) = router_to_silent_owner(Arc::clone(&clock)).await;
     let call = |limit| {
         let limit = Duration::from_millis(limit);
