shard: subtract only long-running tasks of evacuated zones

While short tasks still ran in a zone that had just been evacuated, the pool asked for too little capacity and admission counted too much of it as free.

Long-running tasks in an evacuated zone need no other capacity, so that their allocation is subtracted from the demand of the pool's long-running tasks. What was subtracted was the allocation of all tasks there, short ones included. These reduced the demand of long-running tasks that run in other zones, just when the pool had lost a zone.

Workers now keep the sum of what their long-running tasks are allocated, and only that is subtracted.

--- a/crates/shard/src/admission.rs
+++ b/crates/shard/src/admission.rs
@@ -41,7 +41,7 @@
     /// The allocation of the tasks that run on these workers, in millicores.
     pub used: u64,
     /// The processor time requested by jobs with long-running tasks, without their best-effort
-    /// steps and what is allocated to tasks in evacuated zones, in millicores.
+    /// steps and what is allocated to long-running tasks in evacuated zones, in millicores.
     pub long_running: u64,
     /// The remaining work of the jobs that neither have expired nor are over their team's share, in
     /// core-milliseconds.
--- a/crates/shard/src/arrivals.rs
+++ b/crates/shard/src/arrivals.rs
@@ -34,7 +34,8 @@
 }
 
 impl Arrivals {
-    /// Records an admitted job, or one that only evacuated zones have capacity for, unless it is long-running or repeated.
+    /// Records an admitted job, or one that only evacuated zones have capacity for, unless it is
+    /// long-running or repeated.
     pub(crate) fn add(&mut self, now: Instant, job: &Job) {
         self.expire(now);
         if job.is_long_running() || job.repeat.is_some() {
--- a/crates/shard/src/demand.rs
+++ b/crates/shard/src/demand.rs
@@ -64,7 +64,7 @@
                 continue;
             }
             if worker.evacuated {
-                evacuated.add(worker.used);
+                evacuated.add(worker.long_running);
             }
             if !worker.is_schedulable(now) {
                 continue;
--- a/crates/shard/src/drain.rs
+++ b/crates/shard/src/drain.rs
@@ -151,7 +151,7 @@
     }
 
     /// Returns whether a run belongs to a long-running task.
-    fn is_long_running(&self, id: RunId) -> bool {
+    pub(crate) fn is_long_running(&self, id: RunId) -> bool {
         let job = self.jobs.get(&id.task.job);
         let step = job.and_then(|j| j.job.steps.get(usize::from(id.task.step)));
         step.is_some_and(|s| s.long_running)
--- a/crates/shard/src/inspect.rs
+++ b/crates/shard/src/inspect.rs
@@ -8,6 +8,7 @@
 use crate::job::Resources;
 use crate::records::JobProgress;
 use crate::shard::Shard;
+use crate::worker::Worker;
 use crate::worker::WorkerInfo;
 
 /// A job that is not final.
@@ -32,6 +33,8 @@
     pub info: WorkerInfo,
     /// The resources allocated to tasks.
     pub used: Resources,
+    /// The part of `used` that is allocated to long-running tasks, summed over the runs.
+    pub long_running: Resources,
     /// Whether tasks may be placed on the worker.
     pub schedulable: bool,
     /// Whether the worker is in an evacuated zone.
@@ -57,9 +60,19 @@
         let views = self.workers.values().map(|w| WorkerView {
             info: w.info.clone(),
             used: w.used,
+            long_running: self.sum_long_running(w),
             schedulable: w.is_schedulable(now),
             evacuated: w.evacuated,
         });
         views.collect()
     }
+
+    /// Returns what is allocated to the long-running tasks of a worker.
+    fn sum_long_running(&self, worker: &Worker) -> Resources {
+        let mut sum = Resources::default();
+        for run in worker.runs.iter().filter(|run| self.is_long_running(**run)) {
+            sum.add(self.allocation_of(run.task));
+        }
+        sum
+    }
 }
--- a/crates/shard/src/polling.rs
+++ b/crates/shard/src/polling.rs
@@ -643,6 +643,7 @@
         for id in self.unattached.remove(worker_id).unwrap_or_default() {
             self.placement.attached += 1;
             let allocation = self.allocation_of(id.task);
+            let long_running = self.is_long_running(id);
             let Some(run) = self.run_mut(id).filter(|r| r.worker == *worker_id) else {
                 continue;
             };
@@ -654,6 +655,9 @@
             };
             if worker.runs.insert(id) {
                 worker.used.add(allocation);
+                if long_running {
+                    worker.long_running.add(allocation);
+                }
             }
             if is_misdirected {
                 worker.expect_misdirected_lease(at.now, max_lease);
--- a/crates/shard/src/runs.rs
+++ b/crates/shard/src/runs.rs
@@ -238,6 +238,7 @@
             return;
         };
         let (allocation, resources) = (step.allocation(), step.resources);
+        let long_running = step.long_running;
         let team = job.job.team.clone();
         let (worker, since) = (Arc::clone(&run.worker), run.since);
         if let Some(image) = &step.image {
@@ -251,6 +252,9 @@
         job.update_unplaced(task_id);
         if let Some(worker) = self.workers.get_mut(&worker) {
             worker.used.add(allocation);
+            if long_running {
+                worker.long_running.add(allocation);
+            }
             worker.runs.insert(id);
             worker.last_active = since;
         } else {
@@ -271,6 +275,7 @@
             return;
         };
         let (allocation, resources) = (step.allocation(), step.resources);
+        let long_running = step.long_running;
         let team = job.job.team.clone();
         let Some(task) = job.task_mut(id.task) else {
             return;
@@ -283,6 +288,9 @@
         self.image_slowdown.colocation.remove(&run.worker, id);
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.used.sub(allocation);
+            if long_running {
+                worker.long_running.sub(allocation);
+            }
             worker.runs.remove(&id);
         } else if let Some(runs) = self.unattached.get_mut(&run.worker) {
             runs.remove(&id);
--- a/crates/shard/src/worker.rs
+++ b/crates/shard/src/worker.rs
@@ -137,6 +137,8 @@
     pub(crate) lease: Lease,
     /// The resources allocated to `runs`.
     pub(crate) used: Resources,
+    /// The part of `used` that is allocated to long-running tasks.
+    pub(crate) long_running: Resources,
     /// The runs that may be executing here.
     pub(crate) runs: BTreeSet<RunId>,
     /// The highest sequence of a finished run that was processed.
@@ -207,6 +209,7 @@
             evacuated: false,
             lease: Lease::default(),
             used: Resources::default(),
+            long_running: Resources::default(),
             runs: BTreeSet::new(),
             received_seq: 0,
             stored_seq: 0,
--- a/crates/shard/src/workers.rs
+++ b/crates/shard/src/workers.rs
@@ -29,7 +29,7 @@
     pub(crate) capacity: u64,
     /// What is allocated to tasks on the schedulable workers.
     pub(crate) used: u64,
-    /// What is allocated to tasks on the workers of evacuated zones.
+    /// What is allocated to long-running tasks on the workers of evacuated zones.
     pub(crate) evacuated: u64,
 }
 
@@ -39,6 +39,8 @@
     pool: Name,
     capacity: Resources,
     used: Resources,
+    /// The part of `used` that is allocated to long-running tasks.
+    long_running: Resources,
     evacuated: bool,
 }
 
@@ -49,6 +51,7 @@
             pool: Arc::clone(&worker.info.pool),
             capacity: worker.info.capacity,
             used: worker.used,
+            long_running: worker.long_running,
         }
     }
 
@@ -196,7 +199,7 @@
             let free = entry.free_cpu();
             let pool = self.pools.entry(entry.pool).or_default();
             if entry.evacuated {
-                pool.capacity.evacuated += entry.used.cpu;
+                pool.capacity.evacuated += entry.long_running.cpu;
                 pool.evacuated += 1;
                 return;
             }
@@ -209,7 +212,7 @@
     fn uncount(&mut self, id: &Name, counted: &Counted) {
         if let Some(pool) = self.pools.get_mut(&counted.pool) {
             if counted.evacuated {
-                pool.capacity.evacuated -= counted.used.cpu;
+                pool.capacity.evacuated -= counted.long_running.cpu;
                 pool.evacuated -= 1;
                 return;
             }
--- a/crates/shard/tests/test_evacuation.rs
+++ b/crates/shard/tests/test_evacuation.rs
@@ -368,6 +368,31 @@
     assert_eq!((demand.needed.cpu, demand.reserved.cpu), (0, 0));
 }
 
+/// Guards against a pool that asks for less capacity, and admits more jobs, because short tasks still run
+/// in an evacuated zone while its long-running tasks run elsewhere.
+#[test]
+fn short_tasks_in_an_evacuated_zone_leave_the_long_running_demand() {
+    let mut harness = harness(&["b1"], &[]);
+    harness.submit(job(1, vec![long_running(2)]));
+    assert_eq!(place(&mut harness).len(), 2);
+    register(&mut harness, &["a1", "b1"]);
+    harness.poll_all(&["a1"]);
+    let long_running = |harness: &mut Harness| harness.shard.pool_load(harness.at.now, "pool");
+    let requested = long_running(&mut harness).long_running;
+    assert!(requested > 0);
+    harness.evacuate(&["b"]);
+    harness.submit(job(2, vec![step(2, &[])]));
+    assert_eq!(zones(&place(&mut harness)), ["a", "a"]);
+    harness.evacuate(&["a"]);
+    harness.tick();
+    assert_eq!(long_running(&mut harness).long_running, requested);
+    let demand = harness.shard.pool_demand(harness.at.now, "pool");
+    assert!(demand.needed.cpu >= requested, "{demand:?}");
+    harness.evacuate(&["a", "b"]);
+    harness.tick();
+    assert_eq!(long_running(&mut harness).long_running, 0);
+}
+
 /// Guards against a quota that a shard is granted for tasks that can't run, and that other shards lack.
 #[test]
 fn an_evacuated_pool_asks_for_no_quota() {
