node: let submissions wait for the workers while zones are evacuated

After a change of owner, jobs that only evacuated zones have capacity for were accepted and then held until their objective had passed, instead of being rejected. Callers that had waited for the new owner came first.

An owner accepts submissions from its first turn on, while the registrations of its workers arrive one or more calls to the store later. Until then the shard knows no workers and can't tell that all of them are in evacuated zones.

While zones are evacuated, submissions to an owner that doesn't know its workers wait for them, for 1 s at most, in the list of those that wait for the publication of their queue. They are withdrawn and refused like these. Nothing changes while no zone is evacuated.

The new test got "accepted" from a successor before and a rejection now.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -150,6 +150,10 @@
     suspended: bool,
     /// Whether the batch in flight is stored, and its effects wait until the ownership is confirmed.
     batch_stored: bool,
+    /// When the owner began.
+    started_at: Instant,
+    /// Whether the shard knows the registrations of its workers.
+    workers_known: bool,
     /// The evacuated zones that the shard knows.
     evacuated: Arc<BTreeSet<Name>>,
     queues: OwnerQueues,
@@ -197,6 +201,8 @@
         confirm_quotas: false,
         suspended: false,
         batch_stored: false,
+        started_at: at.now,
+        workers_known: false,
         evacuated: Arc::default(),
         queues: OwnerQueues::new(at.now),
         store_health: StoreHealth::default(),
@@ -228,6 +234,7 @@
                 handled += 1;
                 if let Some(list) = &*worker_updates.borrow_and_update() {
                     owner.shard.update_workers(at, list.clone());
+                    owner.workers_known = true;
                 }
             }
             () = tokio::time::sleep(wait) => turn_start = owner.context.clock.now(),
--- a/crates/node/src/owner/queues.rs
+++ b/crates/node/src/owner/queues.rs
@@ -27,6 +27,11 @@
 use crate::shard_manager::STORE_RETRY_DELAY;
 use crate::store_health::MAX_APPEND_TIME;
 
+/// How long submissions wait for the registrations of the workers while zones are evacuated. A slow store
+/// takes a quarter of a second for a listing, and callers wait for up to three seconds. Jobs are accepted
+/// afterwards, so that an outage of the workers' topic does not turn all callers away.
+const MAX_WORKERS_WAIT: Duration = Duration::from_secs(1);
+
 /// How often the owner publishes of which queues the shard holds jobs, if they have changed.
 const QUEUES_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -91,7 +96,8 @@
     }
 }
 
-/// A job that waits until it is published that the shard holds jobs of its queue.
+/// A job that waits until it is published that the shard holds jobs of its queue, and until the workers
+/// are known while zones are evacuated.
 pub(super) struct WaitingSubmission {
     pub(super) job: Box<Job>,
     pub(super) responder: oneshot::Sender<ShardResponse>,
@@ -99,7 +105,7 @@
 
 impl Owner {
     /// Submits a job, unless its queue has moved to another shard. Waits if it is not published yet that
-    /// the shard holds jobs of the queue.
+    /// the shard holds jobs of the queue, or if the workers are not known while zones are evacuated.
     pub(super) fn submit(&mut self, at: Timestamp, submission: WaitingSubmission) {
         let WaitingSubmission { job, responder } = submission;
         if !self.shard.holds_job(job.id) {
@@ -118,7 +124,8 @@
                 let _ = responder.send(UNAVAILABLE);
                 return;
             }
-            if !self.context.router.queue_shards.contains(shard, queue) {
+            let is_published = self.context.router.queue_shards.contains(shard, queue);
+            if !is_published || self.awaits_workers(at.now) {
                 self.queues
                     .waiting
                     .push(WaitingSubmission { job, responder });
@@ -129,6 +136,14 @@
         self.shard.submit(at, request_id, *job);
     }
 
+    /// Returns whether submissions wait for the registrations of the workers, without which the shard
+    /// can't tell that only evacuated zones have capacity for a job.
+    fn awaits_workers(&self, now: Instant) -> bool {
+        !self.workers_known
+            && !self.evacuated.is_empty()
+            && now.saturating_duration_since(self.started_at) < MAX_WORKERS_WAIT
+    }
+
     /// Confirms that a job is stored whose queue has moved to another shard by a configuration. That it
     /// is unknown holds only while this process owns the shard, which is checked first.
     pub(super) fn confirm_job(
--- a/crates/node/tests/test_evacuated_zones.rs
+++ b/crates/node/tests/test_evacuated_zones.rs
@@ -108,3 +108,33 @@
     assert_eq!(workers, ["worker-1", "worker-0"]);
     assert_eq!(starts[1].1.number, 2);
 }
+
+/// Guards against jobs that a successor accepts although only evacuated zones have capacity for them,
+/// because it has not read the registrations of the workers yet.
+#[tokio::test(start_paused = true)]
+async fn a_successor_rejects_jobs_before_it_knows_the_workers() {
+    let store = store_with_workers(&["z"]);
+    let first = store.start_node("vm-1").await;
+    tokio::time::sleep(START_TIME).await;
+    assert!(!is_rejected(&first, 1).await);
+    tokio::time::sleep(READ_TIME).await;
+    store.state().put(Topic::Operator, REQUEST, b"{}");
+    tokio::time::sleep(READ_TIME).await;
+    first.release_shards(START_TIME).await;
+    // The registrations arrive some time after the claim.
+    store.state().call_time = Duration::from_millis(240);
+    let second = store.start_node("vm-2").await;
+    // The first submission that is not refused has waited for the owner.
+    let mut id = 2;
+    let response = loop {
+        match submit(&second, "queue", id).await {
+            ApiResponse::Unavailable { .. } => id += 1,
+            response => break response,
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    assert!(
+        matches!(response, ApiResponse::QueueFull { .. }),
+        "{response:?}"
+    );
+}
