--- a/crates/node/src/assignment.rs
+++ b/crates/node/src/assignment.rs
@@ -310,8 +310,8 @@
     }
 
     /// Returns the member that should claim a shard of which `releasing` is the last owner: the one
-    /// with the least load for its size, on which the shard counts as [`PEAK_LOAD`]. The member that released a shard may be
-    /// about to stop and is chosen last.
+    /// with the least load for its size, on which the shard counts as [`PEAK_LOAD`]. The member that
+    /// released a shard may be about to stop and is chosen last.
     fn best_claimant<'a>(
         &self,
         now: Instant,
--- a/crates/node/tests/test_assignment.rs
+++ b/crates/node/tests/test_assignment.rs
@@ -267,8 +267,8 @@
     assert!((5..=8).contains(&count("small")), "{owners:?}");
 }
 
-/// Guards against a queue at its peak whose owner is a VM that can't keep up with it, because the larger VM that is
-/// left owns the other shards.
+/// Guards against a queue at its peak whose owner is a VM that can't keep up with it, because the larger
+/// VM that is left owns the other shards.
 #[test]
 fn the_last_large_vm_claims_the_shards_of_the_others_before_small_vms() {
     let large: Vec<Member> = (0..3)
