--- a/crates/node/src/takeover_wait.rs
+++ b/crates/node/src/takeover_wait.rs
@@ -13,7 +13,7 @@
 /// The time after which a shard normally has a new owner that is known to this process.
 pub(crate) const MAX_TAKEOVER_TIME: Duration = Duration::from_millis(3_400);
 
-/// The time after its last sign of life after which a terminated process is no longer seen as a member:
+/// The time after its last answer after which a terminated process is no longer seen as a member:
 /// the membership expires after 1.5 s, is looked at every 0.4 s, and a slow store takes a quarter of a
 /// second for each of the two calls.
 pub(crate) const MEMBER_VISIBLE_TIME: Duration = Duration::from_millis(2_400);
