--- a/crates/testing/src/fakes/mod.rs
+++ b/crates/testing/src/fakes/mod.rs
@@ -10,9 +10,11 @@
 
 pub use machines::STANDBY_POOL;
 pub use platform::FakePlatform;
+pub use platform::OTHER_TEAM_KEY;
 pub use platform::POOL;
 pub use platform::ROUTE_HOST;
 pub use platform::ROUTE_PREFIX;
 pub use platform::TEAM_KEY;
+pub use platform::idle_prefix;
 pub use store::StoreFaults;
 pub use worker::WorkerFaults;
--- a/crates/testing/src/fakes/platform.rs
+++ b/crates/testing/src/fakes/platform.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use serde_json::Value;
@@ -34,9 +36,12 @@
 /// The path prefix that the only queue of the configuration is routed by.
 pub const ROUTE_PREFIX: &str = "/checks/";
 
-/// The API key of the only team of the configuration.
+/// The API key of the first team of the configuration.
 pub const TEAM_KEY: &str = "key-of-the-team";
 
+/// The API key of the second team of the configuration.
+pub const OTHER_TEAM_KEY: &str = "key-of-the-other-team";
+
 /// How often each worker's registration is written to the store.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -55,6 +60,8 @@
     workers: Vec<(Arc<Worker>, Server)>,
     heartbeats: JoinHandle<()>,
     version: Mutex<u64>,
+    /// The number of queues whose pools have no workers.
+    idle_queues: AtomicUsize,
 }
 
 impl Drop for FakePlatform {
@@ -65,7 +72,7 @@
 
 impl FakePlatform {
     /// Starts a store and workers whose tasks run for `task_duration` each, and publishes a
-    /// configuration with one queue and one team.
+    /// configuration with one queue and two teams.
     ///
     /// # Errors
     ///
@@ -116,6 +123,7 @@
             workers: servers,
             heartbeats,
             version: Mutex::new(0),
+            idle_queues: AtomicUsize::new(0),
         };
         platform.publish_config(&[TEAM_KEY]);
         Ok(platform)
@@ -136,27 +144,51 @@
         )
     }
 
-    /// Publishes a configuration in which the team has the given API keys. Its version is 3 higher
+    /// Publishes a configuration in which the first team has the given API keys. Its version is 3 higher
     /// than that of the configuration before.
     pub fn publish_config(&self, keys: &[&str]) {
         let mut version = self.version.lock().unwrap_or_else(PoisonError::into_inner);
         *version += 3;
+        let route = |name: &str, prefix: &str, pool: &str| {
+            json!({
+                "name": name, "host": ROUTE_HOST, "path_prefix": prefix,
+                "service": pool, "max_attempts": 2, "slack_factor": 4.0,
+                "target_latency_ms": 4_000, "priority": 0, "allow_anonymous": false,
+            })
+        };
+        let mut routes = vec![route("checks", ROUTE_PREFIX, POOL)];
+        let mut services = vec![
+            json!({ "name": POOL, "standby": false }),
+            json!({ "name": STANDBY_POOL, "standby": true }),
+        ];
+        for number in 0..self.idle_queues.load(Ordering::Relaxed) {
+            let name = format!("idle-{number}");
+            routes.push(route(&name, &idle_prefix(number), &name));
+            services.push(json!({ "name": name, "standby": false }));
+        }
         let config = json!({
             "version": *version,
-            "routes": [{
-                "name": "checks", "host": ROUTE_HOST, "path_prefix": ROUTE_PREFIX,
-                "service": POOL, "max_attempts": 2, "slack_factor": 4.0,
-                "target_latency_ms": 4_000, "priority": 0, "allow_anonymous": false,
-            }],
-            "services": [
-                { "name": POOL, "standby": false }, { "name": STANDBY_POOL, "standby": true },
-            ],
+            "routes": routes,
+            "services": services,
             "limits": { "max_body_bytes": 65_536 },
-            "tenants": [{ "name": "team", "api_keys": keys, "weight": 1, "cap": { "cpu": 0 } }],
+            "tenants": [
+                { "name": "team", "api_keys": keys, "weight": 1, "cap": { "cpu": 0 } },
+                {
+                    "name": "other-team", "api_keys": [OTHER_TEAM_KEY], "weight": 1,
+                    "cap": { "cpu": 0 },
+                },
+            ],
         });
         self.put("keyed.op", "config", &config);
     }
 
+    /// Publishes a configuration with `count` further queues, each of which has a pool of its own without
+    /// workers. Their prefixes are those of [`idle_prefix`].
+    pub fn add_idle_queues(&self, count: usize) {
+        self.idle_queues.fetch_add(count, Ordering::Relaxed);
+        self.publish_config(&[TEAM_KEY]);
+    }
+
     /// Publishes a maintenance wave of `machines`, of which at most `max_unavailable` may be down
     /// at a time.
     pub fn announce_wave(&self, wave: u64, machines: &[String], max_unavailable: usize) {
@@ -335,6 +367,11 @@
     }
 }
 
+/// Returns the path prefix that a queue without workers is routed by.
+pub fn idle_prefix(number: usize) -> String {
+    format!("/idle-{number}/")
+}
+
 /// Returns the capacity of each worker in the format of the protocol.
 fn capacity() -> Value {
     json!({ "cpu": WORKER_CORES * 1_000, "mem_mb": 65_536, "gpu": 0 })
--- a/crates/testing/src/fakes/store.rs
+++ b/crates/testing/src/fakes/store.rs
@@ -28,6 +28,9 @@
 /// The number of records in a page of the latest records.
 const PAGE_SIZE: usize = 500;
 
+/// The size of the values in a page of the latest records, in bytes. A page holds one record at least.
+const PAGE_BYTES: usize = 1 << 20;
+
 /// The faults that the store injects.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StoreFaults {
@@ -105,8 +108,14 @@
         };
         let after = request.query.get("after").map(Vec::as_slice);
         let (rows, end) = self.state().read_latest(topic, part, after);
-        let more = rows.len() > PAGE_SIZE;
-        let items = rows.into_iter().take(PAGE_SIZE).map(encode_latest);
+        let mut bytes = 0;
+        let fits = rows.iter().take(PAGE_SIZE).take_while(|(_, value, _)| {
+            bytes += value.len();
+            bytes <= PAGE_BYTES
+        });
+        let count = fits.count().max(1);
+        let more = rows.len() > count;
+        let items = rows.into_iter().take(count).map(encode_latest);
         let mut body = b"{\"items\":[".to_vec();
         body.extend(items.collect::<Vec<_>>().join(b",".as_slice()));
         body.extend(format!("],\"has_more\":{more},\"end_offset\":{end}}}").bytes());
--- a/crates/testing/src/process.rs
+++ b/crates/testing/src/process.rs
@@ -29,6 +29,8 @@
     pub caller_address: SocketAddr,
     /// The address that the process serves readiness checks on.
     pub readiness_address: SocketAddr,
+    /// The address that the process serves its peers on.
+    pub peer_address: SocketAddr,
     /// The address that the process serves operators on.
     pub operator_address: SocketAddr,
 }
@@ -69,6 +71,23 @@
         dir: &Path,
         vm: &str,
         limits: &str,
+    ) -> eyre::Result<Self> {
+        let log = std::fs::File::create(dir.join(format!("{vm}.log")))?;
+        Self::start_with_output(binary, platform, dir, vm, limits, Stdio::from(log))
+    }
+
+    /// Starts `binary` like [`NodeProcess::start_with_limits`], with its log written to `output`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a file can't be written or the binary can't be started.
+    pub fn start_with_output(
+        binary: &Path,
+        platform: &FakePlatform,
+        dir: &Path,
+        vm: &str,
+        limits: &str,
+        output: Stdio,
     ) -> eyre::Result<Self> {
         let ports: [u16; 4] = free_ports();
         let settings_file = dir.join(format!("{vm}.toml"));
@@ -77,14 +96,13 @@
         // Another process may be reading its own file at this time.
         let own_settings_file = dir.join(format!("{vm}.json"));
         std::fs::write(&own_settings_file, OWN_SETTINGS)?;
-        let log = std::fs::File::create(dir.join(format!("{vm}.log")))?;
         let child = Command::new(binary)
             .arg("node")
             .arg("--settings")
             .arg(&settings_file)
             .arg("--own-settings")
             .arg(&own_settings_file)
-            .stdout(Stdio::from(log))
+            .stdout(output)
             .spawn()
             .wrap_err_with(|| format!("can't start {}", binary.display()))?;
         let loopback = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
@@ -92,6 +110,7 @@
             child,
             caller_address: loopback(ports[0]),
             readiness_address: loopback(ports[1]),
+            peer_address: loopback(ports[2]),
             operator_address: loopback(ports[3]),
         })
     }
