owner: bound the memory of accepted jobs

Clients that send valid jobs ended the owner of their shard: 3,190 jobs of 63 steps with long names that start in an hour took 285 MB of 160, and 200 small jobs one behind the other on each of 2,500 connections 278 MB. The machine then lost its other shards, and all its callers, too.

The cause: an owner counted a submission only until it was answered. Nothing counted the jobs that it keeps, nor the 95 to 250 bytes for each of up to 5,000 tasks of a body of 100 bytes, and a finished job stayed whole for the 150 s in which callers may ask for its state.

- Each shard counts the memory of its jobs and tasks, by team.
The shards of a process share a budget, 20 % of the memory beyond 20 MB.
A submission beyond it is rejected with 429, after the owner has looked for its id, so that a repeat of an accepted job is never refused for memory.
- A job may take a quarter of what is left, and a team four times what is left: small jobs and other teams find room beside a flood.
- Further occurrences of a repeated job begin while there is memory; one always may.
- Of a finished job only the state, queue and team are kept, and the record of a large one is replaced.

--- a/crates/cli/tests/floods.rs
+++ b/crates/cli/tests/floods.rs
@@ -505,7 +505,6 @@
 
 /// Guards against accepted jobs that together exceed the memory: jobs of legal size that start later.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn large_jobs_that_start_later_stay_within_the_memory() {
     let job = large_job();
     let traffic = numbered_traffic(8, move |n| {
@@ -518,7 +517,6 @@
 /// Guards against accepted jobs that together exceed the memory: many small ones on each connection,
 /// whose responses are not read.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn many_small_jobs_stay_within_the_memory() {
     let job = small_job();
     let traffic = Traffic {
@@ -533,7 +531,6 @@
 
 /// Guards against small bodies whose jobs exceed the memory: each has thousands of tasks.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn jobs_of_many_tasks_stay_within_the_memory() {
     let job = job_of_many_tasks(0);
     let traffic = numbered_traffic(200, move |n| vec![submission(100 + n, &job)]);
@@ -542,7 +539,6 @@
 
 /// Guards against small bodies whose jobs exceed the memory once they start, after all were accepted.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn jobs_of_many_tasks_that_start_later_stay_within_the_memory() {
     let job = job_of_many_tasks(unix_ms(Duration::from_secs(6)));
     let traffic = Traffic {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -74,6 +74,8 @@
     pub command_rate: f64,
     /// The processor time that the process may use, in millicores.
     pub cpu_limit: u64,
+    /// The memory of the machine, in bytes.
+    pub memory: usize,
 }
 
 /// A running node process: its shards, its configuration and its job API.
@@ -107,7 +109,7 @@
             address: settings.peer_address.to_string().into(),
             cpu_limit: Some(settings.cpu_limit),
         };
-        let router = Arc::new(Router::new(me, Arc::clone(&clock)));
+        let router = Arc::new(Router::new(me, Arc::clone(&clock), settings.memory));
         let current_config = Arc::new(CurrentConfig::default());
         let evacuated = Arc::new(EvacuatedZones::default());
         peers::serve(settings.peer_address, RouterHandler(Arc::clone(&router)))
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -46,6 +46,7 @@
 use crate::current_config::CurrentConfig;
 use crate::evacuation::EvacuatedZones;
 use crate::interference_metrics::InterferenceMetrics;
+use crate::job_budget::ShardMemory;
 use crate::message::SentQuotas;
 use crate::message::ShardRequest;
 use crate::message::ShardResponse;
@@ -135,6 +136,8 @@
     appender: Option<Appender>,
     events: mpsc::Sender<Event>,
     calls: JoinSet<()>,
+    /// The memory of the shard's jobs in the budget of the process.
+    memory: ShardMemory,
     /// The callers that wait for a response.
     responders: HashMap<RequestId, Responder>,
     next_request: u64,
@@ -185,9 +188,11 @@
     let at = timestamp(&*context.clock);
     let shard = restore_shard(&context, &mut claimed, at);
     let confirmed_at = context.claimed_at;
+    let memory = context.router.job_budget.add_shard();
     let mut owner = Owner {
         context,
         shard,
+        memory,
         fencing_token: claimed.fencing_token,
         appender: Some(claimed.appender),
         events,
@@ -642,10 +647,17 @@
         metrics::histogram!("owner_turn_seconds").record(taken.as_secs_f64());
         self.load.count_turn(handled, taken);
         self.interference.update(&self.shard);
+        self.update_memory();
         let (id, token) = (self.context.shard_id, self.fencing_token);
         self.load.log_if_due(now, id, token, &self.shard);
     }
 
+    /// Records the memory that the shard's jobs take, and tells the shard how much they may take.
+    fn update_memory(&mut self) {
+        let limit = self.memory.update(self.shard.job_memory());
+        self.shard.set_job_memory_limit(limit);
+    }
+
     /// Starts to append the next records of the shard, unless an append is in progress.
     fn store_batch(&mut self) {
         while self.appender.is_some() {
--- a/crates/node/src/owner/queues.rs
+++ b/crates/node/src/owner/queues.rs
@@ -9,12 +9,15 @@
 
 use lavenderhollow_shard::Job;
 use lavenderhollow_shard::JobId;
+use lavenderhollow_shard::JobMemory;
 use lavenderhollow_shard::Name;
 use lavenderhollow_shard::Record;
 use lavenderhollow_shard::Timestamp;
 
 use crate::backend::StoreError;
 use crate::backend::Topic;
+use crate::job_budget;
+use crate::job_budget::NoMemory;
 use crate::message::ShardResponse;
 use crate::owner::Event;
 use crate::owner::Owner;
@@ -124,6 +127,18 @@
                 let _ = responder.send(UNAVAILABLE);
                 return;
             }
+            if let Err(cause) = self.check_memory(&job) {
+                log::info!(
+                    shard:display, job:display = job.id, queue = &**queue, cause:display;
+                    "job_rejected_for_memory"
+                );
+                metrics::counter!("jobs_rejected_for_memory_total").increment(1);
+                let retry_after = job_budget::RETRY_AFTER;
+                let _ = responder.send(ShardResponse::Rejected {
+                    retry_after_ms: retry_after.as_millis() as u64,
+                });
+                return;
+            }
             let is_published = self.context.router.queue_shards.contains(shard, queue);
             if !is_published || self.awaits_workers(at.now) {
                 self.queues
@@ -136,6 +151,13 @@
         self.shard.submit(at, request_id, *job);
     }
 
+    /// Checks whether there is memory for a job, with all jobs of this turn.
+    fn check_memory(&self, job: &Job) -> Result<(), NoMemory> {
+        self.memory.update(self.shard.job_memory());
+        let bytes = JobMemory::of_job(job);
+        self.memory.check(job.team.as_ref(), bytes)
+    }
+
     /// Returns whether submissions wait for the registrations of the workers, without which the shard
     /// can't tell that only evacuated zones have capacity for a job.
     fn awaits_workers(&self, now: Instant) -> bool {
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -22,6 +22,7 @@
 use crate::attempts::Attempts;
 use crate::held_bytes::HeldBytes;
 use crate::held_bytes::Hold;
+use crate::job_budget::JobBudget;
 use crate::message::ShardRequest;
 use crate::message::ShardResponse;
 use crate::peers::MIN_CALL_TIME;
@@ -120,6 +121,8 @@
     store_answered_at: Mutex<Option<Instant>>,
     /// The submissions that the owners in this process have not answered.
     held: HeldBytes,
+    /// The memory for the jobs of the shards that this process owns.
+    pub(crate) job_budget: Arc<JobBudget>,
 }
 
 /// The outcome of one attempt to have a request carried out.
@@ -135,8 +138,9 @@
 }
 
 impl Router {
-    /// Creates a router that knows no owners yet; `me` identifies this process among the members.
-    pub fn new(me: Member, clock: Arc<dyn Clock>) -> Self {
+    /// Creates a router that knows no owners yet; `me` identifies this process among the members, and
+    /// `memory` is that of its machine, in bytes.
+    pub fn new(me: Member, clock: Arc<dyn Clock>, memory: usize) -> Self {
         Self {
             me,
             peers: Peers::new(Arc::clone(&clock)),
@@ -146,6 +150,7 @@
             local_owners: Mutex::default(),
             store_answered_at: Mutex::default(),
             held: HeldBytes::new(OWNER_QUEUE_BYTES),
+            job_budget: Arc::new(JobBudget::new(memory)),
         }
     }
 
--- a/crates/node/tests/memory_store.rs
+++ b/crates/node/tests/memory_store.rs
@@ -47,6 +47,9 @@
 /// The most bytes that an append may have.
 const MAX_APPEND_BYTES: usize = 64 << 10;
 
+/// The memory of the machine of each process, in bytes: that of the smallest VM.
+pub(crate) const MEMORY: usize = 160_000_000;
+
 /// The time after which a caller gives up a call without a response.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -211,6 +214,7 @@
             move_time: Duration::from_secs(2),
             command_rate: 200.0,
             cpu_limit: 120,
+            memory: MEMORY,
         };
         let platform = Platform {
             store: Arc::clone(self) as Arc<dyn Store>,
--- a/crates/node/tests/runner.rs
+++ b/crates/node/tests/runner.rs
@@ -9,6 +9,7 @@
 mod test_command_budget;
 mod test_evacuated_zones;
 mod test_held_bytes;
+mod test_job_budget;
 mod test_membership;
 mod test_moved_queue;
 mod test_operator_topic;
--- a/crates/node/tests/test_peers.rs
+++ b/crates/node/tests/test_peers.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 
+use crate::memory_store::MEMORY;
 use crate::memory_store::SimulatedClock;
 
 const SHARD: ShardId = ShardId(7);
@@ -50,7 +51,7 @@
 
 /// Returns a router that knows an owner at an address.
 fn router_to(address: &str, clock: Arc<dyn Clock>) -> Arc<Router> {
-    let router = Arc::new(Router::new(member("vm-1", "127.0.0.1:1"), clock));
+    let router = Arc::new(Router::new(member("vm-1", "127.0.0.1:1"), clock, MEMORY));
     let owner = Ownership {
         member: member("vm-2", address),
         fencing_token: 1,
--- a/crates/node/tests/test_silent_peer.rs
+++ b/crates/node/tests/test_silent_peer.rs
@@ -26,6 +26,7 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 
+use crate::memory_store::MEMORY;
 use crate::memory_store::MemoryStore;
 
 /// How long a caller waits at most.
@@ -93,7 +94,7 @@
 /// Returns a router that knows an owner of the fleet shard at an address.
 fn router_to(address: SocketAddr) -> Arc<Router> {
     let me = member("vm-1", SocketAddr::from(([127, 0, 0, 1], 1)));
-    let router = Arc::new(Router::new(me, Arc::new(BootClock::new())));
+    let router = Arc::new(Router::new(me, Arc::new(BootClock::new()), MEMORY));
     set_owner(&router, "vm-2", address, 1);
     router
 }
--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -151,12 +151,14 @@
             && due <= at.unix
         {
             self.due.pop_first();
+            let free = self.free_job_memory();
             let job = self.jobs.get_mut(&id).filter(|j| !j.state.is_final());
             let Some(job) = job else {
                 continue;
             };
-            job.create_due_tasks(at.unix, &mut self.placement);
+            job.create_due_tasks(at.unix, free, &mut self.placement);
             self.due.extend(job.next_due().map(|due| (due, id)));
+            self.count_memory(id);
             self.count_job(at.now, id);
             self.update_waiting(id);
         }
--- a/crates/shard/src/recovery.rs
+++ b/crates/shard/src/recovery.rs
@@ -92,10 +92,13 @@
         for task in progress.tasks.iter().chain(parts.values().flatten()) {
             self.restore_task(at, id, task);
         }
+        self.count_memory(id);
+        let free = self.free_job_memory();
         if let Some(tracked) = self.jobs.get_mut(&id) {
-            tracked.create_due_tasks(at.unix, &mut self.placement);
+            tracked.create_due_tasks(at.unix, free, &mut self.placement);
             self.due.extend(tracked.next_due().map(|due| (due, id)));
         }
+        self.count_memory(id);
         self.count_job(at.now, id);
         self.update_waiting(id);
         // Runs of a job in a final state may still be executing.
@@ -104,6 +107,7 @@
                 self.request_stop(run);
             }
             self.drop_tasks(id);
+            self.compact(id);
         }
     }
 
--- a/crates/shard/src/runs.rs
+++ b/crates/shard/src/runs.rs
@@ -247,7 +247,7 @@
         }
         if let Some(task) = job.task_mut(task_id) {
             task.last_run = task.last_run.max(run.number);
-            task.runs.push(run);
+            task.push_run(run);
         }
         job.update_unplaced(task_id);
         if let Some(worker) = self.workers.get_mut(&worker) {
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -18,6 +18,7 @@
 use crate::backlog::Backlog;
 use crate::dispatch::PlacementStats;
 use crate::evacuation::Evacuation;
+use crate::finished_jobs::FinishedJobs;
 use crate::image_slowdown::ImageSlowdown;
 use crate::job::Job;
 use crate::job::JobId;
@@ -25,6 +26,7 @@
 use crate::job::Name;
 use crate::job::Resources;
 use crate::job::TaskId;
+use crate::job_memory::JobMemory;
 use crate::policy::StepId;
 use crate::policy::Tickets;
 use crate::records::Record;
@@ -173,8 +175,13 @@
     /// When this owner acquired the shard.
     pub(crate) owned_since: Instant,
     pub(crate) jobs: HashMap<JobId, TrackedJob>,
-    /// The number of jobs of each queue.
-    queue_jobs: BTreeMap<Name, usize>,
+    /// The other jobs: those of which nothing but the final state is needed.
+    pub(crate) finished: FinishedJobs,
+    pub(crate) job_memory: JobMemory,
+    /// The most memory that the jobs may take, in bytes.
+    pub(crate) job_memory_limit: usize,
+    /// The number of jobs of each queue, finished or not.
+    pub(crate) queue_jobs: BTreeMap<Name, usize>,
     /// The jobs that are not final.
     pub(crate) unfinished: BTreeSet<JobId>,
     /// The unfinished jobs with tasks that wait for a place, as of the last placement pass.
@@ -220,7 +227,7 @@
     pub(crate) effects: Vec<Effect>,
     pub(crate) log_events: Vec<LogEvent>,
     /// The jobs with changes that are in no batch yet.
-    dirty: BTreeSet<JobId>,
+    pub(crate) dirty: BTreeSet<JobId>,
     pub(crate) unsent: UnsentJobs,
     /// The batch that collects effects until [`Shard::next_batch`] is called.
     pending_batch: Batch,
@@ -239,6 +246,9 @@
             timings,
             owned_since: now,
             jobs: HashMap::new(),
+            finished: FinishedJobs::default(),
+            job_memory: JobMemory::default(),
+            job_memory_limit: usize::MAX,
             queue_jobs: BTreeMap::new(),
             unfinished: BTreeSet::new(),
             waiting: BTreeMap::new(),
@@ -295,7 +305,8 @@
         }
         let mut tracked = TrackedJob::new(Arc::new(job), at.now, at.unix);
         tracked.over_share = over_share.is_some();
-        tracked.create_due_tasks(at.unix, &mut self.placement);
+        let free = self.free_job_memory().saturating_sub(tracked.memory());
+        tracked.create_due_tasks(at.unix, free, &mut self.placement);
         self.due.extend(tracked.next_due().map(|due| (due, id)));
         self.log_event("job_accepted", id, || {
             format!(
@@ -324,6 +335,11 @@
     /// Responds to a request that a job is stored if the job is known, as an [`Effect::Respond`] once
     /// it is. Returns whether the job is known.
     pub fn confirm(&mut self, request_id: RequestId, id: JobId) -> bool {
+        let response = Effect::Respond(request_id, Response::Accepted);
+        if self.finished.get(id).is_some() {
+            self.effects.push(response);
+            return true;
+        }
         let Some(existing) = self.jobs.get(&id) else {
             return false;
         };
@@ -331,7 +347,6 @@
             requests.push(request_id);
         }
         // A repeated submission waits for the batch that stores the first one.
-        let response = Effect::Respond(request_id, Response::Accepted);
         match existing.persisted && !self.dirty.contains(&id) && self.in_flight.is_none() {
             true => self.effects.push(response),
             false => self.pending_batch.effects.push(response),
@@ -351,15 +366,16 @@
 
     /// Returns whether the shard holds a job.
     pub fn holds_job(&self, id: JobId) -> bool {
-        self.jobs.contains_key(&id)
+        self.jobs.contains_key(&id) || self.finished.get(id).is_some()
     }
 
-    /// Adds a job, and counts it for its queue.
+    /// Adds a job, and counts it for its queue and its memory.
     pub(crate) fn insert_job(&mut self, id: JobId, job: TrackedJob) {
         let queue = Arc::clone(&job.job.queue.name);
         if self.jobs.insert(id, job).is_none() {
             *self.queue_jobs.entry(queue).or_default() += 1;
         }
+        self.count_memory(id);
     }
 
     /// Removes a job, and returns its parts with task records.
@@ -367,21 +383,34 @@
         let Some(job) = self.jobs.remove(&id) else {
             return Vec::new();
         };
-        let queue = &job.job.queue.name;
+        self.forget_memory(job.job.team.clone(), job.counted_bytes);
+        self.forget_queue_job(&job.job.queue.name);
+        job.stored_parts.into_keys().collect()
+    }
+
+    /// Removes a job from the count of its queue.
+    pub(crate) fn forget_queue_job(&mut self, queue: &Name) {
         if let Some(count) = self.queue_jobs.get_mut(queue) {
             *count -= 1;
             if *count == 0 {
                 self.queue_jobs.remove(queue);
             }
         }
-        job.stored_parts.into_keys().collect()
+    }
+
+    /// Removes the records of a job from the store with the next batch.
+    pub(crate) fn add_tombstones(&mut self, id: JobId) {
+        self.pending_tombstones.extend(tombstones(id, []));
     }
 
     /// Cancels a job unless it is final. The response follows as an [`Effect::Respond`].
     pub fn cancel(&mut self, at: Timestamp, request_id: RequestId, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else {
-            self.effects
-                .push(Effect::Respond(request_id, Response::NotFound));
+            let response = match self.finished.get(id) {
+                Some(_) => Response::Accepted,
+                None => Response::NotFound,
+            };
+            self.effects.push(Effect::Respond(request_id, response));
             return;
         };
         if !job.state.is_final() {
@@ -396,6 +425,9 @@
 
     /// Returns the state of a job as it is reported to callers, `None` for an unknown job.
     pub fn state(&self, id: JobId) -> Option<JobState> {
+        if let Some(job) = self.finished.get(id) {
+            return Some(job.state);
+        }
         let job = self.jobs.get(&id)?;
         Some(match (job.stored_state, job.state) {
             // A task has started, and neither that nor the job's final state is stored yet.
@@ -429,6 +461,8 @@
             };
             if !mem::replace(&mut job.persisted, true) {
                 records.push(job_record(&job.job));
+            } else if let Some(summary) = job.large_job_summary() {
+                records.push(job_record(&summary));
             }
             records.extend(job.progress_records());
             if job.stored_state != job.state {
@@ -586,8 +620,7 @@
         Some(Arc::clone(&worker.info.address))
     }
 
-    /// Removes the jobs whose retention has ended. It runs only now and then, since it iterates
-    /// over all jobs.
+    /// Collects the finished jobs, and removes those whose retention has ended.
     pub(crate) fn gc_finished(&mut self, now: Instant) {
         /// Short in comparison with the retention of finished jobs.
         const GC_INTERVAL: Duration = Duration::from_secs(1);
@@ -595,6 +628,8 @@
             return;
         }
         self.next_gc = now + GC_INTERVAL;
+        self.collect_finished(now);
+        // These have task records that an earlier owner stored.
         let retention = self.timings.retention;
         let expired = self.jobs.iter().filter(|(_, job)| {
             job.occurrences.is_empty()
@@ -701,6 +736,7 @@
             job.drop_finished(occurrence);
             self.due.extend(job.next_due().map(|due| (due, id)));
         }
+        self.count_memory(id);
     }
 
     /// Drops the tasks of a final job once none of its runs may still be executing.
@@ -714,6 +750,7 @@
                 job.occurrences.clear();
             }
         }
+        self.count_memory(id);
     }
 
     /// Returns the runs of a job that may be executing.
--- a/crates/shard/src/tracked_job.rs
+++ b/crates/shard/src/tracked_job.rs
@@ -16,6 +16,8 @@
 use crate::job::Name;
 use crate::job::Resources;
 use crate::job::TaskId;
+use crate::job_memory::JobMemory;
+use crate::job_memory::TASK_BYTES;
 use crate::occurrence_set::OccurrenceSet;
 use crate::records::JobProgress;
 use crate::records::Record;
@@ -47,6 +49,10 @@
 /// It is twice [`MAX_TASKS`](crate::MAX_TASKS), so that occurrences of any size can overlap.
 const MAX_OPEN_TASKS: u64 = 2 * crate::job::MAX_TASKS;
 
+/// The size of a job in bytes above which its record is replaced once it has finished. The jobs of
+/// ordinary callers have 1 to 2 kB, for which another record would cost more than it saves.
+const LARGE_JOB: usize = 4_096;
+
 /// A job is late after its objective, and expires after its objective times this factor.
 pub(crate) const EXPIRY_FACTOR: u32 = 3;
 
@@ -192,6 +198,12 @@
 }
 
 impl Task {
+    /// Adds a run. Most tasks have one at a time.
+    pub(crate) fn push_run(&mut self, run: Run) {
+        self.runs.reserve_exact(1);
+        self.runs.push(run);
+    }
+
     pub(crate) fn run_mut(&mut self, number: u32) -> Option<&mut Run> {
         self.runs.iter_mut().find(|r| r.number == number)
     }
@@ -257,6 +269,12 @@
     pub(crate) long_running: bool,
     /// The result of [`Job::work`].
     work: u64,
+    /// The result of [`Job::approximate_size`].
+    size: usize,
+    /// The memory that the shard counts for the job, in bytes.
+    pub(crate) counted_bytes: usize,
+    /// Whether further occurrences wait for memory, until tasks of an earlier one have ended.
+    lacks_memory: bool,
     remaining: RemainingWork,
     /// The occurrences before this one have begun.
     next_occurrence: u32,
@@ -279,6 +297,9 @@
             objective: job.objective(),
             long_running: job.is_long_running(),
             work: job.work(),
+            size: job.approximate_size(),
+            counted_bytes: 0,
+            lacks_memory: false,
             remaining: RemainingWork::default(),
             next_occurrence: 0,
             finished: OccurrenceSet::default(),
@@ -312,12 +333,37 @@
         }
     }
 
-    /// Creates the tasks of the occurrences that are due, as far as [`MAX_OPEN_TASKS`] allows.
-    pub(crate) fn create_due_tasks(&mut self, unix: Duration, stats: &mut PlacementStats) {
+    /// Returns the memory that the job takes, in bytes. The tasks of an unfinished job count before
+    /// they are created, so that a job that was accepted can run.
+    pub(crate) fn memory(&self) -> usize {
+        let least = usize::from(!self.state.is_final());
+        let occurrences = self.occurrences.len().max(least);
+        let tasks = usize::try_from(self.tasks_per_occurrence()).unwrap_or(usize::MAX);
+        JobMemory::of_tasks(self.size, occurrences.saturating_mul(tasks))
+    }
+
+    /// Creates the tasks of the occurrences that are due, as far as [`MAX_OPEN_TASKS`] and `free` bytes
+    /// of memory allow. One occurrence always begins.
+    pub(crate) fn create_due_tasks(
+        &mut self,
+        unix: Duration,
+        free: usize,
+        stats: &mut PlacementStats,
+    ) {
         if self.state.is_final() {
             return;
         }
+        let tasks = usize::try_from(self.tasks_per_occurrence()).unwrap_or(usize::MAX);
+        let needed = tasks.saturating_mul(TASK_BYTES);
+        let mut free = free;
         while self.next_due().is_some_and(|due| due <= unix) {
+            if !self.occurrences.is_empty() {
+                if needed > free {
+                    self.lacks_memory = true;
+                    return;
+                }
+                free -= needed;
+            }
             self.create_occurrence(self.next_occurrence, stats);
             self.next_occurrence += 1;
         }
@@ -358,6 +404,7 @@
     /// Drops the tasks of an occurrence if all of them are done and none has a run that may be
     /// executing.
     pub(crate) fn drop_finished(&mut self, occurrence: u32) {
+        self.lacks_memory = false;
         if !self.finished.contains(occurrence) {
             return;
         }
@@ -425,7 +472,8 @@
     /// and while too many tasks of earlier ones are open.
     pub(crate) fn next_due(&self) -> Option<Duration> {
         let remains = self.next_occurrence < self.occurrence_count();
-        (remains && self.may_begin_occurrence()).then(|| self.scheduled_unix(self.next_occurrence))
+        (remains && !self.lacks_memory && self.may_begin_occurrence())
+            .then(|| self.scheduled_unix(self.next_occurrence))
     }
 
     /// Computes anew what remains of an occurrence, after its tasks were created or one is done.
@@ -550,6 +598,20 @@
         }
     }
 
+    /// Returns what is stored of a large job once it has finished, in place of its steps and payload,
+    /// which nobody reads any more. The next owner reads the records of all jobs.
+    pub(crate) fn large_job_summary(&self) -> Option<Job> {
+        let has_ended = self.state.is_final() && self.occurrences.is_empty();
+        (has_ended && self.size > LARGE_JOB).then(|| Job {
+            id: self.job.id,
+            queue: self.job.queue.clone(),
+            team: self.job.team.clone(),
+            payload: Name::from(""),
+            steps: Vec::new(),
+            repeat: self.job.repeat,
+        })
+    }
+
     /// Returns the records that store the job's progress, as far as they have changed.
     ///
     /// The tasks of a job with many of them, over all its occurrences, are in records of their own, so
--- a/crates/shard/tests/runner.rs
+++ b/crates/shard/tests/runner.rs
@@ -8,6 +8,7 @@
 mod test_evacuation;
 mod test_interference;
 mod test_job;
+mod test_job_memory;
 mod test_kinds;
 mod test_lease;
 mod test_lossy_polls;
