claim: take over a shard only with memory for its jobs

A process that is the last one left claimed the shards of all others. Each owner had kept within its own memory, but together their jobs took 67,636 kB of 40,000; with the budget of accepted jobs alone 34,612 kB, and every submission got 429, since the process was over its limit.

- The records of a claimed shard count in the budget while they are read, and its jobs before they are restored.
If they don't fit beside the process's other jobs, the shard stays without an owner and the process tries again after 5 s.
The first shard always fits.
- Members publish the memory of their VMs, as they do their processor time.
The smallest sets the limit of accepted jobs for all, so that any member can take over any shard.

--- a/crates/cli/tests/floods.rs
+++ b/crates/cli/tests/floods.rs
@@ -591,7 +591,6 @@
 /// Guards against a process that exceeds its memory when it takes over the shards of all others, each of
 /// which is within its own memory.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn the_last_process_stays_within_the_memory() {
     let _lock = ONE_AT_A_TIME.lock().await;
     let scene = Scene::new("last", MAX_FDS).await;
--- a/crates/node/src/assignment.rs
+++ b/crates/node/src/assignment.rs
@@ -66,6 +66,9 @@
 /// Separates the name of a VM from its processor time in the name of a member.
 const CPU_SEPARATOR: char = '#';
 
+/// Separates the name of a VM from its memory, which stands before the processor time.
+const MEMORY_SEPARATOR: char = '%';
+
 /// One process of the system, from its start to its end.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(from = "MemberRecord", into = "MemberRecord")]
@@ -79,10 +82,13 @@
     /// The processor time that the process may use, in millicores; `None` for a process of a build
     /// that does not publish it.
     pub cpu_limit: Option<u64>,
+    /// The memory of the VM, in MB of 1,000,000 bytes; `None` for a process of a build that does not
+    /// publish it.
+    pub memory_mb: Option<u64>,
 }
 
-/// The stored form of a [`Member`], by field position. A build that does not know the processor time
-/// takes it for a part of the VM's name, and recognizes the member all the same.
+/// The stored form of a [`Member`], by field position. A build that does not know the processor time or
+/// the memory takes it for a part of the VM's name, and recognizes the member all the same.
 #[derive(Serialize, Deserialize)]
 struct MemberRecord {
     sized_vm: Name,
@@ -102,22 +108,34 @@
 
 impl From<MemberRecord> for Member {
     fn from(record: MemberRecord) -> Self {
-        let (vm, cpu_limit) = split_sized_vm(&record.sized_vm);
+        let (vm, cpu_limit, memory_mb) = split_sized_vm(&record.sized_vm);
         Self {
             vm: vm.into(),
             started_ms: record.started_ms,
             address: record.address,
             cpu_limit,
+            memory_mb,
         }
     }
 }
 
-/// Splits the name of a VM with its processor time; the second part is `None` if there is none.
-fn split_sized_vm(text: &str) -> (&str, Option<u64>) {
-    let parts = text.rsplit_once(CPU_SEPARATOR);
-    let sized = parts.and_then(|(vm, cpu)| Some((vm, cpu.parse().ok().filter(|&c| c > 0)?)));
-    match sized.filter(|(vm, _)| !vm.is_empty()) {
-        Some((vm, cpu)) => (vm, Some(cpu)),
+/// Splits the name of a VM with its size into the name, the processor time and the memory, each `None` if
+/// it is not there.
+fn split_sized_vm(text: &str) -> (&str, Option<u64>, Option<u64>) {
+    let (vm, cpu) = split_number(text, CPU_SEPARATOR);
+    let (vm, memory) = match cpu {
+        Some(_) => split_number(vm, MEMORY_SEPARATOR),
+        None => (vm, None),
+    };
+    (vm, cpu, memory)
+}
+
+/// Splits off a positive number behind the last separator, if there is one.
+fn split_number(text: &str, separator: char) -> (&str, Option<u64>) {
+    let parts = text.rsplit_once(separator);
+    let sized = parts.and_then(|(rest, n)| Some((rest, n.parse().ok().filter(|&n| n > 0)?)));
+    match sized.filter(|(rest, _)| !rest.is_empty()) {
+        Some((rest, number)) => (rest, Some(number)),
         None => (text, None),
     }
 }
@@ -135,11 +153,14 @@
 }
 
 impl Member {
-    /// Returns the name of the VM with its processor time, which an older build takes for its name.
+    /// Returns the name of the VM with its size, which an older build takes for its name.
     fn sized_vm(&self) -> String {
-        match self.cpu_limit {
-            Some(cpu) => format!("{}{CPU_SEPARATOR}{cpu}", self.vm),
-            None => self.vm.to_string(),
+        match (self.cpu_limit, self.memory_mb) {
+            (Some(cpu), Some(memory)) => {
+                format!("{}{MEMORY_SEPARATOR}{memory}{CPU_SEPARATOR}{cpu}", self.vm)
+            }
+            (Some(cpu), None) => format!("{}{CPU_SEPARATOR}{cpu}", self.vm),
+            (None, _) => self.vm.to_string(),
         }
     }
 
@@ -151,7 +172,7 @@
 
 /// The error for a text that is not the name of a member.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
-#[display("a member has the form VM/STARTED/ADDRESS or VM#MILLICORES/STARTED/ADDRESS")]
+#[display("a member has the form VM/STARTED/ADDRESS or VM%MEGABYTES#MILLICORES/STARTED/ADDRESS")]
 pub struct InvalidMember;
 
 impl FromStr for Member {
@@ -160,12 +181,13 @@
     fn from_str(text: &str) -> Result<Self, InvalidMember> {
         let mut parts = text.splitn(3, '/');
         let mut next = || parts.next().filter(|p| !p.is_empty()).ok_or(InvalidMember);
-        let (vm, cpu_limit) = split_sized_vm(next()?);
+        let (vm, cpu_limit, memory_mb) = split_sized_vm(next()?);
         Ok(Self {
             vm: vm.into(),
             started_ms: next()?.parse().map_err(|_| InvalidMember)?,
             address: next()?.into(),
             cpu_limit,
+            memory_mb,
         })
     }
 }
@@ -301,6 +323,11 @@
         loads
     }
 
+    /// Returns the smallest memory of a live member that publishes it, in MB.
+    pub fn smallest_memory(&self) -> Option<u64> {
+        self.members.keys().filter_map(|m| m.memory_mb).min()
+    }
+
     /// Returns the processor time of each live member in millicores. All count alike if any member
     /// publishes none, so that processes of an older build choose the same members.
     fn sizes(&self) -> BTreeMap<&Member, u64> {
--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -1,8 +1,17 @@
 //! Claims shards with a conditional append to the shard's partition. The offset of the claim
 //! determines the fencing token.
 
+use std::mem;
+use std::sync::Arc;
+
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+use lavenderhollow_shard::JobMemory;
 use lavenderhollow_shard::LEASES_KEY;
 use lavenderhollow_shard::Record;
+use lavenderhollow_shard::StoredRecord;
+use lavenderhollow_shard::decode_record;
 
 use crate::appender::Appender;
 use crate::appender::OwnershipLost;
@@ -12,7 +21,10 @@
 use crate::backend::Platform;
 use crate::backend::StoreError;
 use crate::backend::Topic;
+use crate::job_budget::JobBudget;
+use crate::job_budget::ShardMemory;
 use crate::listing::read_all_latest;
+use crate::listing::read_latest_while;
 use crate::shard_id::ShardId;
 
 /// The key of the record with which a process claims a shard.
@@ -44,6 +56,46 @@
     /// The latest record of each key of the shard. The one of the leases of silent workers is missing
     /// if the previous owner did not store it.
     pub entries: Vec<Entry>,
+    /// The records that [`Self::decode_records`] has decoded.
+    pub records: Vec<StoredRecord>,
+    /// The memory for the shard's jobs.
+    pub memory: ShardMemory,
+}
+
+impl ClaimedShard {
+    /// Decodes the entries of a shard with jobs, and reserves the memory of the jobs. Drops each entry
+    /// once it is decoded, since the entries take as much memory as the records.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClaimError::NoMemory`] if there is none for the jobs.
+    pub fn decode_records(&mut self, shard: ShardId) -> Result<(), ClaimError> {
+        for entry in mem::take(&mut self.entries) {
+            let Some(value) = entry.value else {
+                continue;
+            };
+            match decode_record(&entry.key, &value) {
+                Ok(Some(decoded)) => self.records.push(decoded),
+                Ok(None) => {}
+                Err(error) => log::error!(shard:display, error:display; "record_decode_failed"),
+            }
+        }
+        match self.memory.reserve(JobMemory::of_records(&self.records)) {
+            true => Ok(()),
+            false => Err(ClaimError::NoMemory),
+        }
+    }
+}
+
+/// Why a shard was not claimed.
+#[derive(Debug, Display, Error, From)]
+pub enum ClaimError {
+    /// A call to the store failed.
+    #[display("{_0}")]
+    Store(StoreError),
+    /// The process has no memory for the jobs of the shard beside those that it has.
+    #[display("no memory for the jobs of the shard")]
+    NoMemory,
 }
 
 /// What a claim is based on, as of one read of the shard's partition.
@@ -79,16 +131,20 @@
 /// owner with an older build may have renewed these leases. Such a record is stored again with the
 /// claim, so that it still holds if this process stores nothing else.
 ///
+/// The records are counted in `budget` while they are read. Without memory for them the shard stays without
+/// an owner, and its records as they are.
+///
 /// # Errors
 ///
-/// Returns the error of a failed read, and [`StoreError::OffsetMismatch`] if another process has
-/// appended.
+/// Returns the error of a failed read, [`StoreError::OffsetMismatch`] if another process has
+/// appended, and [`ClaimError::NoMemory`].
 pub async fn claim(
     platform: &Platform,
     shard: ShardId,
     me: &Member,
     head: PartitionHead,
-) -> Result<ClaimedShard, StoreError> {
+    budget: &Arc<JobBudget>,
+) -> Result<ClaimedShard, ClaimError> {
     let topic = Topic::Shard(shard);
     let end_offset = head.end_offset;
     let mut appender = Appender::new(platform.store.clone(), topic, end_offset);
@@ -99,11 +155,14 @@
     let mut records = vec![record];
     records.extend(head.leases);
     if let Err(OwnershipLost) = appender.append(&records).await {
-        return Err(StoreError::OffsetMismatch { end_offset });
+        return Err(StoreError::OffsetMismatch { end_offset }.into());
     }
     // An offset may be zero, and workers treat a missing token as zero.
     let fencing_token = end_offset + 1;
-    let mut entries = read_all_latest(&*platform.store, topic).await?.entries;
+    let memory = budget.add_shard();
+    let fits = |entries: &[Entry]| memory.reserve(entries.iter().map(entry_size).sum());
+    let listing = read_latest_while(&*platform.store, topic, fits).await?;
+    let mut entries = listing.ok_or(ClaimError::NoMemory)?.entries;
     // A record at a lower offset did not hold, or it would have been stored again.
     entries.retain(|e| e.key != LEASES_KEY || e.offset > end_offset);
     let released = entries
@@ -114,9 +173,16 @@
         fencing_token,
         released,
         entries,
+        records: Vec::new(),
+        memory,
     })
 }
 
+/// Returns the memory of a record that was read, in bytes.
+fn entry_size(entry: &Entry) -> usize {
+    size_of::<Entry>() + entry.key.len() + entry.value.as_ref().map_or(0, Vec::len)
+}
+
 /// Returns the record of the leases of silent workers if the owner with the last claim stored it.
 fn valid_leases(entries: &[Entry]) -> Option<Record> {
     let entry = |key: &str| entries.iter().find(|e| e.key == key);
--- a/crates/node/src/job_budget.rs
+++ b/crates/node/src/job_budget.rs
@@ -3,7 +3,8 @@
 //! It answers floods of jobs that are valid one by one: large jobs that start later, jobs of thousands of
 //! tasks, and small jobs by the ten thousand. The rules leave room for the others: a team gets no more
 //! than a multiple of what remains free, so that a second team always finds room, and a large job no more
-//! than a part of it, so that small jobs are accepted longest.
+//! than a part of it, so that small jobs are accepted longest. A process takes over a shard only if the
+//! shard's jobs fit beside those that it has.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -20,6 +21,9 @@
 /// machine. A debug build was measured to take 18,070 kB after its start.
 pub const PROCESS_MEMORY: usize = 20_000_000;
 
+/// A megabyte, in bytes.
+pub(crate) const MEGABYTE: usize = 1_000_000;
+
 /// The part of the remaining memory that jobs may take, in percent: 28 MB on the smallest VM, of 160 MB.
 /// docs/design/caller-memory.md computes what callers within the limits need.
 const JOB_MEMORY_PERCENT: usize = 20;
@@ -51,14 +55,18 @@
 /// The memory for the jobs of all shards that a process owns, in bytes.
 #[derive(Debug)]
 pub struct JobBudget {
-    limit: usize,
+    /// The limit by the memory of this machine.
+    own_limit: usize,
     shards: Mutex<Shards>,
 }
 
 #[derive(Debug, Default)]
 struct Shards {
+    limit: usize,
     next_id: u64,
     used: BTreeMap<u64, JobMemory>,
+    /// What the shards take that are being restored.
+    reserved: BTreeMap<u64, usize>,
 }
 
 /// The memory of one shard's jobs, which is free again when this is dropped.
@@ -71,17 +79,26 @@
 impl JobBudget {
     /// Creates the budget of a process on a machine with this memory, in bytes.
     pub fn new(memory: usize) -> Self {
-        let remaining = memory.saturating_sub(PROCESS_MEMORY);
-        let limit = remaining / 100 * JOB_MEMORY_PERCENT;
+        let own_limit = limit_on(memory);
         Self {
-            limit: limit.max(MIN_JOB_MEMORY),
-            shards: Mutex::default(),
+            own_limit,
+            shards: Mutex::new(Shards {
+                limit: own_limit,
+                ..Shards::default()
+            }),
         }
     }
 
     /// Returns the most memory that the jobs may take, in bytes.
     pub fn limit(&self) -> usize {
-        self.limit
+        self.lock().limit
+    }
+
+    /// Sets the memory of the smallest machine that may take over the shards of this process, in MB.
+    pub fn set_smallest(&self, memory_mb: u64) {
+        let memory =
+            usize::try_from(memory_mb).map_or(usize::MAX, |mb| mb.saturating_mul(MEGABYTE));
+        self.lock().limit = self.own_limit.min(limit_on(memory));
     }
 
     /// Adds a shard, whose jobs take no memory yet.
@@ -101,9 +118,16 @@
     }
 }
 
+/// Returns the most memory that jobs may take on a machine with this memory, in bytes.
+fn limit_on(memory: usize) -> usize {
+    let remaining = memory.saturating_sub(PROCESS_MEMORY);
+    (remaining / 100 * JOB_MEMORY_PERCENT).max(MIN_JOB_MEMORY)
+}
+
 impl Shards {
     fn total(&self) -> usize {
-        self.used.values().map(JobMemory::total).sum()
+        let used: usize = self.used.values().map(JobMemory::total).sum();
+        used + self.reserved.values().sum::<usize>()
     }
 
     fn of_team(&self, team: Option<&Name>) -> usize {
@@ -115,12 +139,27 @@
     /// Records the memory that the shard's jobs take, and returns the most that they may take, in bytes.
     pub fn update(&self, used: &JobMemory) -> usize {
         let mut shards = self.budget.lock();
+        shards.reserved.remove(&self.id);
         if shards.used.get(&self.id) != Some(used) {
             shards.used.insert(self.id, used.clone());
         }
         let total = shards.total();
         metrics::gauge!("job_bytes").set(total as f64);
-        (self.budget.limit + used.total()).saturating_sub(total)
+        (shards.limit + used.total()).saturating_sub(total)
+    }
+
+    /// Reserves memory for a shard that is being restored, in place of what was reserved before, until
+    /// [`update`](Self::update) is called. Returns whether there is that much. A process without other
+    /// jobs takes every shard, since an owner on an equal machine had room for it.
+    pub fn reserve(&self, bytes: usize) -> bool {
+        let mut shards = self.budget.lock();
+        shards.reserved.remove(&self.id);
+        let others = shards.total();
+        let fits = others == 0 || others + bytes <= shards.limit;
+        if fits {
+            shards.reserved.insert(self.id, bytes);
+        }
+        fits
     }
 
     /// Checks whether there is memory for a further job of a team that takes `bytes`.
@@ -130,7 +169,7 @@
     /// Fails if there is not. The job may be submitted again once others have finished.
     pub fn check(&self, team: Option<&Name>, bytes: usize) -> Result<(), NoMemory> {
         let shards = self.budget.lock();
-        let free = self.budget.limit.saturating_sub(shards.total());
+        let free = shards.limit.saturating_sub(shards.total());
         if bytes > free / JOB_PART {
             return Err(NoMemory::Job);
         }
@@ -144,6 +183,8 @@
 
 impl Drop for ShardMemory {
     fn drop(&mut self) {
-        self.budget.lock().used.remove(&self.id);
+        let mut shards = self.budget.lock();
+        shards.used.remove(&self.id);
+        shards.reserved.remove(&self.id);
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -64,6 +64,7 @@
 pub use caller_budget::SERVING_FACTOR;
 pub use caller_budget::UNREAD_CHARGE;
 pub use caller_budget::Victim;
+pub use claim::ClaimError;
 pub use claim::ClaimedShard;
 pub use claim::PartitionHead;
 pub use claim::claim;
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -254,6 +254,9 @@
             let mut cluster = self.router.cluster();
             let before = cluster.members().cloned().collect();
             cluster.set_members(self.clock.now(), members);
+            if let Some(memory_mb) = cluster.smallest_memory() {
+                self.router.job_budget.set_smallest(memory_mb);
+            }
             (before, cluster.members().cloned().collect())
         };
         if before != after {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,6 +22,7 @@
 use crate::current_config::CurrentConfig;
 use crate::evacuation::EvacuatedZones;
 use crate::job_api::JobApi;
+use crate::job_budget::MEGABYTE;
 use crate::load_monitor;
 use crate::operators;
 use crate::operators::OperatorContext;
@@ -108,6 +109,7 @@
             started_ms: u64::try_from(start_time.as_millis()).unwrap_or(u64::MAX),
             address: settings.peer_address.to_string().into(),
             cpu_limit: Some(settings.cpu_limit),
+            memory_mb: u64::try_from(settings.memory / MEGABYTE).ok(),
         };
         let router = Arc::new(Router::new(me, Arc::clone(&clock), settings.memory));
         let current_config = Arc::new(CurrentConfig::default());
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -24,7 +24,6 @@
 use lavenderhollow_shard::Timestamp;
 use lavenderhollow_shard::Timings;
 use lavenderhollow_shard::WorkerReport;
-use lavenderhollow_shard::decode_record;
 use lavenderhollow_shard::split_batch;
 use lavenderhollow_types::Clock;
 use tokio::sync::mpsc;
@@ -188,11 +187,10 @@
     let at = timestamp(&*context.clock);
     let shard = restore_shard(&context, &mut claimed, at);
     let confirmed_at = context.claimed_at;
-    let memory = context.router.job_budget.add_shard();
     let mut owner = Owner {
         context,
         shard,
-        memory,
+        memory: claimed.memory,
         fencing_token: claimed.fencing_token,
         appender: Some(claimed.appender),
         events,
@@ -279,8 +277,8 @@
     owner.stop().await
 }
 
-/// Creates the state of a claimed shard from the records of its earlier owners. Takes the records out of
-/// `claimed`, and drops each once it is decoded, since they take as much memory as the state.
+/// Creates the state of a claimed shard from the records of its earlier owners, which it takes out of
+/// `claimed`.
 fn restore_shard(context: &OwnerContext, claimed: &mut ClaimedShard, at: Timestamp) -> Shard {
     let mut timings = context.timings;
     if claimed.released {
@@ -288,21 +286,7 @@
     }
     let mut shard = Shard::new(timings, at.now);
     shard.set_fencing_token(claimed.fencing_token);
-    let mut records = Vec::new();
-    for entry in mem::take(&mut claimed.entries) {
-        let Some(value) = entry.value else {
-            continue;
-        };
-        match decode_record(&entry.key, &value) {
-            Ok(Some(decoded)) => records.push(decoded),
-            Ok(None) => {}
-            Err(error) => {
-                log::error!(
-                    shard:display = context.shard_id, error:display; "record_decode_failed"
-                );
-            }
-        }
-    }
+    let records = mem::take(&mut claimed.records);
     let restored = records.len();
     shard.restore(at, records);
     log::info!(
--- a/crates/node/src/shard_manager.rs
+++ b/crates/node/src/shard_manager.rs
@@ -19,6 +19,7 @@
 use crate::backend::StoreError;
 use crate::backend::Topic;
 use crate::claim;
+use crate::claim::ClaimError;
 use crate::claim::ClaimedShard;
 use crate::cluster_config::Wave;
 use crate::current_config::CurrentConfig;
@@ -52,6 +53,10 @@
 /// still works, and is likely to have renewed its membership by then.
 const PROGRESS_DELAY: Duration = Duration::from_secs(1);
 
+/// The delay before a shard is claimed again for whose jobs there was no memory. Another member has
+/// claimed it by then if one has memory for it.
+const NO_MEMORY_DELAY: Duration = Duration::from_secs(5);
+
 /// The timeout of a request to a peer for the owners that it knows.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -287,8 +292,12 @@
             Err(error) => {
                 log::info!(shard:display, error:display; "claim_failed");
                 let delay = match error {
-                    StoreError::OffsetMismatch { .. } => PROGRESS_DELAY,
-                    _ => STORE_RETRY_DELAY,
+                    ClaimError::Store(StoreError::OffsetMismatch { .. }) => PROGRESS_DELAY,
+                    ClaimError::Store(_) => STORE_RETRY_DELAY,
+                    ClaimError::NoMemory => {
+                        metrics::counter!("claims_without_memory_total").increment(1);
+                        NO_MEMORY_DELAY
+                    }
                 };
                 tokio::time::sleep(delay).await;
             }
@@ -305,7 +314,7 @@
     async fn try_claim(
         &self,
         shard: ShardId,
-    ) -> Result<Option<(ClaimedShard, Instant)>, StoreError> {
+    ) -> Result<Option<(ClaimedShard, Instant)>, ClaimError> {
         let platform = &self.context.platform;
         let (head, (), owners) = futures::try_join!(
             claim::read_head(platform, shard),
@@ -326,7 +335,11 @@
             log::info!(shard:display; "claim_abandoned");
             return Ok(None);
         }
-        let claimed = claim::claim(platform, shard, me, head).await?;
+        let budget = &self.context.router.job_budget;
+        let mut claimed = claim::claim(platform, shard, me, head, budget).await?;
+        if shard != ShardId::FLEET {
+            claimed.decode_records(shard)?;
+        }
         Ok(Some((claimed, now)))
     }
 
--- a/crates/node/tests/test_assignment.rs
+++ b/crates/node/tests/test_assignment.rs
@@ -17,6 +17,7 @@
         started_ms,
         address: format!("10.0.0.1:{started_ms}").into(),
         cpu_limit: None,
+        memory_mb: None,
     }
 }
 
@@ -302,6 +303,7 @@
         Some(Member {
             vm: vm.into(),
             cpu_limit: None,
+            memory_mb: None,
             ..format!("x/{rest}").parse().ok()?
         })
     };
@@ -353,6 +355,28 @@
     assert_eq!(odd.to_string().parse(), Ok(odd));
 }
 
+/// Guards against the memory of a VM that is lost on the way or taken for a part of its name.
+#[test]
+fn members_publish_the_memory_of_their_vms() {
+    let with_memory = |vm: &str, memory_mb| Member {
+        memory_mb,
+        ..sized(vm, 1, 120)
+    };
+    let me = with_memory("edge-a-1", Some(160));
+    assert_eq!(me.to_string(), "edge-a-1%160#120/1/10.0.0.1:1");
+    for member in [me, with_memory("edge%a", Some(160)), with_memory("%", None)] {
+        assert_eq!(member.to_string().parse(), Ok(member.clone()));
+        let record = postcard::to_allocvec(&owned(&member, 5)).expect("a valid owner");
+        assert_eq!(postcard::from_bytes(&record), Ok(owned(&member, 5)));
+    }
+    let mut cluster = ClusterState::default();
+    assert_eq!(cluster.smallest_memory(), None);
+    let members = [("a", Some(512)), ("b", Some(160)), ("c", None)];
+    let members = members.map(|(vm, memory)| with_memory(vm, memory));
+    cluster.set_members(Instant::now(), members);
+    assert_eq!(cluster.smallest_memory(), Some(160));
+}
+
 /// Guards against a process that waits for its predecessor of an older build or another size.
 #[test]
 fn a_process_of_another_build_or_size_supersedes_its_predecessor() {
--- a/crates/node/tests/test_claim.rs
+++ b/crates/node/tests/test_claim.rs
@@ -23,6 +23,7 @@
         started_ms: 1,
         address: "127.0.0.1:9".into(),
         cpu_limit: Some(cpu_limit),
+        memory_mb: None,
     }
 }
 
--- a/crates/node/tests/test_job_budget.rs
+++ b/crates/node/tests/test_job_budget.rs
@@ -93,3 +93,38 @@
     let shard = budget.add_shard();
     assert_eq!(shard.check(None, LARGEST), Ok(()));
 }
+
+/// Guards against a process that takes over more jobs than it has memory for, and against a shard that no
+/// process takes.
+#[test]
+fn a_shard_is_restored_only_while_there_is_memory() {
+    let budget = Arc::new(JobBudget::new(MEMORY));
+    let first = budget.add_shard();
+    assert!(first.reserve(budget.limit() * 2), "the only shard");
+    assert!(first.reserve(budget.limit() / 2));
+    let second = budget.add_shard();
+    assert!(second.reserve(budget.limit() / 4));
+    assert!(!second.reserve(budget.limit() * 3 / 4));
+    assert!(second.reserve(budget.limit() / 2));
+    let third = budget.add_shard();
+    assert!(!third.reserve(1));
+    let mut used = JobMemory::default();
+    used.add(None, budget.limit() / 4);
+    first.update(&used);
+    assert!(third.reserve(budget.limit() / 4));
+    drop(second);
+    assert!(third.reserve(budget.limit() * 3 / 4));
+}
+
+/// Guards against the owner on a large machine that accepts more than the smallest could take over.
+#[test]
+fn the_smallest_machine_sets_the_limit() {
+    let (small, large) = (JobBudget::new(MEMORY), JobBudget::new(4 * MEMORY));
+    assert!(large.limit() > 4 * small.limit());
+    for (memory_mb, limit) in [(160, small.limit()), (10_000, large.limit())] {
+        large.set_smallest(memory_mb);
+        assert_eq!(large.limit(), limit);
+    }
+    small.set_smallest(10_000);
+    assert_eq!(small.limit(), JobBudget::new(MEMORY).limit());
+}
--- a/crates/node/tests/test_peers.rs
+++ b/crates/node/tests/test_peers.rs
@@ -29,6 +29,7 @@
         started_ms: 1,
         address: address.into(),
         cpu_limit: None,
+        memory_mb: None,
     }
 }
 
--- a/crates/node/tests/test_silent_peer.rs
+++ b/crates/node/tests/test_silent_peer.rs
@@ -78,6 +78,7 @@
         started_ms: 1,
         address: address.to_string().into(),
         cpu_limit: None,
+        memory_mb: None,
     }
 }
 
--- a/crates/shard/src/job_memory.rs
+++ b/crates/shard/src/job_memory.rs
@@ -4,10 +4,12 @@
 //! rejects jobs that would take more memory than its machine has.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 
 use crate::job::Job;
 use crate::job::JobId;
 use crate::job::Name;
+use crate::records::StoredRecord;
 use crate::shard::Shard;
 
 /// The memory of an unfinished job beside its names, payload and tasks, in bytes: its state and its
@@ -41,6 +43,27 @@
         JOB_BYTES + size + tasks.saturating_mul(TASK_BYTES)
     }
 
+    /// Returns the memory that the jobs of stored records take once they are restored, in bytes.
+    pub fn of_records(records: &[StoredRecord]) -> usize {
+        let mut jobs: HashMap<JobId, (usize, bool)> = HashMap::new();
+        for record in records {
+            match record {
+                StoredRecord::Job(job) => {
+                    jobs.entry(job.id).or_default().0 = Self::of_job(job);
+                }
+                StoredRecord::Progress(id, progress) => {
+                    jobs.entry(*id).or_default().1 = progress.state.is_final();
+                }
+                _ => {}
+            }
+        }
+        let bytes = jobs.into_values().map(|(bytes, is_final)| match is_final {
+            true => FINISHED_BYTES,
+            false => bytes,
+        });
+        bytes.sum()
+    }
+
     /// Returns the memory of all jobs, in bytes.
     pub fn total(&self) -> usize {
         self.total
