operators: bound the connections of their port

Nothing bounded the connections to the port for operators and metrics. 1,200 of them took as many descriptors, so that a machine with 800 had none left for callers and the store; 200 with header sections of 300 kB took 79,560 kB of 40,000.

dropshot offers no such limit and binds its port itself. It now listens on a loopback port, and the process relays at most 16 connections to it, as many as the port for readiness checks has. A new one takes the place of the oldest, and each ends after 30 s. Both ports share ConnectionLimit.

--- a/crates/cli/tests/floods.rs
+++ b/crates/cli/tests/floods.rs
@@ -647,7 +647,6 @@
 
 /// Guards against connections to the port for operators that use up the descriptors.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn connections_to_the_operator_port_stay_within_the_descriptors() {
     let writes = vec![b"GET /metrics HTTP/1.1\r\n".to_vec()];
     let traffic = Traffic {
@@ -660,7 +659,6 @@
 /// Guards against header sections to the port for operators that together exceed the memory: each lacks
 /// its end.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn incomplete_headers_to_the_operator_port_stay_within_the_memory() {
     let mut head = b"GET /metrics HTTP/1.1\r\n".to_vec();
     for field in 0..50 {
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -1,5 +1,6 @@
 //! The HTTP server for operators: metrics, status, and the switches of automatic actions.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,8 +33,11 @@
 use slog::Discard;
 use slog::Logger;
 use slog::o;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 
 use crate::automatic::FleetAction;
+use crate::connection_limit::ConnectionLimit;
 use crate::current_config::CurrentConfig;
 use crate::evacuation::EvacuatedZones;
 use crate::message::ShardRequest;
@@ -52,6 +56,18 @@
 /// also need the rest of the status while that shard has no owner.
 const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The most connections of operators and of collectors of metrics: some of each, every few seconds.
+const MAX_CONNECTIONS: usize = 16;
+
+/// The file descriptors that the connections take: each is relayed on another one.
+pub const OPERATOR_FDS: usize = 3 * MAX_CONNECTIONS;
+
+/// How long a connection may last, longer than the slowest command. A flood's connection ends after it.
+const MAX_CONNECTION_TIME: Duration = Duration::from_secs(30);
+
+/// The delay before the next connection is accepted after `accept` failed.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// The state shared by the request handlers.
 pub(crate) struct OperatorContext {
     pub(crate) metrics: MetricsHandle,
@@ -92,19 +108,56 @@
         .and_then(|()| api.register(show_status))
         .and_then(|()| api.register(set_automatic));
     registered.map_err(|e| eyre!("can't register the endpoints for operators: {e}"))?;
+    let listen_error = || format!("can't listen for operators on {address}");
+    let listener = TcpListener::bind(address)
+        .await
+        .wrap_err_with(listen_error)?;
+    // dropshot does not limit its connections, so that it gets them only from the relay.
     let config = ConfigDropshot {
-        bind_address: address,
+        bind_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
         ..ConfigDropshot::default()
     };
     let server: HttpServer<OperatorContext> =
         ServerBuilder::new(api, context, Logger::root(Discard, o!()))
             .config(config)
             .start()
-            .wrap_err_with(|| format!("can't listen for operators on {address}"))?;
+            .wrap_err_with(listen_error)?;
+    tokio::spawn(relay_connections(listener, server.local_addr()));
     tokio::spawn(server);
     Ok(())
 }
 
+/// Relays at most [`MAX_CONNECTIONS`] connections to the HTTP server at an address. A new connection takes
+/// the place of the oldest.
+async fn relay_connections(listener: TcpListener, server: SocketAddr) {
+    let mut connections = ConnectionLimit::new(MAX_CONNECTIONS);
+    loop {
+        let mut stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(error:display; "accept_failed");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
+        };
+        if connections.make_room() {
+            metrics::counter!("connections_refused_total", "reason" => "operators").increment(1);
+        }
+        let relayed = tokio::spawn(async move {
+            let relay = async {
+                let mut upstream = TcpStream::connect(server).await?;
+                tokio::io::copy_bidirectional(&mut stream, &mut upstream).await
+            };
+            match tokio::time::timeout(MAX_CONNECTION_TIME, relay).await {
+                Ok(Ok(_)) => {}
+                Ok(Err(error)) => log::debug!(error:display; "operator_connection_failed"),
+                Err(_) => log::debug!("operator_connection_expired"),
+            }
+        });
+        connections.add(relayed.abort_handle());
+    }
+}
+
 /// Returns the metrics in the Prometheus text format.
 #[endpoint { method = GET, path = "/metrics" }]
 async fn show_metrics(rqctx: Request) -> Result<Response<Body>, HttpError> {
--- a/crates/node/tests/runner.rs
+++ b/crates/node/tests/runner.rs
@@ -7,6 +7,7 @@
 mod test_caller_budget;
 mod test_claim;
 mod test_command_budget;
+mod test_connection_limit;
 mod test_evacuated_zones;
 mod test_held_bytes;
 mod test_job_budget;
