--- a/crates/cli/tests/floods.rs
+++ b/crates/cli/tests/floods.rs
@@ -43,6 +43,10 @@
 /// The descriptors of the machine in the tests that fill the table of connections.
 const FEW_FDS: usize = 800;
 
+/// The memory in MB and the descriptors of the smallest VM, which has room for more connections.
+const LARGE_MEMORY_MB: u64 = 160;
+const LARGE_MAX_FDS: usize = 4_100;
+
 /// The largest body of the fake platform's configuration, in bytes.
 const MAX_BODY_BYTES: usize = 65_536;
 
@@ -493,6 +497,44 @@
     check("unread", FEW_FDS, traffic(400, writes)).await;
 }
 
+/// Guards against callers without a key whose requests, sent one behind the other, take all processor
+/// time.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_requests_leave_processor_time_to_other_callers() {
+    let _lock = ONE_AT_A_TIME.lock().await;
+    let mut scene = Scene::new("refused", LARGE_MAX_FDS).await;
+    scene.limits = format!("memory_mb = {LARGE_MEMORY_MB}\nmax_fds = {LARGE_MAX_FDS}\n");
+    let mut node = scene.start("vm-1").await;
+    let get = format!("GET {ROUTE_PREFIX}00000000000f100d HTTP/1.1\r\nHost: {ROUTE_HOST}\r\n\r\n");
+    let writes = vec![get.repeat(500).into_bytes(); 20];
+    let traffic = traffic(1_500, writes);
+    let requests = tokio::spawn({
+        let (to, writes) = (node.caller_address, (traffic.writes)(0));
+        async move {
+            let mut connections = JoinSet::new();
+            for _ in 0..traffic.connections {
+                let writes = writes.clone();
+                connections.spawn(async move {
+                    let mut stream = TcpStream::connect(to).await.ok()?;
+                    for write in writes {
+                        stream.write_all(&write).await.ok()?;
+                    }
+                    Some(stream)
+                });
+            }
+            connections.join_all().await
+        }
+    });
+    tokio::time::sleep(SETTLE_TIME).await;
+    let answer = ordinary_request_of(&node, OTHER_TEAM_KEY, ORDINARY_IDS).await;
+    let (peak_kb, running) = (status_kb(node.id(), "VmHWM"), node.is_running());
+    println!("refused: {peak_kb} kB, {answer:?}");
+    requests.abort();
+    assert!(running.expect("the state of the process"));
+    assert!(peak_kb <= LARGE_MEMORY_MB * 1_000, "{peak_kb} kB");
+    assert_eq!(answer, Some(StatusCode::OK));
+}
+
 /// Guards against connections to the port for readiness checks that use up the descriptors.
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_to_the_readiness_port_stay_within_the_descriptors() {
