owner: bound the calls to workers that are in progress

Tasks that request no resources are placed by the thousand at once, and the owner began a call for each: 60 jobs of 5,000 such tasks took 186,336 kB of 160,000, although the jobs themselves kept within their budget. Most calls then gave up after waiting for a place at their worker, which counted the worker as unreachable.

A start that has waited longer is withheld: nothing was sent, so that the task is placed again, and the worker stays reachable. The shard repeats a stop that is not confirmed.

--- a/crates/cli/tests/floods.rs
+++ b/crates/cli/tests/floods.rs
@@ -591,6 +591,29 @@
     check_team("future-tasks", traffic).await;
 }
 
+/// Guards against tasks that take no resources, so that thousands of them are started at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_without_resources_stay_within_the_memory() {
+    let _lock = ONE_AT_A_TIME.lock().await;
+    let mut scene = Scene::new("weightless", LARGE_MAX_FDS).await;
+    scene.limits = format!("memory_mb = {LARGE_MEMORY_MB}\nmax_fds = {LARGE_MAX_FDS}\n");
+    let mut node = scene.start("vm-1").await;
+    let payload = "p".repeat(4_000);
+    let job = format!(r#"{{"spec":"{payload}","steps":[{{"count":5000,"estimated_ms":60000}}]}}"#);
+    let traffic = Traffic {
+        settle_time: Duration::from_secs(10),
+        ..numbered_traffic(60, move |n| vec![submission(100 + n, &job)])
+    };
+    let open = flood(&node, &traffic).await;
+    let answer = ordinary_request_of(&node, OTHER_TEAM_KEY, ORDINARY_IDS).await;
+    let (peak_kb, running) = (status_kb(node.id(), "VmHWM"), node.is_running());
+    println!("weightless: {peak_kb} kB, {answer:?}");
+    assert!(running.expect("the state of the process"));
+    assert!(peak_kb <= LARGE_MEMORY_MB * 1_000, "{peak_kb} kB");
+    assert_eq!(answer, Some(StatusCode::OK));
+    drop(open);
+}
+
 /// Guards against submissions that exceed the memory while the store stores none of them.
 #[tokio::test(flavor = "multi_thread")]
 async fn large_jobs_without_a_store_stay_within_the_memory() {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -1,6 +1,7 @@
 //! The task that owns a shard. It passes requests of callers and responses of the workers, the store
 //! and the policy service to [`Shard`], which makes the decisions, and executes their effects.
 
+mod call_queue;
 mod queues;
 
 use std::collections::BTreeMap;
@@ -20,6 +21,7 @@
 use lavenderhollow_shard::RunId;
 use lavenderhollow_shard::Shard;
 use lavenderhollow_shard::StartOutcome;
+use lavenderhollow_shard::StartRequest;
 use lavenderhollow_shard::StepId;
 use lavenderhollow_shard::Timestamp;
 use lavenderhollow_shard::Timings;
@@ -51,6 +53,7 @@
 use crate::message::ShardResponse;
 use crate::message::ShardUsage;
 use crate::message::TeamReport;
+use crate::owner::call_queue::CallQueue;
 use crate::owner::queues::OwnerQueues;
 use crate::owner::queues::QueueChanges;
 use crate::owner::queues::WaitingSubmission;
@@ -160,6 +163,10 @@
     /// The evacuated zones that the shard knows.
     evacuated: Arc<BTreeSet<Name>>,
     queues: OwnerQueues,
+    /// The start requests, with their workers.
+    starts: CallQueue<(Name, StartRequest)>,
+    /// The stop requests, with their workers.
+    stops: CallQueue<(Name, RunId)>,
     store_health: StoreHealth,
     /// Set while the shard is being released; receives a message when that is done.
     release_reply: Option<oneshot::Sender<()>>,
@@ -209,6 +216,8 @@
         workers_known: false,
         evacuated: Arc::default(),
         queues: OwnerQueues::new(at.now),
+        starts: CallQueue::default(),
+        stops: CallQueue::default(),
         store_health: StoreHealth::default(),
         release_reply: None,
         load: OwnerLoad::new(at.now),
@@ -425,9 +434,13 @@
         let at = timestamp(&*self.context.clock);
         match event {
             Event::Started(worker, run, outcome) => {
+                self.starts.finish();
                 self.shard.handle_start(at, &worker, run, outcome);
             }
-            Event::Stopped(worker, run, done) => self.shard.handle_stop(at, &worker, run, done),
+            Event::Stopped(worker, run, done) => {
+                self.stops.finish();
+                self.shard.handle_stop(at, &worker, run, done);
+            }
             Event::Polled(worker, sent, Ok(report)) => {
                 self.shard.handle_report(at, &worker, sent, &report);
             }
@@ -588,6 +601,8 @@
         for effect in self.shard.take_effects() {
             self.execute_effect(effect);
         }
+        self.send_starts();
+        self.send_stops();
         let withheld = self.shard.take_withheld_starts();
         if withheld > 0 {
             metrics::counter!("starts_withheld_total").increment(withheld);
@@ -796,6 +811,48 @@
         });
     }
 
+    /// Sends the start requests whose turn has come. Those that have waited for too long are not sent, so
+    /// that their tasks are placed again.
+    fn send_starts(&mut self) {
+        let at = timestamp(&*self.context.clock);
+        while let Some((worker, request)) = self.starts.next_expired(at.now) {
+            let (shard, outcome) = (&mut self.shard, StartOutcome::Withheld);
+            shard.handle_start(at, &worker, request.run, outcome);
+        }
+        while let Some((worker, request)) = self.starts.begin_next() {
+            let Some(target) = self.target(&worker) else {
+                self.starts.finish();
+                continue;
+            };
+            metrics::counter!("starts_total").increment(1);
+            let events = self.events.clone();
+            let workers = Arc::clone(&self.context.platform.workers);
+            self.calls.spawn(async move {
+                let outcome = workers.start(&target, &request).await;
+                send_event(&events, Event::Started(worker, request.run, outcome)).await;
+            });
+        }
+    }
+
+    /// Sends the stop requests whose turn has come. The shard sends those again that are not confirmed.
+    fn send_stops(&mut self) {
+        let now = self.context.clock.now();
+        while self.stops.next_expired(now).is_some() {}
+        while let Some((worker, run)) = self.stops.begin_next() {
+            let Some(target) = self.target(&worker) else {
+                self.stops.finish();
+                continue;
+            };
+            metrics::counter!("stops_total").increment(1);
+            let events = self.events.clone();
+            let workers = Arc::clone(&self.context.platform.workers);
+            self.calls.spawn(async move {
+                let done = workers.stop(&target, run).await;
+                send_event(&events, Event::Stopped(worker, run, done)).await;
+            });
+        }
+    }
+
     fn target(&self, worker: &Name) -> Option<Target> {
         let address = self.shard.address(worker)?;
         Some(Target {
@@ -816,24 +873,11 @@
                 }
             }
             Effect::Start(worker, request) => {
-                let Some(target) = self.target(&worker) else {
-                    return;
-                };
-                metrics::counter!("starts_total").increment(1);
-                self.calls.spawn(async move {
-                    let outcome = workers.start(&target, &request).await;
-                    send_event(&events, Event::Started(worker, request.run, outcome)).await;
-                });
+                self.starts.add(self.context.clock.now(), (worker, request));
             }
             Effect::Stop(worker, run) => {
-                let Some(target) = self.target(&worker) else {
-                    return;
-                };
-                metrics::counter!("stops_total").increment(1);
-                self.calls.spawn(async move {
-                    let done = workers.stop(&target, run).await;
-                    send_event(&events, Event::Stopped(worker, run, done)).await;
-                });
+                let now = self.context.clock.now();
+                self.stops.add(now, (worker, run));
             }
             Effect::Poll(worker, request) => {
                 let Some(target) = self.target(&worker) else {
--- a/crates/shard/src/runs.rs
+++ b/crates/shard/src/runs.rs
@@ -49,6 +49,8 @@
     WrongWorker,
     /// The request was not sent, so the run cannot have started.
     NotSent,
+    /// The request was not sent, since the owner has too many others in progress.
+    Withheld,
     /// No usable response arrived. The worker may have started the run, or may still start it.
     Unknown,
 }
--- a/crates/shard/tests/test_job_memory.rs
+++ b/crates/shard/tests/test_job_memory.rs
@@ -10,9 +10,11 @@
 use lavenderhollow_shard::Name;
 use lavenderhollow_shard::Repeat;
 use lavenderhollow_shard::Response;
+use lavenderhollow_shard::StartOutcome;
 
 use crate::support::Harness;
 use crate::support::job;
+use crate::support::starts;
 use crate::support::step;
 
 /// The longest time between two collections of finished jobs.
@@ -148,3 +150,20 @@
     assert_eq!(tasks.len(), 2);
     assert_eq!(harness.shard.job_memory().total(), memory + one);
 }
+
+/// Guards against tasks that are lost because the owner had too many starts in progress to send theirs.
+#[test]
+fn a_task_whose_start_was_withheld_is_placed_again() {
+    let mut harness = Harness::new(&["w1"]);
+    harness.poll_all(&["w1"]);
+    harness.submit(job(1, vec![step(1, &[])]));
+    let mut runs = Vec::new();
+    for _ in 0..2 {
+        harness.tick();
+        let effects = harness.store_batch();
+        let (worker, start) = starts(&effects).pop().unwrap();
+        harness.answer_start(&worker, start.run, StartOutcome::Withheld);
+        runs.push(start.run.number);
+    }
+    assert!(runs[0] < runs[1], "{runs:?}");
+}
