fleet: free the memory that was reserved for the records of a claimed fleet shard

The fleet shard has no jobs, and its reservation stayed for as long as its owner. The process then counted as one with other jobs, for which the first shard need not fit. Found in a review of the change; not shown by a test.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -177,6 +177,8 @@
             fleet.restore(&entry.key, value);
         }
     }
+    // The fleet shard has no jobs.
+    drop(claimed.memory);
     log::info!(token = fleet.fencing_token; "fleet_shard_acquired");
     let mut last_reconciled = now;
     let released = loop {
--- a/crates/node/src/job_budget.rs
+++ b/crates/node/src/job_budget.rs
@@ -28,7 +28,7 @@
 /// docs/design/caller-memory.md computes what callers within the limits need.
 const JOB_MEMORY_PERCENT: usize = 20;
 
-/// The least memory for jobs, in bytes. The largest job takes less than two thirds of it.
+/// The least memory for jobs, in bytes, on machines that are smaller than any that we know.
 const MIN_JOB_MEMORY: usize = 4_000_000;
 
 /// As many times the memory that is left may a team's jobs take. One team alone gets four fifths of the
