--- a/crates/shard/tests/support/simulation.rs
+++ b/crates/shard/tests/support/simulation.rs
@@ -85,6 +85,8 @@
     StoreOutage(u16),
     /// Runs that end on a worker fail.
     FailingRuns(u8, u16),
+    /// The owner has too many starts in progress, and sends no further ones.
+    WithheldStarts(u16),
 }
 
 /// One operation of a test.
@@ -248,6 +250,8 @@
     pending_write: Option<(u64, Vec<Record>)>,
     /// The tick at which the store accepts writes again.
     outage_end: u64,
+    /// The tick until which starts are withheld.
+    withheld_end: u64,
     calls: Vec<PendingCall>,
     /// Results on their way: the tick of delivery, the number of the owner, and the result.
     completions: Vec<(u64, u64, Completion)>,
@@ -291,6 +295,7 @@
             stored: BTreeMap::new(),
             pending_write: None,
             outage_end: 0,
+            withheld_end: 0,
             calls: Vec::new(),
             completions: Vec::new(),
             jobs: Vec::new(),
@@ -408,6 +413,7 @@
             Fault::Partition(w, t) => self.workers[usize::from(w) % len].partition_ticks = t.into(),
             Fault::DelayedCalls(w, t) => self.workers[usize::from(w) % len].delay_ticks = t.into(),
             Fault::FailingRuns(w, t) => self.workers[usize::from(w) % len].failing_ticks = t.into(),
+            Fault::WithheldStarts(ticks) => self.withheld_end = self.ticks + u64::from(ticks),
             Fault::StoreOutage(ticks) => self.outage_end = self.ticks + u64::from(ticks),
             Fault::WorkerRestart(w) => self.restart_worker(usize::from(w) % len),
         }
@@ -673,6 +679,12 @@
     /// reported to the owner as failed after 30 ticks.
     fn send(&mut self, owner: u64, fencing_token: u64, worker_index: usize, call: Call) {
         if let Call::Start(request) = &call {
+            if self.ticks < self.withheld_end {
+                let outcome = StartOutcome::Withheld;
+                let completion = Completion::Start(worker_index, request.run, outcome);
+                self.completions.push((self.ticks + 10, owner, completion));
+                return;
+            }
             self.starts.push((self.ticks, worker_index, request.run));
             let id = &self.workers[worker_index].id;
             let is_evacuated = self.evacuated.contains(id);
@@ -914,6 +926,7 @@
     /// Ends all faults and evacuations and checks that every accepted job reaches a final state.
     pub(crate) fn run_to_completion(&mut self) {
         self.outage_end = 0;
+        self.withheld_end = 0;
         self.evacuated = Arc::default();
         for worker in &mut self.workers {
             (
--- a/crates/shard/tests/test_simulation.rs
+++ b/crates/shard/tests/test_simulation.rs
@@ -69,6 +69,14 @@
     ]
 }
 
+/// Returns operations and times without starts.
+fn withheld_op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        7 => op(),
+        2 => (5u16..150).prop_map(|t| Op::Fault(Fault::WithheldStarts(t))),
+    ]
+}
+
 fn number_from_env(variable: &str, default: u64) -> u64 {
     let text = std::env::var(variable).ok();
     text.map_or(default, |t| t.parse().expect("the value must be a number"))
@@ -335,3 +343,11 @@
     let (seed, cases) = cases_from_env();
     run_cases(seed, cases, WORKERS, evacuation_op());
 }
+
+/// Guards against any violation of the rules because an owner has too many starts in progress to send
+/// further ones.
+#[test]
+fn the_rules_hold_while_starts_are_withheld() {
+    let (seed, cases) = cases_from_env();
+    run_cases(seed, cases, WORKERS, withheld_op());
+}
