--- a/crates/cli/tests/floods.rs
+++ b/crates/cli/tests/floods.rs
@@ -201,6 +201,14 @@
         }
     }
 
+    /// Creates a scene on VMs of the smallest size.
+    async fn on_smallest_vms(name: &str) -> Self {
+        Self {
+            limits: format!("memory_mb = {LARGE_MEMORY_MB}\nmax_fds = {LARGE_MAX_FDS}\n"),
+            ..Self::new(name, LARGE_MAX_FDS).await
+        }
+    }
+
     /// Starts a process and waits until it serves callers.
     async fn start(&self, vm: &str) -> NodeProcess {
         let (path, dir) = (Path::new(BINARY), &self.dir.0);
@@ -502,37 +510,30 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn refused_requests_leave_processor_time_to_other_callers() {
     let _lock = ONE_AT_A_TIME.lock().await;
-    let mut scene = Scene::new("refused", LARGE_MAX_FDS).await;
-    scene.limits = format!("memory_mb = {LARGE_MEMORY_MB}\nmax_fds = {LARGE_MAX_FDS}\n");
+    let scene = Scene::on_smallest_vms("refused").await;
     let mut node = scene.start("vm-1").await;
     let get = format!("GET {ROUTE_PREFIX}00000000000f100d HTTP/1.1\r\nHost: {ROUTE_HOST}\r\n\r\n");
     let writes = vec![get.repeat(500).into_bytes(); 20];
-    let traffic = traffic(1_500, writes);
-    let requests = tokio::spawn({
-        let (to, writes) = (node.caller_address, (traffic.writes)(0));
-        async move {
-            let mut connections = JoinSet::new();
-            for _ in 0..traffic.connections {
-                let writes = writes.clone();
-                connections.spawn(async move {
-                    let mut stream = TcpStream::connect(to).await.ok()?;
-                    for write in writes {
-                        stream.write_all(&write).await.ok()?;
-                    }
-                    Some(stream)
-                });
+    // They are dropped, and so are their connections, at the end of the test.
+    let mut connections = JoinSet::new();
+    for _ in 0..1_500 {
+        let (to, writes) = (node.caller_address, writes.clone());
+        connections.spawn(async move {
+            let mut stream = TcpStream::connect(to).await?;
+            for write in writes {
+                stream.write_all(&write).await?;
             }
-            connections.join_all().await
-        }
-    });
+            Ok::<_, std::io::Error>(stream)
+        });
+    }
     tokio::time::sleep(SETTLE_TIME).await;
     let answer = ordinary_request_of(&node, OTHER_TEAM_KEY, ORDINARY_IDS).await;
     let (peak_kb, running) = (status_kb(node.id(), "VmHWM"), node.is_running());
     println!("refused: {peak_kb} kB, {answer:?}");
-    requests.abort();
     assert!(running.expect("the state of the process"));
     assert!(peak_kb <= LARGE_MEMORY_MB * 1_000, "{peak_kb} kB");
     assert_eq!(answer, Some(StatusCode::OK));
+    drop(connections);
 }
 
 /// Guards against connections to the port for readiness checks that use up the descriptors.
@@ -595,8 +596,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn tasks_without_resources_stay_within_the_memory() {
     let _lock = ONE_AT_A_TIME.lock().await;
-    let mut scene = Scene::new("weightless", LARGE_MAX_FDS).await;
-    scene.limits = format!("memory_mb = {LARGE_MEMORY_MB}\nmax_fds = {LARGE_MAX_FDS}\n");
+    let scene = Scene::on_smallest_vms("weightless").await;
     let mut node = scene.start("vm-1").await;
     let payload = "p".repeat(4_000);
     let job = format!(r#"{{"spec":"{payload}","steps":[{{"count":5000,"estimated_ms":60000}}]}}"#);
