assignment: keep the order of members when they publish their memory

Members with equal load claim shards in the order of a hash of their names. With the memory in the name, the order was another one, and shards went to other VMs than before.

The memory does not count for the order, unless a member publishes none: a process of an older build takes it for a part of the name, and the builds have to agree.

--- a/crates/node/src/assignment.rs
+++ b/crates/node/src/assignment.rs
@@ -159,8 +159,15 @@
             (Some(cpu), Some(memory)) => {
                 format!("{}{MEMORY_SEPARATOR}{memory}{CPU_SEPARATOR}{cpu}", self.vm)
             }
-            (Some(cpu), None) => format!("{}{CPU_SEPARATOR}{cpu}", self.vm),
-            (None, _) => self.vm.to_string(),
+            _ => self.name_with_cpu(),
+        }
+    }
+
+    /// Returns the name of the VM with its processor time.
+    fn name_with_cpu(&self) -> String {
+        match self.cpu_limit {
+            Some(cpu) => format!("{}{CPU_SEPARATOR}{cpu}", self.vm),
+            None => self.vm.to_string(),
         }
     }
 
@@ -303,7 +310,7 @@
         let Some(since) = self.unowned_since.get(&shard) else {
             return false;
         };
-        let order = |m: &Member| (Reverse(sizes.get(m).copied()), rank(shard, m));
+        let order = |m: &Member| (Reverse(sizes.get(m).copied()), self.rank(shard, m));
         let earlier = self.members.keys().filter(|m| order(m) < order(me));
         let stagger = CLAIM_STAGGER * u32::try_from(earlier.count()).unwrap_or(u32::MAX);
         now.saturating_duration_since(*since) >= MAX_UNOWNED_PERIOD + stagger
@@ -328,6 +335,18 @@
         self.members.keys().filter_map(|m| m.memory_mb).min()
     }
 
+    /// Returns the position of a member among equal ones for a shard; the lowest claims it. The memory of
+    /// its VM does not count, unless a process of an older build is a member, which takes it for a part
+    /// of the name.
+    fn rank(&self, shard: ShardId, member: &Member) -> u64 {
+        let is_known = self.members.keys().all(|m| m.memory_mb.is_some());
+        let name = match is_known {
+            true => member.name_with_cpu(),
+            false => member.sized_vm(),
+        };
+        stable_hash(format!("{shard}/{name}").as_bytes())
+    }
+
     /// Returns the processor time of each live member in millicores. All count alike if any member
     /// publishes none, so that processes of an older build choose the same members.
     fn sizes(&self) -> BTreeMap<&Member, u64> {
@@ -359,7 +378,13 @@
         };
         loads
             .iter()
-            .min_by_key(|(m, owned)| (releasing == Some(**m), load(m, **owned), rank(shard, m)))
+            .min_by_key(|(m, owned)| {
+                (
+                    releasing == Some(**m),
+                    load(m, **owned),
+                    self.rank(shard, m),
+                )
+            })
             .map(|(&member, _)| member)
     }
 
@@ -422,12 +447,6 @@
     }
 }
 
-/// Returns the position of a member among equal ones for a shard; the lowest claims it. Processes of
-/// an older build rank by this name, too.
-fn rank(shard: ShardId, member: &Member) -> u64 {
-    stable_hash(format!("{shard}/{}", member.sized_vm()).as_bytes())
-}
-
 /// Returns the load of `owned` shards on a VM with `size` millicores.
 fn relative_load(owned: u64, size: u64) -> u64 {
     owned.saturating_mul(LOAD_UNIT) / size.max(1)
--- a/crates/node/tests/test_assignment.rs
+++ b/crates/node/tests/test_assignment.rs
@@ -377,6 +377,38 @@
     assert_eq!(cluster.smallest_memory(), Some(160));
 }
 
+/// Guards against members of two builds that choose different owners, and against shards that move because
+/// members publish the memory of their VMs.
+#[test]
+fn the_memory_of_vms_does_not_change_who_claims() {
+    let now = Instant::now();
+    let claims = |members: &[Member]| {
+        let mut cluster = ClusterState::default();
+        cluster.set_members(now, members.to_vec());
+        let claims = members
+            .iter()
+            .map(|m| cluster.shards_to_claim(now, m, &shards(12)));
+        claims.collect::<Vec<_>>()
+    };
+    let plain: Vec<Member> = (0..4).map(|i| sized(&format!("vm-{i}"), 1, 120)).collect();
+    let with_memory = |m: &Member| Member {
+        memory_mb: Some(160),
+        ..m.clone()
+    };
+    let published: Vec<Member> = plain.iter().map(with_memory).collect();
+    assert_eq!(claims(&published), claims(&plain));
+    // An older build takes the memory for a part of the name.
+    let as_seen_before = |m: &Member| Member {
+        vm: format!("{}%160", m.vm).into(),
+        ..m.clone()
+    };
+    let mut mixed = published;
+    mixed.push(sized("vm-old", 1, 120));
+    let mut before: Vec<Member> = plain.iter().map(as_seen_before).collect();
+    before.push(sized("vm-old", 1, 120));
+    assert_eq!(claims(&mixed), claims(&before));
+}
+
 /// Guards against a process that waits for its predecessor of an older build or another size.
 #[test]
 fn a_process_of_another_build_or_size_supersedes_its_predecessor() {
