review: a job that can never be done stops its tenant's jobs in other services

LOST: one job with a label that no worker has takes its tenant's quota, again and again. The tenant's accepted jobs in the other services are never started, with all workers idle. It takes the place of the task that waits for its tenant's cap, which stays playable as `capped`.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -8,7 +8,7 @@
 CASE_TEMP=$(mktemp -d) || exit 2
 trap 'rm -rf "$CASE_TEMP"' EXIT
 export CASE_TEMP CASE_ROOT=$PWD
-timeout --kill-after=2 115 "$stand" capped review/13/record.txt
+timeout --kill-after=2 115 "$stand" hopeless review/13/record.txt
 code=$?
 [[ $code -le 2 ]] || code=2
 exit "$code"
--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -7,6 +7,7 @@
 mod foreign;
 mod frozen;
 mod full;
+mod hopeless;
 mod http;
 mod json;
 mod moved;
@@ -51,6 +52,7 @@
         "foreign" => foreign::run(&record, trouble),
         "frozen" => frozen::run(&record, trouble),
         "full" => full::run(&record, trouble),
+        "hopeless" => hopeless::run(&record, trouble),
         "odd" => odd::run(&record, trouble),
         "paced" => paced::run(&record, trouble),
         "replaced" => replaced::run(&record, trouble),
