placement: ask for a quota only for tasks that workers could take

For a task that its quota held back, the shard asked whether processors, memory and accelerators were free; for a task within its quota it also asked for the label, the limit of tasks per worker and the ticket. So the shard asked for a quota that it couldn't use, asked for none once it had it, and began again. The owner of the fleet shard counts the larger of a shard's last two quotas, which was the large one all the time.

Both parts now ask Shard::candidates which workers could take a task of the step. A step is reported if there is one for a task of it, or places for all members of a gang. A pool without schedulable workers counts as having room only for a lease after its owner took over. The places for a gang within its quota are counted before its members are placed.

--- a/crates/node/tests/runner.rs
+++ b/crates/node/tests/runner.rs
@@ -16,6 +16,7 @@
 mod test_operator_topic;
 mod test_owner;
 mod test_peers;
+mod test_quota_demand;
 mod test_rebalancer;
 mod test_recent_commands;
 mod test_refusal_scenarios;
--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -79,6 +79,24 @@
     kept_apart: Cell<u64>,
 }
 
+/// A step with tasks that wait for a place.
+#[derive(Clone, Copy, Debug)]
+struct UnplacedStep<'a> {
+    id: StepId,
+    step: &'a Step,
+    pool: &'a Name,
+    tickets: TicketCheck,
+}
+
+/// Which workers are candidates for a step that needs tickets of the policy service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TicketCheck {
+    /// Those with a valid ticket.
+    Held,
+    /// Those that the service may still allow, too.
+    Obtainable,
+}
+
 /// Returns whether an allocation needs at least as much of every resource as one of those of a pool.
 fn includes_any(
     pools: &BTreeMap<Name, Vec<Resources>>,
@@ -233,18 +251,12 @@
                 }
                 let team = waiting.team.as_ref();
                 if !self.within_quota(team, step.resources, pass) {
-                    let has_room = self.has_room(pool, step.allocation, 1, pass);
-                    self.add_pending(team, step.resources, step.tasks, has_room, pass);
+                    self.hold_back(at.now, step.id(id), pool, pass);
                     continue;
                 }
             }
             self.placement.steps += 1;
-            let step_id = StepId {
-                job: id,
-                occurrence: step.occurrence,
-                step: step.index,
-            };
-            self.dispatch_step(at, step_id, pool, pass);
+            self.dispatch_step(at, step.id(id), pool, pass);
         }
     }
 
@@ -296,9 +308,7 @@
         let team = self.team_of(id.job);
         self.workers.update(at.now, &mut self.placement);
         if !self.within_quota(team.as_ref(), step.resources, pass) {
-            let waiting = self.unplaced(StepId::of(id), 0).count();
-            let has_room = self.has_room(pool, step.allocation(), 1, pass);
-            self.add_pending(team.as_ref(), step.resources, waiting, has_room, pass);
+            self.hold_back(at.now, StepId::of(id), pool, pass);
             return false;
         }
         let Some(worker) = self.select_worker(at.now, id, step, pool, pass) else {
@@ -307,7 +317,7 @@
                 self.query_policy(at.now, StepId::of(id), pool);
             } else if step.long_running {
                 self.reserve_worker(at.now, id, step, pool, pass);
-            } else if step.required_label.is_none() && step.max_per_worker.is_none() {
+            } else if self.fits_alike(StepId::of(id), step) {
                 pass.add_unplaceable(pool, step.allocation());
             }
             return false;
@@ -345,8 +355,16 @@
         self.workers.update(at.now, &mut self.placement);
         let resources = step.resources.scaled(tasks.len() as f64);
         if !self.within_quota(team.as_ref(), resources, pass) {
-            let has_room = self.has_room(pool, step.allocation(), tasks.len(), pass);
-            self.add_pending(team.as_ref(), resources, 1, has_room, pass);
+            self.hold_back(at.now, id, pool, pass);
+            return;
+        }
+        let unplaced_step = UnplacedStep {
+            id,
+            step,
+            pool,
+            tickets: TicketCheck::Held,
+        };
+        if !self.has_room(at.now, unplaced_step, tasks.len(), pass) {
             return;
         }
         let mut placed: Vec<RunId> = Vec::new();
@@ -456,24 +474,47 @@
         })
     }
 
-    /// Adds the resources of `waiting` tasks or gangs, each of which needs `unit` and which the quota
-    /// of a team holds back, to the team's pending resources if the pool has room for one of them.
-    /// Otherwise this shard would be granted a part of the team's limit that it can't use and that
-    /// other shards lack. The same holds for what is beyond the limit itself.
+    /// Adds the tasks of a step that the quota of a team holds back to the team's pending resources, if
+    /// workers could take one of them now, or all of a gang. Otherwise this shard would be granted a
+    /// part of the team's limit that it can't use and that other shards lack.
+    fn hold_back(&mut self, now: Instant, id: StepId, pool: &Name, pass: &mut PlacementPass) {
+        let Some(job) = self.jobs.get(&id.job).map(|j| Arc::clone(&j.job)) else {
+            return;
+        };
+        let Some(step) = job.steps.get(usize::from(id.step)) else {
+            return;
+        };
+        let Some(team) = &job.team else {
+            return;
+        };
+        let waiting = self.unplaced(id, 0).count();
+        let (unit, units, unit_tasks) = match step.gang {
+            true => (step.resources.scaled(waiting as f64), 1, waiting),
+            false => (step.resources, waiting, 1),
+        };
+        let unplaced_step = UnplacedStep {
+            id,
+            step,
+            pool,
+            tickets: TicketCheck::Obtainable,
+        };
+        if self.has_room(now, unplaced_step, unit_tasks, pass) {
+            self.add_pending(team, unit, units, pass);
+        }
+    }
+
+    /// Adds the resources of `waiting` tasks or gangs, each of which needs `unit`, to a team's pending
+    /// resources, unless one of them needs more than the team's limit: the quota never grows to it.
     ///
     /// While one of more than half of the limit waits, smaller ones of the team could use the quota
     /// up for ever, so that the rest of the pass leaves room for it.
     fn add_pending(
         &mut self,
-        team: Option<&Name>,
+        name: &Name,
         unit: Resources,
         waiting: usize,
-        has_room: bool,
         pass: &mut PlacementPass,
     ) {
-        let Some(name) = team.filter(|_| has_room) else {
-            return;
-        };
         let team = self.teams.entry(Arc::clone(name)).or_default();
         if let Some(limit) = team.limit {
             if !unit.within_limit(limit) {
@@ -487,37 +528,77 @@
         team.next_unit.get_or_insert(unit);
     }
 
-    /// Returns whether `count` times an allocation fits on the workers of a pool. Labels and limits
-    /// per worker don't count. A pool without schedulable workers counts as having room, because a
-    /// new owner has reached none yet, unless it has workers in evacuated zones.
+    /// Returns whether workers could take `count` tasks of a step now, apart from the quota.
+    ///
+    /// A new owner has reached no worker yet. For the length of a lease, within which it has to, a
+    /// pool without schedulable workers counts as having room, unless it has workers in evacuated
+    /// zones.
     fn has_room(
         &self,
-        pool: &Name,
-        allocation: Resources,
+        now: Instant,
+        unplaced_step: UnplacedStep<'_>,
         count: usize,
         pass: &mut PlacementPass,
     ) -> bool {
+        let UnplacedStep { id, step, pool, .. } = unplaced_step;
         if self.workers.capacity(pool).capacity == 0 {
-            return !self.workers.has_evacuated(pool);
+            let is_new = now < self.owned_since + self.timings.lease;
+            return is_new && !self.workers.has_evacuated(pool);
         }
+        let allocation = step.allocation();
         if pass.is_unplaceable(pool, allocation) {
             return false;
         }
+        let siblings = match step.max_per_worker {
+            Some(_) => self.siblings(id),
+            None => BTreeMap::new(),
+        };
         let mut found = 0;
-        for (name, w) in self.workers.by_free(pool, allocation.cpu) {
-            if !pass.reserved_workers.contains(name) {
-                found += w.info.capacity.count_fitting(w.used, allocation);
-            }
+        for (name, w) in self.candidates(now, unplaced_step, &siblings, pass) {
+            let fitting = w.info.capacity.count_fitting(w.used, allocation);
+            let placed = siblings.get(name).copied().unwrap_or(0);
+            let allowed = step.max_per_worker.map(|max| max.saturating_sub(placed));
+            found += allowed.map_or(fitting, |allowed| fitting.min(allowed.into()));
             if found >= count as u64 {
                 return true;
             }
         }
-        if found == 0 {
+        if found == 0 && self.fits_alike(id, step) {
             pass.add_unplaceable(pool, allocation);
         }
         false
     }
 
+    /// Returns whether a step can run on any worker with room for its tasks, so that nothing else of
+    /// the same size fits where these don't.
+    fn fits_alike(&self, id: StepId, step: &Step) -> bool {
+        step.required_label.is_none() && step.max_per_worker.is_none() && !self.needs_ticket(id.job)
+    }
+
+    /// Returns the workers that could take a task of a step now, those with the least free processor
+    /// time first, as of the last [`Workers::update`](crate::workers::Workers::update).
+    fn candidates<'a>(
+        &'a self,
+        now: Instant,
+        unplaced_step: UnplacedStep<'a>,
+        siblings: &'a BTreeMap<Name, u32>,
+        pass: &'a PlacementPass,
+    ) -> impl Iterator<Item = (&'a Name, &'a Worker)> {
+        let UnplacedStep { id, step, pool, .. } = unplaced_step;
+        let allocation = step.allocation();
+        let needs_ticket = self.needs_ticket(id.job) && unplaced_step.tickets == TicketCheck::Held;
+        let tickets = self.tickets.get(&id);
+        let workers = self.workers.by_free(pool, allocation.cpu);
+        workers.filter(move |(name, w)| {
+            pass.checked_workers.set(pass.checked_workers.get() + 1);
+            let ticket = tickets.and_then(|t| t.for_worker(now, name));
+            (!needs_ticket || ticket.is_some())
+                && self.is_eligible(now, w, step, pool, siblings)
+                && !pass.reserved_workers.contains(*name)
+                && w.info.capacity.fits(w.used, allocation)
+        })
+    }
+
     /// Selects the worker for a task among those that are eligible and have room, as of the last
     /// [`Workers::update`](crate::workers::Workers::update).
     ///
@@ -538,22 +619,18 @@
         }
         let has_rules = step.max_per_worker.is_some() || step.same_rack || step.max_unavailable > 0;
         let siblings = match has_rules || step.long_running {
-            true => self.siblings(id),
+            true => self.siblings(StepId::of(id)),
             false => BTreeMap::new(),
         };
         let failed_on = self.jobs.get(&id.job).and_then(|j| j.task(id));
         let failed_on = failed_on.and_then(|t| t.failed_on.as_ref());
-        let needs_ticket = self.needs_ticket(id.job);
-        let tickets = self.tickets.get(&StepId::of(id));
-        let candidates = self.workers.by_free(pool, allocation.cpu);
-        let mut candidates = candidates.filter(|(name, w)| {
-            pass.checked_workers.set(pass.checked_workers.get() + 1);
-            let ticket = tickets.and_then(|t| t.for_worker(now, name));
-            (!needs_ticket || ticket.is_some())
-                && self.is_eligible(now, w, step, pool, &siblings)
-                && !pass.reserved_workers.contains(*name)
-                && w.info.capacity.fits(w.used, allocation)
-        });
+        let unplaced_step = UnplacedStep {
+            id: StepId::of(id),
+            step,
+            pool,
+            tickets: TicketCheck::Held,
+        };
+        let mut candidates = self.candidates(now, unplaced_step, &siblings, pass);
         let placed = |name: &Name| siblings.get(name).copied().unwrap_or(0);
         // The first task of such a step determines the rack of the others. Any choice that depends on
         // images could lead to a rack with less room.
@@ -653,8 +730,8 @@
             && step.max_per_worker.is_none_or(|max| placed < max)
     }
 
-    /// Returns how many runs of the task's step and occurrence there are on each worker.
-    fn siblings(&self, id: TaskId) -> BTreeMap<Name, u32> {
+    /// Returns how many runs of a step there are on each worker.
+    fn siblings(&self, id: StepId) -> BTreeMap<Name, u32> {
         let mut counts = BTreeMap::new();
         let steps = self
             .jobs
@@ -687,7 +764,7 @@
             return;
         }
         let siblings = match step.max_per_worker {
-            Some(_) => self.siblings(id),
+            Some(_) => self.siblings(StepId::of(id)),
             None => BTreeMap::new(),
         };
         let mut best: Option<(u64, u64, &Name)> = None;
--- a/crates/shard/src/waiting.rs
+++ b/crates/shard/src/waiting.rs
@@ -2,8 +2,10 @@
 //! tasks fit nowhere costs a pass little.
 
 use crate::job::Job;
+use crate::job::JobId;
 use crate::job::Name;
 use crate::job::Resources;
+use crate::policy::StepId;
 use crate::tracked_job::RankBasis;
 use crate::tracked_job::TrackedJob;
 
@@ -23,8 +25,6 @@
     pub(crate) occurrence: u32,
     /// The index of the step in the job.
     pub(crate) index: u16,
-    /// The number of waiting tasks.
-    pub(crate) tasks: usize,
     /// The resources that each task requests.
     pub(crate) resources: Resources,
     /// See [`Step::allocation`](crate::job::Step::allocation).
@@ -34,6 +34,17 @@
     pub(crate) only_waits: bool,
 }
 
+impl WaitingStep {
+    /// Returns the id of the step in a job.
+    pub(crate) fn id(&self, job: JobId) -> StepId {
+        StepId {
+            job,
+            occurrence: self.occurrence,
+            step: self.index,
+        }
+    }
+}
+
 impl WaitingJob {
     /// Returns the waiting part of a job, `None` if no task of it waits.
     pub(crate) fn of(tracked: &TrackedJob) -> Option<Self> {
@@ -43,11 +54,9 @@
         let job: &Job = &tracked.job;
         let steps = tracked.waiting.iter().filter_map(|&(occurrence, index)| {
             let step = job.steps.get(usize::from(index))?;
-            let tasks = tracked.occurrences.get(&occurrence)?;
             Some(WaitingStep {
                 occurrence,
                 index,
-                tasks: tasks.get(usize::from(index))?.unplaced.len(),
                 resources: step.resources,
                 allocation: step.allocation(),
                 only_waits: !step.gang && !step.long_running && job.queue.policy.is_none(),
