quotas: leave each shard what it needs of its even part

A team whose jobs in one service need most of its limit, all the time or in bursts, got no task started in another service.

Half of a limit is divided evenly, so that a queue that was idle can start tasks at once. But a shard with a larger demand was granted all that the others weren't using, also of their even parts. A quota that shrinks counts in full until its shard has confirmed the smaller one, so that a demand in bursts of 0.6 s held the largest quota all the time.

The owner of the fleet shard now keeps what each shard needed in its last report, up to the even part, out of what it grants to the others. The shard with the oldest claim is granted it all the same, since claims are for tasks larger than an even part. Nothing is granted beyond what was granted before, so that the quotas still never add up to more than the limit.

Now the two others start 85 of 90 or more for every period of bursts from 1 to 7 reports.

--- a/crates/node/src/shard_quotas.rs
+++ b/crates/node/src/shard_quotas.rs
@@ -46,6 +46,8 @@
     /// What the tasks of the team in the shard used according to its last report. A quota that
     /// shrinks ends none of them.
     used: Resources,
+    /// What the shard needed according to its last report, whether it got that or not.
+    needed: Resources,
 }
 
 impl ShardQuota {
@@ -54,6 +56,17 @@
     fn committed(&self) -> Resources {
         self.granted.max(self.in_force).max(self.used)
     }
+
+    /// Returns what other shards have to leave to the shard: what it may be using, and no less than
+    /// it needs of its even part.
+    fn reserved(&self, limit: Resources, shards: usize) -> Resources {
+        let even_part = |needed: u64, limit: u64| needed.min(even_quota(limit, shards));
+        self.committed().max(Resources {
+            cpu: even_part(self.needed.cpu, limit.cpu),
+            memory: even_part(self.needed.memory, limit.memory),
+            gpu: even_part(self.needed.gpu, limit.gpu),
+        })
+    }
 }
 
 /// What a shard needs of a team's limit to start a task or a gang that is larger than an even part.
@@ -97,7 +110,7 @@
             let quota = ShardQuota {
                 granted,
                 in_force: granted,
-                used: Resources::default(),
+                ..ShardQuota::default()
             };
             self.quotas.insert((team, shard), quota);
         }
@@ -179,6 +192,7 @@
         let is_elsewhere = claim.is_some_and(|c| c.shard != shard);
         let is_urgent =
             claim.is_some_and(|c| now.saturating_duration_since(c.since) >= CLAIM_PATIENCE);
+        let is_claimant = claim.is_some_and(|c| c.shard == shard);
         let mut committed = Resources::default();
         let mut claimed = Resources::default();
         for ((team, other), quota) in &self.quotas {
@@ -187,7 +201,8 @@
             }
             match claim.filter(|c| c.shard == *other) {
                 Some(claim) if is_urgent => claimed = claim.needed.max(quota.committed()),
-                _ => committed.add(quota.committed()),
+                _ if is_claimant => committed.add(quota.committed()),
+                _ => committed.add(quota.reserved(limit, shards)),
             }
         }
         let needed = |amount: fn(&Resources) -> u64| {
@@ -218,6 +233,8 @@
             quota.in_force = in_force;
         }
         quota.used = report.used;
+        quota.needed = report.used;
+        quota.needed.add(report.pending);
         let before = std::mem::replace(&mut quota.granted, granted);
         let increased =
             granted.cpu > before.cpu || granted.memory > before.memory || granted.gpu > before.gpu;
--- a/crates/node/tests/test_shard_quotas.rs
+++ b/crates/node/tests/test_shard_quotas.rs
@@ -258,3 +258,30 @@
     }
     assert_eq!(shards.shards[0].running, (20_000 - gone) / 1_000);
 }
+
+/// Guards against a shard whose demand comes in bursts, or never ends, and that holds the largest part of
+/// the limit, so that shards with less of a demand get nothing of their even part.
+#[test]
+fn a_large_demand_leaves_the_others_their_even_part() {
+    for period in 1..8 {
+        let idle = Shards::tasks(1_800, 0);
+        let mut shards = Shards::new(20_000, vec![idle; 3]);
+        let mut started = [0u64; 3];
+        for round in 0..100 {
+            if round % period == 0 {
+                shards.shards[1].waiting = 30;
+            }
+            if round >= 10 {
+                shards.shards[0].waiting = 1;
+                shards.shards[2].waiting = 1;
+            }
+            shards.report_all();
+            for (shard, started) in shards.shards.iter_mut().zip(&mut started) {
+                *started += shard.running;
+                shard.running = 0;
+            }
+        }
+        let [first, _, last] = started;
+        assert!(first.min(last) >= 85, "period {period}: {started:?}");
+    }
+}
