policy: ask the policy service about gangs, and about each worker in turn

Only the placement of single tasks asked the service. A gang found no worker without tickets and was passed over; nothing asked for them. Asking alone doesn't help a gang that needs more workers than a query names: each query named the 30 workers with the most free processor time, whether there was a ticket for them or not, and each response replaced the tickets of the one before.

A gang that lacks places on workers with tickets now asks as single tasks do. A query leaves out workers with a valid ticket, without the label or too small, and those that were asked about in the last 3 s; it names those that were never asked about first. Responses add to the tickets that are still valid.

--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -313,8 +313,7 @@
         }
         let Some(worker) = self.select_worker(at.now, id, step, pool, pass) else {
             if self.needs_ticket(id.job) {
-                self.settled = false;
-                self.query_policy(at.now, StepId::of(id), pool);
+                self.await_tickets(at.now, StepId::of(id), step, pool);
             } else if step.long_running {
                 self.reserve_worker(at.now, id, step, pool, pass);
             } else if self.fits_alike(StepId::of(id), step) {
@@ -365,6 +364,9 @@
             tickets: TicketCheck::Held,
         };
         if !self.has_room(at.now, unplaced_step, tasks.len(), pass) {
+            if self.needs_ticket(id.job) {
+                self.await_tickets(at.now, id, step, pool);
+            }
             return;
         }
         let mut placed: Vec<RunId> = Vec::new();
@@ -474,6 +476,12 @@
         })
     }
 
+    /// Asks for tickets for a step that has too few to be placed. The next pass follows without a change.
+    fn await_tickets(&mut self, now: Instant, id: StepId, step: &Step, pool: &Name) {
+        self.settled = false;
+        self.query_policy(now, id, step, pool);
+    }
+
     /// Adds the tasks of a step that the quota of a team holds back to the team's pending resources, if
     /// workers could take one of them now, or all of a gang. Otherwise this shard would be granted a
     /// part of the team's limit that it can't use and that other shards lack.
@@ -586,13 +594,16 @@
     ) -> impl Iterator<Item = (&'a Name, &'a Worker)> {
         let UnplacedStep { id, step, pool, .. } = unplaced_step;
         let allocation = step.allocation();
-        let needs_ticket = self.needs_ticket(id.job) && unplaced_step.tickets == TicketCheck::Held;
+        let needs_ticket = self.needs_ticket(id.job);
         let tickets = self.tickets.get(&id);
+        let has_ticket = move |worker: &Name| match unplaced_step.tickets {
+            TicketCheck::Held => tickets.is_some_and(|t| t.for_worker(now, worker).is_some()),
+            TicketCheck::Obtainable => true,
+        };
         let workers = self.workers.by_free(pool, allocation.cpu);
         workers.filter(move |(name, w)| {
             pass.checked_workers.set(pass.checked_workers.get() + 1);
-            let ticket = tickets.and_then(|t| t.for_worker(now, name));
-            (!needs_ticket || ticket.is_some())
+            (!needs_ticket || has_ticket(name))
                 && self.is_eligible(now, w, step, pool, siblings)
                 && !pass.reserved_workers.contains(*name)
                 && w.info.capacity.fits(w.used, allocation)
--- a/crates/shard/src/policy.rs
+++ b/crates/shard/src/policy.rs
@@ -1,5 +1,6 @@
 //! Queries to a queue's policy service, and the tickets with which it allows workers to run a step.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,15 +10,19 @@
 
 use crate::job::JobId;
 use crate::job::Name;
+use crate::job::Resources;
+use crate::job::Step;
 use crate::job::TaskId;
 use crate::shard::Effect;
 use crate::shard::Shard;
 use crate::shard::Timestamp;
+use crate::worker::Worker;
 
 /// The maximum number of workers in one query. The response takes longer with each of them.
 const MAX_QUERY_WORKERS: usize = 30;
 
-/// The time without a response after which a query is sent again.
+/// The time without a response after which a query is sent again, and the time after which the service
+/// is asked again about a worker that it did not allow.
 const QUERY_RETRY: Duration = Duration::from_secs(3);
 
 /// The remaining validity that a ticket must have when a task is placed with it.
@@ -59,6 +64,8 @@
 pub(crate) struct Tickets {
     /// The ticket for each allowed worker, and when it expires.
     by_worker: BTreeMap<Name, (Name, Instant)>,
+    /// The other workers that the service was asked about, and when it may be asked about each again.
+    asked: BTreeMap<Name, Instant>,
     /// When the query that has no usable response yet was sent.
     queried_at: Option<Instant>,
 }
@@ -74,32 +81,79 @@
     pub(crate) fn remove(&mut self, worker: &str) {
         self.by_worker.remove(worker);
     }
+
+    /// Returns when the service may be asked about a worker again, `None` if it can be asked now for the
+    /// first time or since a ticket has expired.
+    fn retry_at(&self, worker: &str) -> Option<Instant> {
+        self.asked.get(worker).copied()
+    }
+
+    /// Records a query about workers.
+    fn add_query(&mut self, now: Instant, workers: &[Name]) {
+        self.queried_at = Some(now);
+        let retry_at = now + QUERY_RETRY;
+        for worker in workers {
+            self.asked.insert(Arc::clone(worker), retry_at);
+        }
+    }
+
+    /// Adds the tickets for the allowed workers of the last query.
+    fn add_response(&mut self, now: Instant, allowed: Vec<(Name, Name)>, ttl: Duration) {
+        self.queried_at = None;
+        self.by_worker.retain(|_, (_, expiry)| *expiry > now);
+        for (worker, ticket) in allowed {
+            self.asked.remove(&worker);
+            self.by_worker.insert(worker, (ticket, now + ttl));
+        }
+    }
 }
 
 impl Shard {
     /// Asks the policy service which workers may run a step, unless a query is in flight.
     ///
-    /// Placement calls it when no worker with a valid ticket has room. The query names the
-    /// schedulable workers with the most free processor time.
-    pub(crate) fn query_policy(&mut self, now: Instant, step: StepId, pool: &Name) {
-        let tickets = self.tickets.entry(step).or_default();
-        let in_flight = tickets
-            .queried_at
-            .is_some_and(|at| now.saturating_duration_since(at) < QUERY_RETRY);
-        if in_flight {
-            return;
+    /// Placement calls it when no worker with a valid ticket has room, or too few have for a gang. The
+    /// query names schedulable workers that could run a task and have no valid ticket: those that were
+    /// not asked about first, then those that were asked about longest ago, and of these the ones with
+    /// the most free processor time.
+    pub(crate) fn query_policy(&mut self, now: Instant, id: StepId, step: &Step, pool: &Name) {
+        let tickets = self.tickets.entry(id).or_default();
+        if let Some(at) = tickets.queried_at {
+            if now.saturating_duration_since(at) < QUERY_RETRY {
+                return;
+            }
+            tickets.queried_at = None;
         }
-        tickets.queried_at = Some(now);
-        let candidates = self.workers.iter();
-        let candidates = candidates.filter(|(_, w)| w.info.pool == *pool && w.is_schedulable(now));
-        let mut candidates: Vec<(u64, &Name)> = candidates
-            .map(|(name, w)| (w.info.capacity.cpu.saturating_sub(w.used.cpu), name))
+        tickets
+            .asked
+            .retain(|name, _| self.workers.get(name).is_some());
+        let has_label = |w: &Worker| {
+            let label = step.required_label.as_ref();
+            label.is_none_or(|label| w.info.labels.contains(label))
+        };
+        let workers = self.workers.iter().filter(|(name, w)| {
+            w.info.pool == *pool
+                && w.is_schedulable(now)
+                && has_label(w)
+                && w.info
+                    .capacity
+                    .fits(Resources::default(), step.allocation())
+                && tickets.for_worker(now, name).is_none()
+                && tickets.retry_at(name).is_none_or(|at| at <= now)
+        });
+        let mut workers: Vec<_> = workers
+            .map(|(name, w)| {
+                let free = w.info.capacity.cpu.saturating_sub(w.used.cpu);
+                (tickets.retry_at(name), Reverse((free, name)))
+            })
+            .collect();
+        workers.sort_unstable();
+        let selected = workers.into_iter().take(MAX_QUERY_WORKERS);
+        let workers: Vec<Name> = selected
+            .map(|(_, Reverse((_, name)))| Arc::clone(name))
             .collect();
-        candidates.sort_unstable_by(|a, b| b.cmp(a));
-        let selected = candidates.into_iter().take(MAX_QUERY_WORKERS);
-        let workers: Vec<Name> = selected.map(|(_, name)| Arc::clone(name)).collect();
         if !workers.is_empty() {
-            self.effects.push(Effect::QueryPolicy(step, workers));
+            tickets.add_query(now, &workers);
+            self.effects.push(Effect::QueryPolicy(id, workers));
         }
     }
 
@@ -134,19 +188,12 @@
             return;
         };
         let Some((allowed, ttl)) = decision else {
+            // The next query waits for `QUERY_RETRY`.
             return;
         };
         self.settled = false;
-        // If no worker is allowed, the next query waits for `QUERY_RETRY`.
-        if !allowed.is_empty() {
-            tickets.queried_at = None;
-        }
-        let expiry = at.now + ttl;
-        let by_worker = allowed
-            .into_iter()
-            .map(|(worker, ticket)| (worker, (ticket, expiry)));
-        tickets.by_worker = by_worker.collect();
-        let count = tickets.by_worker.len();
+        let count = allowed.len();
+        tickets.add_response(at.now, allowed, ttl);
         self.log_event("policy_answered", step, || {
             format!("workers={count} valid_ms={}", ttl.as_millis())
         });
--- a/crates/shard/tests/runner.rs
+++ b/crates/shard/tests/runner.rs
@@ -14,6 +14,7 @@
 mod test_lossy_polls;
 mod test_occurrences;
 mod test_overload;
+mod test_queue_policy;
 mod test_quota_demand;
 mod test_restart_races;
 mod test_restarted_worker;
--- a/crates/shard/tests/test_quota_demand.rs
+++ b/crates/shard/tests/test_quota_demand.rs
@@ -28,13 +28,17 @@
     job
 }
 
-/// Sets the quota of the team, makes a placement pass and returns the team's usage.
-fn usage_with_quota(harness: &mut Harness, cpu: u64) -> TeamUsage {
+fn set_quota(harness: &mut Harness, cpu: u64) {
     let quota = Resources {
         cpu,
         ..Resources::default()
     };
     harness.shard.set_quotas(&[("team".into(), quota)].into());
+}
+
+/// Sets the quota of the team, makes a placement pass and returns the team's usage.
+fn usage_with_quota(harness: &mut Harness, cpu: u64) -> TeamUsage {
+    set_quota(harness, cpu);
     harness.tick();
     harness.store_batch();
     harness.shard.team_usage().remove(0)
@@ -119,11 +123,7 @@
     harness.tick();
     harness.answer_poll("w2", &report(1_000, Vec::new(), Vec::new()));
     assert_eq!(usage_with_quota(&mut harness, NO_QUOTA).pending.cpu, 2_000);
-    let quota = Resources {
-        cpu: 2_000,
-        ..Resources::default()
-    };
-    harness.shard.set_quotas(&[("team".into(), quota)].into());
+    set_quota(&mut harness, 2_000);
     harness.tick();
     assert_eq!(starts(&harness.store_batch()).len(), 2);
 }
