policy: the configuration in force decides whether starts need tickets

A job carries a copy of its queue's settings from its acceptance on, and needs_ticket read that copy. Workers reject starts by the version that they know. The other direction was as bad: after a version without the service, jobs from before waited for its tickets.

The owner now tells its shard with each version which of its queues have a policy service, and that holds for all jobs. The job's copy counts only for a queue that the configuration lacks, and before a configuration is read. Owner and workers know a version at different moments: a start that is rejected for want of a ticket makes its step need tickets for 3 s, after which one without a ticket is tried again, so that neither a flood of starts nor a wait for a service that is gone follows. A rejected ticket is replaced after 0.3 s. Changes are logged as queue_policy_changed.

--- a/crates/node/src/cluster_config.rs
+++ b/crates/node/src/cluster_config.rs
@@ -40,7 +40,7 @@
 
 impl Route {
     /// Returns the settings that are stored with a job when it is accepted. Later changes of the
-    /// configuration don't apply to it.
+    /// configuration don't apply to it, apart from the policy service.
     pub fn queue_settings(&self) -> QueueSettings {
         QueueSettings {
             name: Arc::clone(&self.name),
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -43,6 +43,7 @@
 use crate::claim;
 use crate::claim::ClaimedShard;
 use crate::clock::timestamp;
+use crate::cluster_config::ClusterConfig;
 use crate::cluster_config::Pool;
 use crate::current_config::CurrentConfig;
 use crate::evacuation::EvacuatedZones;
@@ -162,6 +163,8 @@
     workers_known: bool,
     /// The evacuated zones that the shard knows.
     evacuated: Arc<BTreeSet<Name>>,
+    /// The configuration whose policy services the shard knows.
+    policy_config: Arc<ClusterConfig>,
     queues: OwnerQueues,
     /// The start requests, with their workers.
     starts: CallQueue<(Name, StartRequest)>,
@@ -215,6 +218,7 @@
         started_at: at.now,
         workers_known: false,
         evacuated: Arc::default(),
+        policy_config: Arc::default(),
         queues: OwnerQueues::new(at.now),
         starts: CallQueue::default(),
         stops: CallQueue::default(),
@@ -225,6 +229,7 @@
     };
     loop {
         owner.update_evacuated();
+        owner.update_queue_policies();
         let wait = owner.time_until_tick();
         let turn_start;
         let mut handled = 0;
@@ -574,8 +579,9 @@
                 unconfirmed_ms = unconfirmed_for.as_millis() as u64; "scheduling_state_changed"
             );
         }
-        // A request to evacuate a zone may have become known since the turn began.
+        // A request to evacuate a zone or a configuration may have become known since the turn began.
         self.update_evacuated();
+        self.update_queue_policies();
         self.update_store_health(at.now);
         if !suspended && mem::take(&mut self.batch_stored) {
             self.shard.batch_stored(at);
@@ -632,6 +638,23 @@
         }
     }
 
+    /// Tells the shard which of its queues have a policy service, after the configuration has changed. A
+    /// queue that another pool serves now may have jobs left here.
+    fn update_queue_policies(&mut self) {
+        let config = self.context.current_config.load();
+        if Arc::ptr_eq(&config, &self.policy_config) {
+            return;
+        }
+        let queues: BTreeSet<&Name> = self.shard.queues().collect();
+        let routes = config.routes.iter().filter(|route| {
+            ShardId::of_pool(&route.pool) == self.context.shard_id || queues.contains(&route.name)
+        });
+        let policies = routes.map(|route| (Arc::clone(&route.name), route.policy.is_some()));
+        let policies = policies.collect();
+        self.shard.set_queue_policies(policies);
+        self.policy_config = config;
+    }
+
     /// Adds the time since `start` to a part of the work, and returns the current time.
     fn add_work(&mut self, work: Work, start: Instant) -> Instant {
         let now = self.context.clock.now();
--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -190,9 +190,11 @@
     }
 
     /// Collects the waiting tasks anew of the jobs that have changed.
-    fn collect_waiting(&mut self) {
+    fn collect_waiting(&mut self, now: Instant) {
         for id in mem::take(&mut self.changed_waiting) {
-            match self.jobs.get(&id).and_then(WaitingJob::of) {
+            let needs_ticket = |step| self.needs_ticket(now, step);
+            let job = self.jobs.get(&id);
+            match job.and_then(|j| WaitingJob::of(j, needs_ticket)) {
                 Some(job) => self.waiting.insert(id, Arc::new(job)),
                 None => self.waiting.remove(&id),
             };
@@ -214,7 +216,7 @@
             return;
         }
         self.settled = true;
-        self.collect_waiting();
+        self.collect_waiting(at.now);
         for team in self.teams.values_mut() {
             team.pending = Resources::default();
             team.next_unit = None;
@@ -312,11 +314,11 @@
             return false;
         }
         let Some(worker) = self.select_worker(at.now, id, step, pool, pass) else {
-            if self.needs_ticket(id.job) {
+            if self.needs_ticket(at.now, StepId::of(id)) {
                 self.await_tickets(at.now, StepId::of(id), step, pool);
             } else if step.long_running {
                 self.reserve_worker(at.now, id, step, pool, pass);
-            } else if self.fits_alike(StepId::of(id), step) {
+            } else if self.fits_alike(at.now, StepId::of(id), step) {
                 pass.add_unplaceable(pool, step.allocation());
             }
             return false;
@@ -364,7 +366,7 @@
             tickets: TicketCheck::Held,
         };
         if !self.has_room(at.now, unplaced_step, tasks.len(), pass) {
-            if self.needs_ticket(id.job) {
+            if self.needs_ticket(at.now, id) {
                 self.await_tickets(at.now, id, step, pool);
             }
             return;
@@ -571,7 +573,7 @@
                 return true;
             }
         }
-        if found == 0 && self.fits_alike(id, step) {
+        if found == 0 && self.fits_alike(now, id, step) {
             pass.add_unplaceable(pool, allocation);
         }
         false
@@ -579,8 +581,10 @@
 
     /// Returns whether a step can run on any worker with room for its tasks, so that nothing else of
     /// the same size fits where these don't.
-    fn fits_alike(&self, id: StepId, step: &Step) -> bool {
-        step.required_label.is_none() && step.max_per_worker.is_none() && !self.needs_ticket(id.job)
+    fn fits_alike(&self, now: Instant, id: StepId, step: &Step) -> bool {
+        step.required_label.is_none()
+            && step.max_per_worker.is_none()
+            && !self.needs_ticket(now, id)
     }
 
     /// Returns the workers that could take a task of a step now, those with the least free processor
@@ -594,7 +598,7 @@
     ) -> impl Iterator<Item = (&'a Name, &'a Worker)> {
         let UnplacedStep { id, step, pool, .. } = unplaced_step;
         let allocation = step.allocation();
-        let needs_ticket = self.needs_ticket(id.job);
+        let needs_ticket = self.needs_ticket(now, id);
         let tickets = self.tickets.get(&id);
         let has_ticket = move |worker: &Name| match unplaced_step.tickets {
             TicketCheck::Held => tickets.is_some_and(|t| t.for_worker(now, worker).is_some()),
@@ -819,12 +823,6 @@
         capacity.fits(kept, allocation)
     }
 
-    /// Returns whether tasks of a job need a ticket of the policy service to start.
-    fn needs_ticket(&self, id: JobId) -> bool {
-        let job = self.jobs.get(&id);
-        job.is_some_and(|j| j.job.queue.policy.is_some())
-    }
-
     /// Returns the allocation of a task; zero for an unknown task.
     pub(crate) fn allocation_of(&self, id: TaskId) -> Resources {
         let job = self.jobs.get(&id.job);
--- a/crates/shard/src/job.rs
+++ b/crates/shard/src/job.rs
@@ -269,7 +269,8 @@
 
 /// The settings of a job's queue, copied when the job is submitted.
 ///
-/// Later changes of the configuration don't affect the job.
+/// Later changes of the configuration don't affect the job, apart from the policy service: the workers
+/// decide by the configuration in force whether a start needs a ticket.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct QueueSettings {
     /// The name of the queue.
@@ -285,7 +286,9 @@
     pub slack_factor: f64,
     /// The fixed part of the job's objective.
     pub base_objective: Duration,
-    /// Set if tasks of the queue need a ticket of the policy service to start.
+    /// Set if tasks of the queue need a ticket of the policy service to start. It holds only for a queue
+    /// that the owner's configuration lacks; see
+    /// [`Shard::set_queue_policies`](crate::Shard::set_queue_policies).
     pub policy: Option<PlacementPolicy>,
 }
 
--- a/crates/shard/src/policy.rs
+++ b/crates/shard/src/policy.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::mem;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -25,6 +26,15 @@
 /// is asked again about a worker that it did not allow.
 const QUERY_RETRY: Duration = Duration::from_secs(3);
 
+/// How long after a worker rejected a ticket the service may be asked about it again. The worker may
+/// have restarted, and then takes a new ticket.
+const REJECTED_TICKET_BACKOFF: Duration = Duration::from_millis(300);
+
+/// How long a step needs tickets after a worker rejected a start. The worker may know a version of the
+/// configuration that this owner has not read yet, or may not know one that it has: both know the same
+/// one soon. Then a start without a ticket is tried again.
+const REQUIREMENT_TTL: Duration = QUERY_RETRY;
+
 /// The remaining validity that a ticket must have when a task is placed with it.
 const TICKET_MARGIN: Duration = Duration::from_millis(300);
 
@@ -68,6 +78,9 @@
     asked: BTreeMap<Name, Instant>,
     /// When the query that has no usable response yet was sent.
     queried_at: Option<Instant>,
+    /// Until when starts of the step need a ticket although its queue has no policy service
+    /// according to the configuration.
+    required_until: Option<Instant>,
 }
 
 impl Tickets {
@@ -77,9 +90,18 @@
         (*expiry > now + TICKET_MARGIN).then_some(ticket)
     }
 
-    /// Removes the ticket for a worker that rejected it.
-    pub(crate) fn remove(&mut self, worker: &str) {
-        self.by_worker.remove(worker);
+    /// Returns whether a worker has rejected a start for want of a ticket recently.
+    pub(crate) fn is_required(&self, now: Instant) -> bool {
+        self.required_until.is_some_and(|until| now < until)
+    }
+
+    /// Removes the ticket for a worker that has rejected a start with it, or without one.
+    pub(crate) fn reject(&mut self, now: Instant, worker: &Name) {
+        self.required_until = Some(now + REQUIREMENT_TTL);
+        if self.by_worker.remove(worker).is_some() {
+            let retry_at = now + REJECTED_TICKET_BACKOFF;
+            self.asked.insert(Arc::clone(worker), retry_at);
+        }
     }
 
     /// Returns when the service may be asked about a worker again, `None` if it can be asked now for the
@@ -109,6 +131,45 @@
 }
 
 impl Shard {
+    /// Sets whether the queues of the configuration have a policy service.
+    ///
+    /// Workers reject starts by the version that they know, whatever the version was under which a job
+    /// was submitted. For a queue without an entry the settings that were stored with the job hold.
+    pub fn set_queue_policies(&mut self, policies: BTreeMap<Name, bool>) {
+        if policies == self.queue_policies {
+            return;
+        }
+        let former = mem::replace(&mut self.queue_policies, policies);
+        let changed = self.queue_policies.iter();
+        let changed = changed.filter(|(name, has)| former.get(*name).is_some_and(|h| h != *has));
+        let changed: Vec<(Name, bool)> = changed.map(|(n, has)| (Arc::clone(n), *has)).collect();
+        for (name, has_policy) in changed {
+            self.log_event("queue_policy_changed", name, || {
+                format!("policy_service={has_policy}")
+            });
+        }
+        let is_affected = |id: &JobId| {
+            let queue = self.jobs.get(id).map(|job| &job.job.queue.name);
+            queue.is_some_and(|name| former.get(name) != self.queue_policies.get(name))
+        };
+        let affected = self.unfinished.iter().copied().filter(is_affected);
+        let affected: Vec<JobId> = affected.collect();
+        for id in affected {
+            self.update_waiting(id);
+        }
+    }
+
+    /// Returns whether tasks of a step need a ticket of the policy service to start.
+    pub(crate) fn needs_ticket(&self, now: Instant, id: StepId) -> bool {
+        let job = self.jobs.get(&id.job);
+        let has_policy = job.is_some_and(|j| {
+            let queue = &j.job.queue;
+            let configured = self.queue_policies.get(&queue.name).copied();
+            configured.unwrap_or(queue.policy.is_some())
+        });
+        has_policy || self.tickets.get(&id).is_some_and(|t| t.is_required(now))
+    }
+
     /// Asks the policy service which workers may run a step, unless a query is in flight.
     ///
     /// Placement calls it when no worker with a valid ticket has room, or too few have for a gang. The
--- a/crates/shard/src/runs.rs
+++ b/crates/shard/src/runs.rs
@@ -39,7 +39,7 @@
     DeadlineExceeded,
     /// The worker lacks the resources that the task needs.
     InsufficientResources,
-    /// The worker rejected the ticket of the queue's policy service.
+    /// The worker rejected the ticket of the queue's policy service, or a start without one.
     InvalidTicket,
     /// The worker is unhealthy and did not start the run.
     Unhealthy,
@@ -156,8 +156,9 @@
                 w.record_failure(now, id.task.job);
             }
             StartOutcome::InvalidTicket => {
-                if let Some(tickets) = self.tickets.get_mut(&StepId::of(id.task)) {
-                    tickets.remove(worker_id);
+                if self.unfinished.contains(&id.task.job) {
+                    let tickets = self.tickets.entry(StepId::of(id.task)).or_default();
+                    tickets.reject(now, worker_id);
                 }
                 return;
             }
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -209,6 +209,8 @@
     pub(crate) teams: BTreeMap<Name, TeamUsage>,
     pub(crate) share_limiter: ShareLimiter,
     pub(crate) arrivals: Arrivals,
+    /// Whether each queue of the configuration in force has a policy service.
+    pub(crate) queue_policies: BTreeMap<Name, bool>,
     /// The tickets of steps in queues with a policy service.
     pub(crate) tickets: BTreeMap<StepId, Tickets>,
     /// The stops that the workers have not confirmed yet.
@@ -264,6 +266,7 @@
             teams: BTreeMap::new(),
             share_limiter: ShareLimiter::default(),
             arrivals: Arrivals::default(),
+            queue_policies: BTreeMap::new(),
             tickets: BTreeMap::new(),
             stops: BTreeMap::new(),
             placement: PlacementStats::default(),
--- a/crates/shard/src/waiting.rs
+++ b/crates/shard/src/waiting.rs
@@ -47,20 +47,22 @@
 
 impl WaitingJob {
     /// Returns the waiting part of a job, `None` if no task of it waits.
-    pub(crate) fn of(tracked: &TrackedJob) -> Option<Self> {
+    pub(crate) fn of(tracked: &TrackedJob, needs_ticket: impl Fn(StepId) -> bool) -> Option<Self> {
         if tracked.state.is_final() || tracked.waiting.is_empty() {
             return None;
         }
         let job: &Job = &tracked.job;
         let steps = tracked.waiting.iter().filter_map(|&(occurrence, index)| {
             let step = job.steps.get(usize::from(index))?;
-            Some(WaitingStep {
+            let mut waiting_step = WaitingStep {
                 occurrence,
                 index,
                 resources: step.resources,
                 allocation: step.allocation(),
-                only_waits: !step.gang && !step.long_running && job.queue.policy.is_none(),
-            })
+                only_waits: !step.gang && !step.long_running,
+            };
+            waiting_step.only_waits &= !needs_ticket(waiting_step.id(job.id));
+            Some(waiting_step)
         });
         Some(Self {
             basis: tracked.rank_basis(),
--- a/crates/shard/tests/test_queue_policy.rs
+++ b/crates/shard/tests/test_queue_policy.rs
@@ -7,12 +7,17 @@
 use lavenderhollow_shard::Job;
 use lavenderhollow_shard::Name;
 use lavenderhollow_shard::PlacementPolicy;
+use lavenderhollow_shard::Repeat;
+use lavenderhollow_shard::RunOutcome;
+use lavenderhollow_shard::StartOutcome;
 use lavenderhollow_shard::StartRequest;
 use lavenderhollow_shard::Step;
 use lavenderhollow_shard::StepId;
 
 use crate::support::Harness;
+use crate::support::finished_run;
 use crate::support::job;
+use crate::support::report;
 use crate::support::starts;
 use crate::support::step;
 
@@ -21,6 +26,11 @@
 /// The time from one tick to the next.
 const TICK: Duration = Duration::from_millis(100);
 
+fn set_policy(harness: &mut Harness, has_policy: bool) {
+    let policies = [("checks".into(), has_policy)].into();
+    harness.shard.set_queue_policies(policies);
+}
+
 fn with_policy(mut job: Job) -> Job {
     job.queue.policy = Some(PlacementPolicy {
         ticket_ttl: TICKET_TTL,
@@ -46,6 +56,19 @@
     }
 }
 
+/// Makes passes and allows all workers until a pass has no query, and returns the starts.
+fn place(harness: &mut Harness) -> Vec<(Name, StartRequest)> {
+    let mut started = Vec::new();
+    loop {
+        let asked = queries(&harness.tick());
+        started.extend(starts(&harness.store_batch()));
+        if asked.is_empty() {
+            return started;
+        }
+        allow_all(harness, &asked);
+    }
+}
+
 fn assert_tickets(started: &[(Name, StartRequest)]) {
     for (worker, request) in started {
         let expected = format!("ticket-{worker}");
@@ -53,6 +76,192 @@
     }
 }
 
+/// Returns jobs of each kind, with the number of tasks of each that start at once.
+fn jobs_of_each_kind() -> Vec<(Job, usize)> {
+    let gang = Step {
+        gang: true,
+        ..step(4, &[])
+    };
+    let long_running = Step {
+        long_running: true,
+        ..step(2, &[])
+    };
+    let mut repeated = job(4, vec![step(1, &[])]);
+    repeated.repeat = Some(Repeat {
+        start_ms: 0,
+        interval_ms: 1,
+        count: 3,
+    });
+    vec![
+        (job(1, vec![step(2, &[])]), 2),
+        (job(2, vec![gang]), 4),
+        (job(3, vec![long_running]), 2),
+        (repeated, 3),
+    ]
+}
+
+/// Guards against accepted jobs whose starts are rejected for want of a ticket, since their queue had no
+/// policy service when they were submitted (LOST).
+#[test]
+fn jobs_under_way_need_tickets_once_their_queue_has_a_policy_service() {
+    for (job, tasks) in jobs_of_each_kind() {
+        let id = job.id;
+        let mut harness = Harness::new(&["w1", "w2"]);
+        harness.submit(job);
+        harness.tick();
+        set_policy(&mut harness, true);
+        harness.poll_all(&["w1", "w2"]);
+        assert!(starts(&harness.store_batch()).is_empty(), "{id}");
+        harness.advance(TICK * 31);
+        let started = place(&mut harness);
+        assert_eq!(started.len(), tasks, "{id}");
+        assert_tickets(&started);
+    }
+}
+
+/// Guards against accepted jobs that wait for the tickets of a policy service which their queue doesn't
+/// have any more (LOST).
+#[test]
+fn jobs_need_no_tickets_once_their_queue_has_no_policy_service() {
+    for (job, tasks) in jobs_of_each_kind() {
+        let id = job.id;
+        let mut harness = Harness::new(&["w1", "w2"]);
+        harness.poll_all(&["w1", "w2"]);
+        set_policy(&mut harness, true);
+        harness.submit(with_policy(job));
+        harness.tick();
+        assert!(starts(&harness.store_batch()).is_empty(), "{id}");
+        set_policy(&mut harness, false);
+        assert!(queries(&harness.tick()).is_empty(), "{id}");
+        assert_eq!(starts(&harness.store_batch()).len(), tasks, "{id}");
+    }
+}
+
+/// Guards against later steps, restarted tasks and gangs that go on without a ticket.
+#[test]
+fn later_runs_of_a_job_under_way_need_tickets() {
+    for gang in [false, true] {
+        let mut harness = Harness::new(&["w1"]);
+        harness.poll_all(&["w1"]);
+        let first = Step {
+            gang,
+            checkpoints: true,
+            ..step(2, &[])
+        };
+        harness.submit(job(1, vec![first, step(1, &[0])]));
+        harness.tick();
+        let started = starts(&harness.store_batch());
+        assert_eq!(started.len(), 2);
+        for (worker, request) in &started {
+            harness.answer_start(worker, request.run, StartOutcome::Started(1_000));
+        }
+        set_policy(&mut harness, true);
+        let ends = started.iter().zip(1..);
+        let mut ends: Vec<_> = ends
+            .map(|((_, request), n)| finished_run(n, request.run, RunOutcome::Failed))
+            .collect();
+        for end in &mut ends {
+            end.checkpoint = "checkpoint".into();
+        }
+        harness.answer_poll("w1", &report(2_000, Vec::new(), ends));
+        let restarted = place(&mut harness);
+        assert_eq!(restarted.len(), 2);
+        assert_tickets(&restarted);
+        for (worker, request) in &restarted {
+            assert_eq!(request.checkpoint.as_deref(), Some("checkpoint"));
+            harness.answer_start(worker, request.run, StartOutcome::Started(2_500));
+        }
+        let ends = restarted.iter().zip(3..);
+        let ends = ends.map(|((_, request), n)| finished_run(n, request.run, RunOutcome::Done));
+        harness.answer_poll("w1", &report(3_000, Vec::new(), ends.collect()));
+        let second_step = place(&mut harness);
+        assert_eq!(second_step.len(), 1);
+        assert_tickets(&second_step);
+    }
+}
+
+/// Guards against a successor that decides by the settings in a job's record, which are older than the
+/// configuration, and against one without a configuration that ignores them.
+#[test]
+fn a_successor_decides_by_the_configuration_that_it_knows() {
+    let mut harness = Harness::new(&[]);
+    harness.submit(job(1, vec![step(1, &[])]));
+    harness.submit(with_policy(job(2, vec![step(1, &[])])));
+    harness.tick();
+    harness.store_batch();
+    harness.replace_owner(&["w1"]);
+    harness.poll_all(&["w1"]);
+    harness.tick();
+    let started = starts(&harness.store_batch());
+    let jobs: Vec<u64> = started.iter().map(|(_, s)| s.run.task.job.0).collect();
+    assert_eq!(jobs, [1], "no configuration is known");
+    for has_policy in [true, false] {
+        harness.replace_owner(&["w1"]);
+        set_policy(&mut harness, has_policy);
+        harness.poll_all(&["w1"]);
+        harness.advance(TICK * 31);
+        let asked = queries(&harness.tick());
+        assert_eq!(asked.is_empty(), !has_policy, "{asked:?}");
+    }
+}
+
+/// Guards against a start that is sent again and again without the ticket for want of which it is rejected,
+/// and against a task that never starts where the owner knows an older version than the workers.
+#[test]
+fn a_start_rejected_for_want_of_a_ticket_is_repeated_with_one() {
+    let mut harness = Harness::new(&["w1"]);
+    harness.poll_all(&["w1"]);
+    set_policy(&mut harness, false);
+    harness.submit(job(1, vec![step(1, &[])]));
+    harness.tick();
+    let (worker, request) = starts(&harness.store_batch()).remove(0);
+    assert_eq!(request.ticket, None);
+    harness.answer_start(&worker, request.run, StartOutcome::InvalidTicket);
+    let started = place(&mut harness);
+    assert_eq!(started.len(), 1);
+    assert_tickets(&started);
+}
+
+/// Guards against starts that are rejected hundreds of times a second while no policy service answers, and
+/// against a task that never starts where the workers need no tickets any more.
+#[test]
+fn starts_without_tickets_are_tried_again_every_few_seconds() {
+    let mut harness = Harness::new(&["w1", "w2"]);
+    harness.poll_all(&["w1", "w2"]);
+    harness.submit(job(1, vec![step(1, &[])]));
+    let mut rejected = 0;
+    for _ in 0..300 {
+        harness.tick();
+        for (worker, request) in starts(&harness.store_batch()) {
+            rejected += 1;
+            harness.answer_start(&worker, request.run, StartOutcome::InvalidTicket);
+        }
+        harness.advance(TICK);
+    }
+    assert!((5..=11).contains(&rejected), "{rejected} in 30 s");
+    harness.advance(TICK * 31);
+    harness.tick();
+    assert_eq!(starts(&harness.store_batch()).len(), 1);
+}
+
+/// Guards against tickets that a worker rejects in turn with those that the service gives for it, as fast
+/// as both answer.
+#[test]
+fn a_rejected_ticket_is_not_replaced_at_once() {
+    let mut harness = Harness::new(&["w1"]);
+    harness.poll_all(&["w1"]);
+    harness.submit(with_policy(job(1, vec![step(1, &[])])));
+    let mut rejected = 0;
+    for _ in 0..50 {
+        for (worker, request) in place(&mut harness) {
+            rejected += 1;
+            harness.answer_start(&worker, request.run, StartOutcome::InvalidTicket);
+        }
+        harness.advance(TICK);
+    }
+    assert!((10..=20).contains(&rejected), "{rejected} in 5 s");
+}
+
 /// Guards against gangs in a queue with a policy service, which was never asked about them (LOST).
 #[test]
 fn a_gang_starts_once_all_its_members_have_tickets() {
--- a/crates/testing/src/fakes/platform.rs
+++ b/crates/testing/src/fakes/platform.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -62,6 +63,8 @@
     version: Mutex<u64>,
     /// The number of queues whose pools have no workers.
     idle_queues: AtomicUsize,
+    /// Whether the queue of [`ROUTE_PREFIX`] has a policy service.
+    has_policy: AtomicBool,
 }
 
 impl Drop for FakePlatform {
@@ -124,6 +127,7 @@
             heartbeats,
             version: Mutex::new(0),
             idle_queues: AtomicUsize::new(0),
+            has_policy: AtomicBool::new(false),
         };
         platform.publish_config(&[TEAM_KEY]);
         Ok(platform)
@@ -157,6 +161,10 @@
             })
         };
         let mut routes = vec![route("checks", ROUTE_PREFIX, POOL)];
+        if self.has_policy.load(Ordering::Relaxed) {
+            let policy = json!({ "decision_ms": 1, "period_ms": 1, "valid_ms": 10_000 });
+            routes[0]["recommendation"] = policy;
+        }
         let mut services = vec![
             json!({ "name": POOL, "standby": false }),
             json!({ "name": STANDBY_POOL, "standby": true }),
@@ -189,6 +197,20 @@
         self.publish_config(&[TEAM_KEY]);
     }
 
+    /// Publishes a configuration in which the queue of [`ROUTE_PREFIX`] has a policy service, or has none.
+    pub fn set_policy_service(&self, has_policy: bool) {
+        self.has_policy.store(has_policy, Ordering::Relaxed);
+        self.publish_config(&[TEAM_KEY]);
+    }
+
+    /// Returns how many starts the workers have rejected for want of a ticket.
+    pub fn starts_without_ticket(&self) -> usize {
+        let workers = self.workers.iter();
+        workers
+            .map(|(worker, _)| worker.starts_without_ticket())
+            .sum()
+    }
+
     /// Publishes a maintenance wave of `machines`, of which at most `max_unavailable` may be down
     /// at a time.
     pub fn announce_wave(&self, wave: u64, machines: &[String], max_unavailable: usize) {
--- a/crates/testing/src/fakes/worker.rs
+++ b/crates/testing/src/fakes/worker.rs
@@ -47,6 +47,8 @@
     pub cut_off: bool,
     /// How long the response to a start takes.
     pub start_time: Duration,
+    /// Starts without a ticket are rejected.
+    pub needs_ticket: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -84,6 +86,8 @@
     start_peak: usize,
     /// How often each task was started, by all incarnations.
     task_starts: BTreeMap<String, u32>,
+    /// The starts that were rejected for want of a ticket, by all incarnations.
+    starts_without_ticket: usize,
     faults: WorkerFaults,
 }
 
@@ -128,6 +132,7 @@
         *state = State {
             registered_incarnation: state.registered_incarnation,
             task_starts: std::mem::take(&mut state.task_starts),
+            starts_without_ticket: state.starts_without_ticket,
             faults: state.faults,
             ..new
         };
@@ -164,6 +169,11 @@
         self.state().running.keys().cloned().collect()
     }
 
+    /// Returns how many starts were rejected for want of a ticket, by all incarnations.
+    pub(super) fn starts_without_ticket(&self) -> usize {
+        self.state().starts_without_ticket
+    }
+
     /// Returns the most starts that had no response at the same time.
     pub(super) fn start_peak(&self) -> usize {
         self.state().start_peak
@@ -234,6 +244,7 @@
             pending_starts: 0,
             start_peak: 0,
             task_starts: BTreeMap::new(),
+            starts_without_ticket: 0,
             faults: WorkerFaults::default(),
         }
     }
@@ -322,6 +333,10 @@
         if self.highest_run.get(task).is_some_and(|h| run_number <= *h) {
             return self.conflict("old");
         }
+        if self.faults.needs_ticket && !body["ticket"].is_string() {
+            self.starts_without_ticket += 1;
+            return self.conflict("ticket");
+        }
         if self.running.len() >= self.slots {
             return self.conflict("room");
         }
