policy: ask for a quota while tickets are awaited, and for none if there are none

A step that its quota held back asked for a quota, got it, and then waited for its tickets. Meanwhile it asked for none, so that the quota shrank again, and the ticket could expire before the quota was back.

What a step reports now follows what is known of its tickets. While the service was not asked about a worker with room, or has not answered, the step asks for its quota, also if it has it. Once the service has allowed none of them, or has not answered in time, it asks for none; the service is asked again after 3 s, whether the step has a quota or not.

a_step_that_waits_for_tickets_keeps_its_quota and a_step_that_is_allowed_nowhere_asks_for_no_quota failed before and pass now, with the 176 tests of the shard crate (1 ignored as before).

--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -315,7 +315,7 @@
         }
         let Some(worker) = self.select_worker(at.now, id, step, pool, pass) else {
             if self.needs_ticket(at.now, StepId::of(id)) {
-                self.await_tickets(at.now, StepId::of(id), step, pool);
+                self.await_tickets(at.now, StepId::of(id), step, pool, pass);
             } else if step.long_running {
                 self.reserve_worker(at.now, id, step, pool, pass);
             } else if self.fits_alike(at.now, StepId::of(id), step) {
@@ -367,7 +367,7 @@
         };
         if !self.has_room(at.now, unplaced_step, tasks.len(), pass) {
             if self.needs_ticket(at.now, id) {
-                self.await_tickets(at.now, id, step, pool);
+                self.await_tickets(at.now, id, step, pool, pass);
             }
             return;
         }
@@ -478,10 +478,19 @@
         })
     }
 
-    /// Asks for tickets for a step that has too few to be placed. The next pass follows without a change.
-    fn await_tickets(&mut self, now: Instant, id: StepId, step: &Step, pool: &Name) {
+    /// Asks for tickets for a step that has too few to be placed. Meanwhile it keeps its quota, and the
+    /// next pass follows without a change.
+    fn await_tickets(
+        &mut self,
+        now: Instant,
+        id: StepId,
+        step: &Step,
+        pool: &Name,
+        pass: &mut PlacementPass,
+    ) {
         self.settled = false;
         self.query_policy(now, id, step, pool);
+        self.hold_back(now, id, pool, pass);
     }
 
     /// Adds the tasks of a step that the quota of a team holds back to the team's pending resources, if
@@ -510,6 +519,10 @@
         };
         if self.has_room(now, unplaced_step, unit_tasks, pass) {
             self.add_pending(team, unit, units, pass);
+        } else if self.tickets.contains_key(&id) {
+            // Without the quota the step isn't placed, so that nothing else asks for its tickets again.
+            self.settled = false;
+            self.query_policy(now, id, step, pool);
         }
     }
 
@@ -602,7 +615,7 @@
         let tickets = self.tickets.get(&id);
         let has_ticket = move |worker: &Name| match unplaced_step.tickets {
             TicketCheck::Held => tickets.is_some_and(|t| t.for_worker(now, worker).is_some()),
-            TicketCheck::Obtainable => true,
+            TicketCheck::Obtainable => tickets.is_none_or(|t| t.is_obtainable(now, worker)),
         };
         let workers = self.workers.by_free(pool, allocation.cpu);
         workers.filter(move |(name, w)| {
--- a/crates/shard/src/policy.rs
+++ b/crates/shard/src/policy.rs
@@ -69,13 +69,22 @@
     }
 }
 
+/// What the policy service was asked about a worker for which it has given no ticket.
+#[derive(Clone, Copy, Debug)]
+struct AskedWorker {
+    /// When the service may be asked about the worker again.
+    retry_at: Instant,
+    /// Whether a response lacked the worker, or none came.
+    not_allowed: bool,
+}
+
 /// The tickets that allow workers to run a step.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Tickets {
     /// The ticket for each allowed worker, and when it expires.
     by_worker: BTreeMap<Name, (Name, Instant)>,
-    /// The other workers that the service was asked about, and when it may be asked about each again.
-    asked: BTreeMap<Name, Instant>,
+    /// The other workers that the service was asked about.
+    asked: BTreeMap<Name, AskedWorker>,
     /// When the query that has no usable response yet was sent.
     queried_at: Option<Instant>,
     /// Until when starts of the step need a ticket although its queue has no policy service
@@ -90,6 +99,12 @@
         (*expiry > now + TICKET_MARGIN).then_some(ticket)
     }
 
+    /// Returns whether there is a ticket for a worker, or the service may still give one.
+    pub(crate) fn is_obtainable(&self, now: Instant, worker: &str) -> bool {
+        let asked = self.asked.get(worker);
+        self.for_worker(now, worker).is_some() || asked.is_none_or(|a| !a.not_allowed)
+    }
+
     /// Returns whether a worker has rejected a start for want of a ticket recently.
     pub(crate) fn is_required(&self, now: Instant) -> bool {
         self.required_until.is_some_and(|until| now < until)
@@ -99,15 +114,18 @@
     pub(crate) fn reject(&mut self, now: Instant, worker: &Name) {
         self.required_until = Some(now + REQUIREMENT_TTL);
         if self.by_worker.remove(worker).is_some() {
-            let retry_at = now + REJECTED_TICKET_BACKOFF;
-            self.asked.insert(Arc::clone(worker), retry_at);
+            let asked = AskedWorker {
+                retry_at: now + REJECTED_TICKET_BACKOFF,
+                not_allowed: false,
+            };
+            self.asked.insert(Arc::clone(worker), asked);
         }
     }
 
     /// Returns when the service may be asked about a worker again, `None` if it can be asked now for the
     /// first time or since a ticket has expired.
     fn retry_at(&self, worker: &str) -> Option<Instant> {
-        self.asked.get(worker).copied()
+        self.asked.get(worker).map(|asked| asked.retry_at)
     }
 
     /// Records a query about workers.
@@ -115,12 +133,26 @@
         self.queried_at = Some(now);
         let retry_at = now + QUERY_RETRY;
         for worker in workers {
-            self.asked.insert(Arc::clone(worker), retry_at);
+            let asked = self.asked.entry(Arc::clone(worker));
+            let asked = asked.or_insert(AskedWorker {
+                retry_at,
+                not_allowed: false,
+            });
+            asked.retry_at = retry_at;
+        }
+    }
+
+    /// Records that the workers in the last query got no ticket.
+    fn mark_not_allowed(&mut self) {
+        let last = self.queried_at.map(|at| at + QUERY_RETRY);
+        for asked in self.asked.values_mut() {
+            asked.not_allowed |= Some(asked.retry_at) == last;
         }
     }
 
     /// Adds the tickets for the allowed workers of the last query.
     fn add_response(&mut self, now: Instant, allowed: Vec<(Name, Name)>, ttl: Duration) {
+        self.mark_not_allowed();
         self.queried_at = None;
         self.by_worker.retain(|_, (_, expiry)| *expiry > now);
         for (worker, ticket) in allowed {
@@ -182,6 +214,7 @@
             if now.saturating_duration_since(at) < QUERY_RETRY {
                 return;
             }
+            tickets.mark_not_allowed();
             tickets.queried_at = None;
         }
         tickets
@@ -250,6 +283,7 @@
         };
         let Some((allowed, ttl)) = decision else {
             // The next query waits for `QUERY_RETRY`.
+            tickets.mark_not_allowed();
             return;
         };
         self.settled = false;
--- a/crates/shard/tests/test_quota_demand.rs
+++ b/crates/shard/tests/test_quota_demand.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use lavenderhollow_shard::Effect;
 use lavenderhollow_shard::Job;
 use lavenderhollow_shard::PlacementPolicy;
 use lavenderhollow_shard::Resources;
 use lavenderhollow_shard::Step;
+use lavenderhollow_shard::StepId;
 use lavenderhollow_shard::TeamUsage;
 
 use crate::support::Harness;
@@ -157,3 +159,59 @@
     harness.submit(with_policy);
     assert_eq!(usage_with_quota(&mut harness, NO_QUOTA).pending.cpu, 2_000);
 }
+
+/// Answers the queries about a step with tickets for some workers, or none.
+fn answer_queries(harness: &mut Harness, effects: &[Effect], workers: &[&str]) -> usize {
+    let queries = effects.iter().filter_map(|effect| match effect {
+        Effect::QueryPolicy(step, _) => Some(*step),
+        _ => None,
+    });
+    let queries: Vec<StepId> = queries.collect();
+    for step in &queries {
+        let tickets = workers.iter().map(|w| ((*w).into(), "ticket".into()));
+        let decision = Some((tickets.collect(), Duration::from_secs(2)));
+        harness.shard.handle_policy(harness.at, *step, decision);
+    }
+    queries.len()
+}
+
+/// Guards against a quota that is taken back while the policy service is asked, so that the ticket has
+/// expired by the time the quota is back.
+#[test]
+fn a_step_that_waits_for_tickets_keeps_its_quota() {
+    let mut harness = Harness::new(&["w1"]);
+    harness.poll_all(&["w1"]);
+    let mut with_policy = team_job(1, vec![step(2, &[])]);
+    with_policy.queue.policy = Some(PlacementPolicy {
+        ticket_ttl: Duration::from_secs(2),
+    });
+    harness.submit(with_policy);
+    for quota in [AMPLE_QUOTA, 2_000] {
+        let usage = usage_with_quota(&mut harness, quota);
+        assert_eq!((usage.used.cpu, usage.pending.cpu), (0, 2_000), "{quota}");
+    }
+}
+
+/// Guards against a quota for a step that the policy service allows nowhere, which other shards lack (LOST),
+/// and against a step without a quota that the service is not asked about again.
+#[test]
+fn a_step_that_is_allowed_nowhere_asks_for_no_quota() {
+    let mut harness = Harness::new(&["w1"]);
+    harness.poll_all(&["w1"]);
+    let mut with_policy = team_job(1, vec![step(2, &[])]);
+    with_policy.queue.policy = Some(PlacementPolicy {
+        ticket_ttl: Duration::from_secs(2),
+    });
+    harness.submit(with_policy);
+    set_quota(&mut harness, AMPLE_QUOTA);
+    let effects = harness.tick();
+    assert_eq!(answer_queries(&mut harness, &effects, &[]), 1);
+    for quota in [AMPLE_QUOTA, NO_QUOTA, AMPLE_QUOTA, NO_QUOTA] {
+        assert_eq!(usage_with_quota(&mut harness, quota).pending.cpu, 0);
+    }
+    harness.advance(Duration::from_millis(3_001));
+    let effects = harness.tick();
+    assert_eq!(harness.shard.team_usage()[0].pending.cpu, 0);
+    assert_eq!(answer_queries(&mut harness, &effects, &["w1"]), 1);
+    assert_eq!(usage_with_quota(&mut harness, NO_QUOTA).pending.cpu, 2_000);
+}
