policy: reserve a worker with a ticket for a long-running task

In a full pool a long-running task in a queue with a policy service never started: short tasks took the room as fast as it became free. For other long-running tasks a worker is reserved. A step that needs tickets asked for them in place of that, whether it had some or not.

A worker with a valid ticket is now reserved, as well as other tickets asked for.

a_worker_with_a_ticket_is_reserved_for_a_long_running_task failed before (a short task was started in the room that had become free) and passes now.

--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -316,7 +316,8 @@
         let Some(worker) = self.select_worker(at.now, id, step, pool, pass) else {
             if self.needs_ticket(at.now, StepId::of(id)) {
                 self.await_tickets(at.now, StepId::of(id), step, pool, pass);
-            } else if step.long_running {
+            }
+            if step.long_running {
                 self.reserve_worker(at.now, id, step, pool, pass);
             } else if self.fits_alike(at.now, StepId::of(id), step) {
                 pass.add_unplaceable(pool, step.allocation());
@@ -795,13 +796,17 @@
             Some(_) => self.siblings(StepId::of(id)),
             None => BTreeMap::new(),
         };
+        let needs_ticket = self.needs_ticket(now, StepId::of(id));
+        let tickets = self.tickets.get(&StepId::of(id));
         let mut best: Option<(u64, u64, &Name)> = None;
         for (name, w) in self.workers.by_free(pool, 0).rev() {
             let free_cpu = w.info.capacity.cpu.saturating_sub(w.used.cpu);
             if best.is_some_and(|(most, _, _)| free_cpu < most) {
                 break;
             }
+            let ticket = tickets.and_then(|t| t.for_worker(now, name));
             if self.is_eligible(now, w, step, pool, &siblings)
+                && (!needs_ticket || ticket.is_some())
                 && !pass.reserved_workers.contains(name)
                 && self.could_fit(w, allocation)
             {
@@ -811,7 +816,7 @@
         }
         if let Some((_, _, name)) = best {
             pass.reserved_workers.insert(Arc::clone(name));
-        } else if step.required_label.is_none() && step.max_per_worker.is_none() {
+        } else if self.fits_alike(now, StepId::of(id), step) {
             let unreservable = pass.unreservable.entry(Arc::clone(pool));
             unreservable.or_default().push(allocation);
         }
--- a/crates/shard/tests/test_queue_policy.rs
+++ b/crates/shard/tests/test_queue_policy.rs
@@ -18,6 +18,7 @@
 use crate::support::finished_run;
 use crate::support::job;
 use crate::support::report;
+use crate::support::run_status;
 use crate::support::starts;
 use crate::support::step;
 
@@ -334,3 +335,43 @@
     harness.submit(with_policy(job(1, vec![labelled])));
     assert!(queries(&harness.tick()).is_empty());
 }
+
+/// Guards against a long-running task in a queue with a policy service that never starts in a full pool,
+/// since short tasks take the room as fast as it becomes free (LOST).
+#[test]
+fn a_worker_with_a_ticket_is_reserved_for_a_long_running_task() {
+    let mut harness = Harness::new(&["w1", "w2"]);
+    harness.poll_all(&["w1", "w2"]);
+    harness.submit(job(1, vec![step(30, &[])]));
+    harness.tick();
+    let mut running = starts(&harness.store_batch());
+    assert_eq!(running.len(), 8);
+    for (worker, request) in &running {
+        harness.answer_start(worker, request.run, StartOutcome::Started(1_000));
+    }
+    let mut large = step(1, &[]);
+    large.long_running = true;
+    large.resources.cpu = 4_000;
+    let mut policy_job = with_policy(job(2, vec![large]));
+    policy_job.queue.name = "archives".into();
+    harness.submit(policy_job);
+    let asked = queries(&harness.tick());
+    let tickets = vec![("w1".into(), "ticket-w1".into())];
+    let decision = Some((tickets, TICKET_TTL));
+    harness
+        .shard
+        .handle_policy(harness.at, asked[0].0, decision);
+    for sequence in 1..=4 {
+        let position = running.iter().position(|(worker, _)| &**worker == "w1");
+        let (_, request) = running.remove(position.unwrap());
+        let rest = running.iter().filter(|(worker, _)| &**worker == "w1");
+        let rest = rest.map(|(_, r)| run_status(r.run, 50)).collect();
+        let end = finished_run(sequence, request.run, RunOutcome::Done);
+        harness.answer_poll("w1", &report(1_000, rest, vec![end]));
+        harness.tick();
+        let started = starts(&harness.store_batch());
+        let jobs: Vec<u64> = started.iter().map(|(_, s)| s.run.task.job.0).collect();
+        let expected: &[u64] = if sequence == 4 { &[2] } else { &[] };
+        assert_eq!(jobs, expected, "after {sequence} ends");
+    }
+}
