drain: ask for tickets where tasks block a drain

Long-running tasks of one step that together exceed their disruption budget on a worker are evicted one by one before it goes down, if another worker can take them.

A drain that finds no worker for such a task now asks the policy service about its step.

tickets_are_asked_for_where_tasks_block_a_drain failed before (no query) and passes now, with the 178 tests of the shard crate (1 ignored as before).

--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -315,7 +315,7 @@
         }
         let Some(worker) = self.select_worker(at.now, id, step, pool, pass) else {
             if self.needs_ticket(at.now, StepId::of(id)) {
-                self.await_tickets(at.now, StepId::of(id), step, pool, pass);
+                self.await_tickets(at.now, StepId::of(id), pool, pass);
             }
             if step.long_running {
                 self.reserve_worker(at.now, id, step, pool, pass);
@@ -368,7 +368,7 @@
         };
         if !self.has_room(at.now, unplaced_step, tasks.len(), pass) {
             if self.needs_ticket(at.now, id) {
-                self.await_tickets(at.now, id, step, pool, pass);
+                self.await_tickets(at.now, id, pool, pass);
             }
             return;
         }
@@ -481,16 +481,9 @@
 
     /// Asks for tickets for a step that has too few to be placed. Meanwhile it keeps its quota, and the
     /// next pass follows without a change.
-    fn await_tickets(
-        &mut self,
-        now: Instant,
-        id: StepId,
-        step: &Step,
-        pool: &Name,
-        pass: &mut PlacementPass,
-    ) {
+    fn await_tickets(&mut self, now: Instant, id: StepId, pool: &Name, pass: &mut PlacementPass) {
         self.settled = false;
-        self.query_policy(now, id, step, pool);
+        self.query_policy(now, id);
         self.hold_back(now, id, pool, pass);
     }
 
@@ -523,7 +516,7 @@
         } else if self.tickets.contains_key(&id) {
             // Without the quota the step isn't placed, so that nothing else asks for its tickets again.
             self.settled = false;
-            self.query_policy(now, id, step, pool);
+            self.query_policy(now, id);
         }
     }
 
--- a/crates/shard/src/drain.rs
+++ b/crates/shard/src/drain.rs
@@ -163,11 +163,18 @@
     fn evict_colocated_task(&mut self, at: Timestamp, worker_id: &Name, runs: &[RunId]) {
         self.workers.update(at.now, &mut self.placement);
         let step_of = |id: &RunId| StepId::of(id.task);
-        let evicted = runs.iter().find(|id| {
+        let evictable = runs.iter().filter(|id| {
             let colocated = runs.iter().filter(|r| step_of(r) == step_of(id)).count();
-            colocated > 1 && self.has_budget(id.task) && self.fits_elsewhere(at.now, id.task)
+            colocated > 1 && self.has_budget(id.task)
         });
-        let Some(&id) = evicted else {
+        let evictable: Vec<&RunId> = evictable.collect();
+        let evicted = evictable
+            .iter()
+            .find(|id| self.fits_elsewhere(at.now, id.task));
+        let Some(&&id) = evicted else {
+            for id in evictable {
+                self.query_policy(at.now, step_of(id));
+            }
             return;
         };
         self.log_event("long_running_task_evicted", id.task, || {
--- a/crates/shard/src/policy.rs
+++ b/crates/shard/src/policy.rs
@@ -12,7 +12,6 @@
 use crate::job::JobId;
 use crate::job::Name;
 use crate::job::Resources;
-use crate::job::Step;
 use crate::job::TaskId;
 use crate::shard::Effect;
 use crate::shard::Shard;
@@ -202,13 +201,21 @@
         has_policy || self.tickets.get(&id).is_some_and(|t| t.is_required(now))
     }
 
-    /// Asks the policy service which workers may run a step, unless a query is in flight.
+    /// Asks the policy service which workers may run a step, unless a query is in flight or the step needs
+    /// no tickets.
     ///
     /// Placement calls it when no worker with a valid ticket has room, or too few have for a gang. The
     /// query names schedulable workers that could run a task and have no valid ticket: those that were
     /// not asked about first, then those that were asked about longest ago, and of these the ones with
     /// the most free processor time.
-    pub(crate) fn query_policy(&mut self, now: Instant, id: StepId, step: &Step, pool: &Name) {
+    pub(crate) fn query_policy(&mut self, now: Instant, id: StepId) {
+        let job = self.jobs.get(&id.job).map(|j| Arc::clone(&j.job));
+        let Some(job) = job.filter(|_| self.needs_ticket(now, id)) else {
+            return;
+        };
+        let Some(step) = job.steps.get(usize::from(id.step)) else {
+            return;
+        };
         let tickets = self.tickets.entry(id).or_default();
         if let Some(at) = tickets.queried_at {
             if now.saturating_duration_since(at) < QUERY_RETRY {
@@ -225,7 +232,7 @@
             label.is_none_or(|label| w.info.labels.contains(label))
         };
         let workers = self.workers.iter().filter(|(name, w)| {
-            w.info.pool == *pool
+            w.info.pool == job.queue.pool
                 && w.is_schedulable(now)
                 && has_label(w)
                 && w.info
--- a/crates/shard/tests/test_queue_policy.rs
+++ b/crates/shard/tests/test_queue_policy.rs
@@ -375,3 +375,38 @@
         assert_eq!(jobs, expected, "after {sequence} ends");
     }
 }
+
+/// Guards against a drain that never completes because the tickets of the tasks that block it together have
+/// expired, so that no other worker may take them.
+#[test]
+fn tickets_are_asked_for_where_tasks_block_a_drain() {
+    let mut harness = Harness::new(&["w1"]);
+    harness.poll_all(&["w1"]);
+    let long_running = Step {
+        long_running: true,
+        max_unavailable: 1,
+        ..step(2, &[])
+    };
+    harness.submit(with_policy(job(1, vec![long_running])));
+    let started = place(&mut harness);
+    assert_eq!(started.len(), 2);
+    for (worker, request) in &started {
+        harness.answer_start(worker, request.run, StartOutcome::Started(1_000));
+    }
+    let statuses = started.iter().map(|(_, r)| run_status(r.run, 100));
+    let statuses: Vec<_> = statuses.collect();
+    harness.tick();
+    harness.answer_poll("w1", &report(1_100, statuses, vec![]));
+    harness.update_workers(&["w1", "w2"]);
+    harness.advance(TICKET_TTL);
+    harness.poll_all(&["w2"]);
+    harness.shard.drain(harness.at, &"w1".into(), true);
+    let asked = queries(&harness.tick());
+    assert_eq!(asked.len(), 1);
+    assert_eq!(asked[0].1, [Name::from("w2")]);
+    allow_all(&mut harness, &asked);
+    harness.shard.drain(harness.at, &"w1".into(), true);
+    let effects = harness.tick();
+    let stops = effects.iter().filter(|e| matches!(e, Effect::Stop(..)));
+    assert_eq!(stops.count(), 1, "{effects:?}");
+}
