placement: pause a step after a malformed start

A start that a worker rejects as malformed (400) was sent again at once, for as long as the job lived: 500 times in 5 s of a test whose passes are 10 ms apart.

No task of the step is started for 0.5 s then. The worker gets no backoff, since other tasks run well there.

a_malformed_start_is_repeated_after_a_pause failed before (500 starts in 5 s) and passes now (9 to 11, and another job's tasks start meanwhile), with the 179 tests of the shard crate (1 ignored as before).

--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -216,6 +216,7 @@
             return;
         }
         self.settled = true;
+        self.paused_steps.retain(|_, until| at.now < *until);
         self.collect_waiting(at.now);
         for team in self.teams.values_mut() {
             team.pending = Resources::default();
@@ -247,6 +248,10 @@
     ) {
         let pool = &waiting.pool;
         for step in &waiting.steps {
+            if self.paused_steps.contains_key(&step.id(id)) {
+                self.settled = false;
+                continue;
+            }
             if step.only_waits {
                 if pass.is_unplaceable(pool, step.allocation) {
                     continue;
--- a/crates/shard/src/runs.rs
+++ b/crates/shard/src/runs.rs
@@ -23,6 +23,10 @@
 /// shows what runs on it.
 const RESOURCES_BACKOFF: Duration = Duration::from_millis(300);
 
+/// How long no task of a step is started after a worker rejected one as malformed. Other workers most
+/// likely do the same, until a later version of one of the two sides runs.
+const MALFORMED_BACKOFF: Duration = Duration::from_millis(500);
+
 /// How long a worker gets no tasks after it responded that it is unhealthy.
 const UNHEALTHY_BACKOFF: Duration = Duration::from_millis(800);
 
@@ -162,6 +166,10 @@
                 }
                 return;
             }
+            StartOutcome::Invalid => {
+                let until = now + MALFORMED_BACKOFF;
+                self.paused_steps.insert(StepId::of(id.task), until);
+            }
             StartOutcome::WrongWorker | StartOutcome::NotSent => w.mark_unreachable(now),
             _ => {}
         }
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -209,6 +209,8 @@
     pub(crate) teams: BTreeMap<Name, TeamUsage>,
     pub(crate) share_limiter: ShareLimiter,
     pub(crate) arrivals: Arrivals,
+    /// The steps of which no task is started until a time, since a worker rejected one as malformed.
+    pub(crate) paused_steps: BTreeMap<StepId, Instant>,
     /// Whether each queue of the configuration in force has a policy service.
     pub(crate) queue_policies: BTreeMap<Name, bool>,
     /// The tickets of steps in queues with a policy service.
@@ -266,6 +268,7 @@
             teams: BTreeMap::new(),
             share_limiter: ShareLimiter::default(),
             arrivals: Arrivals::default(),
+            paused_steps: BTreeMap::new(),
             queue_policies: BTreeMap::new(),
             tickets: BTreeMap::new(),
             stops: BTreeMap::new(),
--- a/crates/shard/tests/test_kinds.rs
+++ b/crates/shard/tests/test_kinds.rs
@@ -267,3 +267,25 @@
     let ids: Vec<u64> = started.iter().map(|(_, s)| s.run.task.job.0).collect();
     assert_eq!(ids, [2]);
 }
+
+/// Guards against a start that a worker rejects as malformed and that is sent again hundreds of times a
+/// second, and against one that keeps the others of its pool from starting.
+#[test]
+fn a_malformed_start_is_repeated_after_a_pause() {
+    let mut harness = Harness::new(&["w1", "w2"]);
+    harness.poll_all(&["w1", "w2"]);
+    harness.submit(job(1, vec![step(1, &[])]));
+    let mut rejected = 0;
+    for _ in 0..500 {
+        harness.tick();
+        for (worker, request) in starts(&harness.store_batch()) {
+            rejected += 1;
+            harness.answer_start(&worker, request.run, StartOutcome::Invalid);
+        }
+        harness.advance(Duration::from_millis(10));
+    }
+    assert!((9..=11).contains(&rejected), "{rejected} in 5 s");
+    harness.submit(job(2, vec![step(8, &[])]));
+    harness.tick();
+    assert!(starts(&harness.store_batch()).len() >= 7);
+}
