--- a/crates/node/src/shard_quotas.rs
+++ b/crates/node/src/shard_quotas.rs
@@ -4,6 +4,7 @@
 //! of the fleet shard therefore grants every shard a quota, a part of each limit. The quotas never
 //! add up to more than the limit: a quota that shrinks counts in full until its shard has confirmed
 //! the smaller one, and as much as the shard uses until its tasks beyond the smaller one have ended.
+//! However much a shard asks for, the others are left what they need of their even parts.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -79,7 +79,7 @@
     kept_apart: Cell<u64>,
 }
 
-/// A step with tasks that wait for a place.
+/// A step with tasks that wait for a place, as [`Shard::candidates`] looks at it.
 #[derive(Clone, Copy, Debug)]
 struct UnplacedStep<'a> {
     id: StepId,
@@ -258,7 +258,7 @@
                 }
                 let team = waiting.team.as_ref();
                 if !self.within_quota(team, step.resources, pass) {
-                    self.hold_back(at.now, step.id(id), pool, pass);
+                    self.add_demand(at.now, step.id(id), pool, pass);
                     continue;
                 }
             }
@@ -315,7 +315,7 @@
         let team = self.team_of(id.job);
         self.workers.update(at.now, &mut self.placement);
         if !self.within_quota(team.as_ref(), step.resources, pass) {
-            self.hold_back(at.now, StepId::of(id), pool, pass);
+            self.add_demand(at.now, StepId::of(id), pool, pass);
             return false;
         }
         let Some(worker) = self.select_worker(at.now, id, step, pool, pass) else {
@@ -362,7 +362,7 @@
         self.workers.update(at.now, &mut self.placement);
         let resources = step.resources.scaled(tasks.len() as f64);
         if !self.within_quota(team.as_ref(), resources, pass) {
-            self.hold_back(at.now, id, pool, pass);
+            self.add_demand(at.now, id, pool, pass);
             return;
         }
         let unplaced_step = UnplacedStep {
@@ -484,18 +484,18 @@
         })
     }
 
-    /// Asks for tickets for a step that has too few to be placed. Meanwhile it keeps its quota, and the
-    /// next pass follows without a change.
+    /// Asks for tickets for a step that has too few to be placed. It keeps its quota meanwhile, and is tried
+    /// again in the next pass even if nothing has changed.
     fn await_tickets(&mut self, now: Instant, id: StepId, pool: &Name, pass: &mut PlacementPass) {
         self.settled = false;
         self.query_policy(now, id);
-        self.hold_back(now, id, pool, pass);
+        self.add_demand(now, id, pool, pass);
     }
 
-    /// Adds the tasks of a step that the quota of a team holds back to the team's pending resources, if
-    /// workers could take one of them now, or all of a gang. Otherwise this shard would be granted a
-    /// part of the team's limit that it can't use and that other shards lack.
-    fn hold_back(&mut self, now: Instant, id: StepId, pool: &Name, pass: &mut PlacementPass) {
+    /// Adds the waiting tasks of a step to the pending resources of their team, if workers could take one
+    /// of them now, or all of a gang. Otherwise this shard would be granted a part of the team's limit
+    /// that it can't use and that other shards lack.
+    fn add_demand(&mut self, now: Instant, id: StepId, pool: &Name, pass: &mut PlacementPass) {
         let Some(job) = self.jobs.get(&id.job).map(|j| Arc::clone(&j.job)) else {
             return;
         };
@@ -519,7 +519,7 @@
         if self.has_room(now, unplaced_step, unit_tasks, pass) {
             self.add_pending(team, unit, units, pass);
         } else if self.tickets.contains_key(&id) {
-            // Without the quota the step isn't placed, so that nothing else asks for its tickets again.
+            // While its quota holds the step back, nothing else asks for its tickets again.
             self.settled = false;
             self.query_policy(now, id);
         }
@@ -591,8 +591,8 @@
         false
     }
 
-    /// Returns whether a step can run on any worker with room for its tasks, so that nothing else of
-    /// the same size fits where these don't.
+    /// Returns whether the workers for a step are limited by their free resources alone. If its tasks fit
+    /// on none, no other tasks of the same size do.
     fn fits_alike(&self, now: Instant, id: StepId, step: &Step) -> bool {
         step.required_label.is_none()
             && step.max_per_worker.is_none()
--- a/crates/shard/src/policy.rs
+++ b/crates/shard/src/policy.rs
@@ -29,9 +29,9 @@
 /// have restarted, and then takes a new ticket.
 const REJECTED_TICKET_BACKOFF: Duration = Duration::from_millis(300);
 
-/// How long a step needs tickets after a worker rejected a start. The worker may know a version of the
-/// configuration that this owner has not read yet, or may not know one that it has: both know the same
-/// one soon. Then a start without a ticket is tried again.
+/// How long a step needs tickets after a worker rejected a start of it, whatever the configuration says:
+/// the worker and this owner may know different versions for a while. Then a start without a ticket is
+/// tried again.
 const REQUIREMENT_TTL: Duration = QUERY_RETRY;
 
 /// The remaining validity that a ticket must have when a task is placed with it.
@@ -143,6 +143,7 @@
 
     /// Records that the workers in the last query got no ticket.
     fn mark_not_allowed(&mut self) {
+        // The time that `add_query` set for the workers of the last query.
         let last = self.queried_at.map(|at| at + QUERY_RETRY);
         for asked in self.asked.values_mut() {
             asked.not_allowed |= Some(asked.retry_at) == last;
--- a/crates/shard/src/runs.rs
+++ b/crates/shard/src/runs.rs
@@ -23,8 +23,8 @@
 /// shows what runs on it.
 const RESOURCES_BACKOFF: Duration = Duration::from_millis(300);
 
-/// How long no task of a step is started after a worker rejected one as malformed. Other workers most
-/// likely do the same, until a later version of one of the two sides runs.
+/// How long no task of a step is started after a worker rejected one as malformed. Other workers are
+/// likely to do the same.
 const MALFORMED_BACKOFF: Duration = Duration::from_millis(500);
 
 /// How long a worker gets no tasks after it responded that it is unhealthy.
--- a/crates/shard/src/shard.rs
+++ b/crates/shard/src/shard.rs
@@ -137,8 +137,8 @@
     pub quota: Option<Resources>,
     /// The team's limit over all shards; unset for a team without one.
     pub limit: Option<Resources>,
-    /// The resources requested by tasks that the quota held back in the last placement pass, although
-    /// the pool has room for some of them.
+    /// The resources requested by tasks that workers could take, and that the quota held back in the last
+    /// placement pass or that wait for tickets.
     pub pending: Resources,
     /// The resources of the first task or gang among them, which starts only as a whole.
     pub next_unit: Option<Resources>,
--- a/crates/shard/tests/test_quota_demand.rs
+++ b/crates/shard/tests/test_quota_demand.rs
@@ -30,6 +30,15 @@
     job
 }
 
+/// Returns a job of the team in a queue with a policy service.
+fn policy_job() -> Job {
+    let mut job = team_job(1, vec![step(2, &[])]);
+    job.queue.policy = Some(PlacementPolicy {
+        ticket_ttl: Duration::from_secs(2),
+    });
+    job
+}
+
 fn set_quota(harness: &mut Harness, cpu: u64) {
     let quota = Resources {
         cpu,
@@ -152,11 +161,7 @@
 fn a_step_without_tickets_asks_for_its_quota() {
     let mut harness = Harness::new(&["w1"]);
     harness.poll_all(&["w1"]);
-    let mut with_policy = team_job(1, vec![step(2, &[])]);
-    with_policy.queue.policy = Some(PlacementPolicy {
-        ticket_ttl: Duration::from_secs(2),
-    });
-    harness.submit(with_policy);
+    harness.submit(policy_job());
     assert_eq!(usage_with_quota(&mut harness, NO_QUOTA).pending.cpu, 2_000);
 }
 
@@ -181,11 +186,7 @@
 fn a_step_that_waits_for_tickets_keeps_its_quota() {
     let mut harness = Harness::new(&["w1"]);
     harness.poll_all(&["w1"]);
-    let mut with_policy = team_job(1, vec![step(2, &[])]);
-    with_policy.queue.policy = Some(PlacementPolicy {
-        ticket_ttl: Duration::from_secs(2),
-    });
-    harness.submit(with_policy);
+    harness.submit(policy_job());
     for quota in [AMPLE_QUOTA, 2_000] {
         let usage = usage_with_quota(&mut harness, quota);
         assert_eq!((usage.used.cpu, usage.pending.cpu), (0, 2_000), "{quota}");
@@ -198,11 +199,7 @@
 fn a_step_that_is_allowed_nowhere_asks_for_no_quota() {
     let mut harness = Harness::new(&["w1"]);
     harness.poll_all(&["w1"]);
-    let mut with_policy = team_job(1, vec![step(2, &[])]);
-    with_policy.queue.policy = Some(PlacementPolicy {
-        ticket_ttl: Duration::from_secs(2),
-    });
-    harness.submit(with_policy);
+    harness.submit(policy_job());
     set_quota(&mut harness, AMPLE_QUOTA);
     let effects = harness.tick();
     assert_eq!(answer_queries(&mut harness, &effects, &[]), 1);
