placement: count the waiting tasks of a step without a walk over them

A step that its quota holds back was walked over in each pass, up to 5,000 tasks, since the demand for quotas is counted for a step at a time. The set of waiting tasks knows its size.

--- a/crates/shard/src/dispatch.rs
+++ b/crates/shard/src/dispatch.rs
@@ -23,6 +23,7 @@
 use crate::tracked_job::Phase;
 use crate::tracked_job::Rank;
 use crate::tracked_job::Run;
+use crate::tracked_job::StepTasks;
 use crate::waiting::WaitingJob;
 use crate::worker::RunId;
 use crate::worker::Worker;
@@ -295,11 +296,13 @@
 
     /// Returns the indexes, from `first` on, of a step's tasks that are not done and have no run.
     fn unplaced(&self, id: StepId, first: u32) -> impl Iterator<Item = u32> {
-        let steps = self.jobs.get(&id.job);
-        let steps = steps.and_then(|j| j.occurrences.get(&id.occurrence));
-        let step = steps.and_then(|s| s.get(usize::from(id.step)));
-        step.into_iter()
-            .flat_map(move |s| s.unplaced.range(first..).copied())
+        let step = self.step_tasks(id).into_iter();
+        step.flat_map(move |s| s.unplaced.range(first..).copied())
+    }
+
+    fn step_tasks(&self, id: StepId) -> Option<&StepTasks> {
+        let steps = self.jobs.get(&id.job)?.occurrences.get(&id.occurrence)?;
+        steps.get(usize::from(id.step))
     }
 
     /// Places one task. Returns `false` if there is no room for it on a worker or in the team's
@@ -505,7 +508,7 @@
         let Some(team) = &job.team else {
             return;
         };
-        let waiting = self.unplaced(id, 0).count();
+        let waiting = self.step_tasks(id).map_or(0, |s| s.unplaced.len());
         let (unit, units, unit_tasks) = match step.gang {
             true => (step.resources.scaled(waiting as f64), 1, waiting),
             false => (step.resources, waiting, 1),
@@ -760,11 +763,7 @@
     /// Returns how many runs of a step there are on each worker.
     fn siblings(&self, id: StepId) -> BTreeMap<Name, u32> {
         let mut counts = BTreeMap::new();
-        let steps = self
-            .jobs
-            .get(&id.job)
-            .and_then(|j| j.occurrences.get(&id.occurrence));
-        let Some(step) = steps.and_then(|s| s.get(usize::from(id.step))) else {
+        let Some(step) = self.step_tasks(id) else {
             return counts;
         };
         for run in step.tasks.iter().flat_map(|t| &t.runs) {
